Lay the whole path: entry daemon, units, fair order, platform client, stand-ins, demo

Cause: nothing existed. Change: the workspace with the libraries units (slices, barrier, loans) and share (fair order, learned run times); the daemon chicorypind; the command line chicorypin; stand-ins for the platform and the minions; the demo.

--- /dev/null
+++ b/cmd/chicorypin-standin/main.go
@@ -0,0 +1,42 @@
+// Command chicorypin-standin runs the stand-ins that tests put in the place of
+// the platform and of the minions.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"gitlab.com/chicorypin/chicorypin/internal/standin/minion"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/platform"
+)
+
+// headerTimeout bounds how long a client may take to send its header.
+const headerTimeout = 5 * time.Second
+
+type arguments struct {
+	Platform string   `arg:"--platform" help:"address to serve the platform on"`
+	Minions  []string `arg:"--minion,separate" help:"address to serve a minion on; may be repeated"`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	failed := make(chan error)
+	if args.Platform != "" {
+		go serve(failed, args.Platform, platform.NewServer())
+	}
+	for _, address := range args.Minions {
+		go serve(failed, address, minion.NewServer(address))
+	}
+	fmt.Fprintln(os.Stderr, <-failed)
+	os.Exit(1)
+}
+
+func serve(failed chan<- error, address string, handler http.Handler) {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout}
+	failed <- server.ListenAndServe()
+}
--- /dev/null
+++ b/cmd/chicorypind/main.go
@@ -0,0 +1,72 @@
+// Command chicorypind is the entry daemon.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/internal/daemon/entry"
+	"gitlab.com/chicorypin/chicorypin/internal/daemon/host"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// version is set by the linker.
+var version = "development"
+
+type arguments struct {
+	Settings string `arg:"positional,required" help:"settings file, JSON"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "chicorypind serves callers on the fleet. SIGTERM stops it gracefully, SIGUSR1 dumps its state to standard error."
+}
+
+// Version implements arg.Versioned.
+func (arguments) Version() string { return "chicorypind " + version }
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	settings, err := entry.ReadSettings(args.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if args.Check {
+		fmt.Println("the settings are valid")
+		return
+	}
+	e, err := host.New(settings, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go dumpOnSignal(e)
+	e.Run(ctx)
+}
+
+// dumpOnSignal writes the whole state to standard error at each SIGUSR1.
+func dumpOnSignal(e *entry.Entry) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	for range signals {
+		event.Dumped.Log(e.Log(), nil)
+		_ = json.NewEncoder(os.Stderr).Encode(e.Dump())
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry/beat.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
+	"gitlab.com/chicorypin/chicorypin/units"
+)
+
+const (
+	// introduceEvery is how many heartbeats there are for each that carries
+	// the sender's own addresses.
+	introduceEvery = 20
+	// pullInterval is the least time between two requests for documents.
+	pullInterval = 200 * time.Millisecond
+)
+
+// beat tells the peers what is in force here.
+func (e *Entry) beat(now time.Time) {
+	e.mu.Lock()
+	frame := e.composeBeat(now)
+	if e.state.beats%introduceEvery == 0 {
+		e.afterChange()
+	}
+	e.mu.Unlock()
+	e.mesh.Broadcast(frame)
+}
+
+func (e *Entry) composeBeat(now time.Time) *wire.Frame {
+	s := &e.state
+	s.beats++
+	own, _ := e.ownDocument()
+	body := &wire.Beat{
+		Sequence:    s.beats,
+		LimitsForce: s.force.Limits,
+		TableForce:  s.force.Table,
+		Config:      s.config.Revision,
+		Fleet:       s.fleet.Revision,
+		Table:       s.table.Revision(),
+		Age:         uint64(now.Sub(s.fresh) / time.Millisecond),
+		Leaving:     own.Leaving,
+		BusyFleet:   own.Fleet,
+		Busy:        own.Busy,
+		Usage:       e.changedUsage(),
+	}
+	if s.beats%introduceEvery == 1 {
+		body.Member = &wire.Member{
+			Entry: own.Entry, Name: own.Name, Centre: own.Centre,
+			Peer: own.Peer.String(), Operator: own.Operator.String(),
+		}
+	}
+	return &wire.Frame{Body: &wire.Frame_Beat{Beat: body}}
+}
+
+// changedUsage returns the totals that changed since the last heartbeat; now
+// and then all of them, since heartbeats may be lost.
+func (e *Entry) changedUsage() (usage []*wire.Usage) {
+	used := e.dispatcher.Used()
+	for team, total := range used {
+		if total != e.state.sentUsage[team] || e.state.beats%introduceEvery == 0 {
+			usage = append(usage, &wire.Usage{Team: team, Used: uint64(total / time.Microsecond)})
+		}
+	}
+	e.state.sentUsage = used
+	return usage
+}
+
+func (e *Entry) receiveBeat(from string, beat *wire.Beat) {
+	now := e.config.Timer.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := e.state.member(from)
+	isNew := !m.isThere(now)
+	m.heard = now
+	isNew = takeIntroduction(m, beat.GetMember()) || isNew || m.Leaving != beat.GetLeaving()
+	m.Leaving = m.Leaving || beat.GetLeaving()
+	if beat.GetBusyFleet() >= m.Fleet {
+		m.Fleet, m.Busy = beat.GetBusyFleet(), beat.GetBusy()
+	}
+	force := units.Force{Limits: beat.GetLimitsForce(), Table: beat.GetTableForce()}
+	if force != m.Force {
+		m.Force.Limits = max(m.Force.Limits, force.Limits)
+		m.Force.Table = max(m.Force.Table, force.Table)
+		e.report(m)
+	}
+	if isNew {
+		e.afterChange()
+	}
+	e.chargeRemote(m, beat.GetUsage())
+	e.compareRevisions(now, from, beat)
+}
+
+func takeIntroduction(m *member, received *wire.Member) (isNew bool) {
+	if received == nil {
+		return false
+	}
+	isNew = m.Name == ""
+	m.Name, m.Centre = received.GetName(), received.GetCentre()
+	m.Peer, _ = netip.ParseAddrPort(received.GetPeer())
+	m.Operator, _ = netip.ParseAddrPort(received.GetOperator())
+	return isNew
+}
+
+// chargeRemote charges the teams for slot time that a peer reports.
+func (e *Entry) chargeRemote(m *member, usage []*wire.Usage) {
+	for _, u := range usage {
+		total := time.Duration(u.GetUsed()) * time.Microsecond
+		before, isKnown := m.used[u.GetTeam()]
+		m.used[u.GetTeam()] = max(total, before)
+		if isKnown && total > before {
+			e.dispatcher.ChargeRemote(u.GetTeam(), total-before)
+		}
+	}
+}
+
+// compareRevisions asks a peer for documents that are newer there. A peer that
+// has nothing newer passes its freshness on.
+func (e *Entry) compareRevisions(now time.Time, from string, beat *wire.Beat) {
+	s := &e.state
+	isNewer := beat.GetConfig() > s.config.Revision || beat.GetFleet() > s.fleet.Revision ||
+		beat.GetTable() > s.table.Revision()
+	isSame := beat.GetConfig() == s.config.Revision
+	if isSame && !isNewer {
+		fresh := now.Add(-time.Duration(beat.GetAge()) * time.Millisecond)
+		e.setFresh(fresh)
+		if s.isSuspect && fresh.After(s.resumed) {
+			e.confirm()
+		}
+	}
+	if isNewer && now.Sub(s.pulled) > pullInterval {
+		s.pulled = now
+		pull := &wire.Pull{Config: s.config.Revision, Fleet: s.fleet.Revision, Table: s.table.Revision()}
+		e.mesh.Send(from, &wire.Frame{Body: &wire.Frame_Pull{Pull: pull}})
+	}
+}
+
+func (e *Entry) receivePull(from string, pull *wire.Pull) {
+	now := e.config.Timer.Now()
+	e.mu.Lock()
+	s := &e.state
+	snapshot := &wire.Snapshot{Age: uint64(now.Sub(s.fresh) / time.Millisecond)}
+	if s.config.Revision > pull.GetConfig() {
+		snapshot.Config = slices.Clone(s.configData)
+	}
+	if s.fleet.Revision > pull.GetFleet() {
+		snapshot.Fleet = slices.Clone(s.fleetData)
+	}
+	if s.table.Revision() > pull.GetTable() {
+		snapshot.Table = slices.Clone(s.tableData)
+	}
+	e.mu.Unlock()
+	e.mesh.Send(from, &wire.Frame{Body: &wire.Frame_Snapshot{Snapshot: snapshot}})
+}
+
+// receiveSnapshot takes documents of a peer, with the peer's age.
+func (e *Entry) receiveSnapshot(snapshot *wire.Snapshot) {
+	now := e.config.Timer.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.setFresh(now.Add(-time.Duration(snapshot.GetAge()) * time.Millisecond))
+	if len(snapshot.GetConfig()) > 0 {
+		e.takeConfig(snapshot.GetConfig(), unversioned)
+	}
+	if len(snapshot.GetTable()) > 0 {
+		e.takeTable(snapshot.GetTable(), unversioned)
+	}
+	if len(snapshot.GetFleet()) > 0 {
+		e.takeFleet(snapshot.GetFleet(), unversioned)
+	}
+	if e.state.config.Revision > 0 {
+		e.ready.Store(true)
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry/leave.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+)
+
+// idlePoll is how often a leaving entry looks whether its work has ended.
+const idlePoll = 50 * time.Millisecond
+
+// leave ends the service without cutting a request: the balancer is told, the
+// requests that still come are served, then those under way, then the slices
+// go back to the table.
+func (e *Entry) leave() {
+	event.Leaving.Log(e.log, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Stop))
+	defer cancel()
+	e.leaving.Store(true)
+	e.mu.Lock()
+	e.self().Leaving = true
+	e.afterChange()
+	e.mu.Unlock()
+	sleep(ctx, time.Duration(e.settings.Linger))
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.log.WithError(err).Warn("requests were still open at the end of the stop time")
+	}
+	isIdle := e.awaitIdle(ctx)
+	if isIdle {
+		e.giveUpSlice(ctx)
+	}
+	e.deregister(ctx)
+	event.Leaving.Log(e.log, logrus.Fields{"idle": isIdle})
+}
+
+func (e *Entry) awaitIdle(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		if e.teams.IsIdle() && e.slots.IsIdle() {
+			return true
+		}
+		sleep(ctx, idlePoll)
+	}
+	return false
+}
+
+// giveUpSlice writes a table without this entry. If that fails, the others find
+// out later that this process is gone.
+func (e *Entry) giveUpSlice(ctx context.Context) {
+	for range maxRaces {
+		e.mu.Lock()
+		holders := e.wantedHolders(e.config.Timer.Now())
+		delete(holders, e.id)
+		_, isHolder := e.state.table.Holders[e.id]
+		next, ok := e.composeTable(holders)
+		version, isReached := e.state.tableVersion, e.state.reached
+		e.mu.Unlock()
+		if !isHolder || !ok || !isReached || e.writeTable(ctx, next, version) == nil {
+			return
+		}
+	}
+}
+
+// deregister takes this entry off the platform's list of members.
+func (e *Entry) deregister(ctx context.Context) {
+	e.mu.Lock()
+	lease, isReached := e.state.lease, e.state.reached
+	e.mu.Unlock()
+	if lease != 0 && isReached {
+		_ = e.platform.Revoke(ctx, lease)
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration):
+	}
+}
--- /dev/null
+++ b/internal/daemon/entry/settings.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	_ "embed" // The schema is part of the program.
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"gitlab.com/chicorypin/chicorypin/internal/base/fault"
+	"gitlab.com/chicorypin/chicorypin/internal/model/document"
+)
+
+//go:embed settings.json
+var settingsText []byte
+
+var settingsSchema = fault.CompileSchema("settings.json", settingsText)
+
+// Defaults of Settings.
+const (
+	DefaultTTL    = 10 * time.Second
+	DefaultLinger = 2 * time.Second
+	DefaultStop   = 45 * time.Second
+	DefaultLevel  = "info"
+)
+
+// Settings is what a daemon reads at its start.
+type Settings struct {
+	// Name is the name of the instance in the platform's list.
+	Name string `json:"name"`
+	// Centre is the data centre.
+	Centre string `json:"centre"`
+	// Caller, Operator and Peer are the addresses to listen on.
+	Caller   netip.AddrPort `json:"caller"`
+	Operator netip.AddrPort `json:"operator"`
+	Peer     netip.AddrPort `json:"peer"`
+	// Platform holds the addresses of the key-value service, List that of the
+	// list of instances.
+	Platform []netip.AddrPort `json:"platform"`
+	List     netip.AddrPort   `json:"list"`
+	// Peers are addresses of other entries, for a start without the platform.
+	Peers []netip.AddrPort `json:"peers,omitempty"`
+	// Operators are the SHA-256 digests of the operators' keys.
+	Operators []string `json:"operators"`
+	// TTL is how long the platform keeps this entry listed without renewal.
+	TTL document.Duration `json:"ttl,omitempty"`
+	// Linger is how long a leaving entry still takes requests, until the
+	// balancer has noticed.
+	Linger document.Duration `json:"linger,omitempty"`
+	// Stop bounds how long a leaving entry waits for work to end.
+	Stop document.Duration `json:"stop,omitempty"`
+	// Level is the least severity that is logged.
+	Level string `json:"level,omitempty"`
+}
+
+// ReadSettings reads and checks a settings file. A *fault.ListError in the error
+// holds every fault in it.
+func ReadSettings(path string) (settings Settings, err error) {
+	defer fault.Annotate(&err, "settings file %s", path)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return ParseSettings(data)
+}
+
+// ParseSettings checks settings. The error is a *fault.ListError.
+func ParseSettings(data []byte) (settings Settings, err error) {
+	if err = fault.Decode(settingsSchema, data, &settings); err != nil {
+		return Settings{}, err
+	}
+	settings.setDefaults()
+	return settings, settings.check()
+}
+
+func (s *Settings) setDefaults() {
+	if s.TTL == 0 {
+		s.TTL = document.Duration(DefaultTTL)
+	}
+	if s.Linger == 0 {
+		s.Linger = document.Duration(DefaultLinger)
+	}
+	if s.Stop == 0 {
+		s.Stop = document.Duration(DefaultStop)
+	}
+	if s.Level == "" {
+		s.Level = DefaultLevel
+	}
+}
+
+func (s *Settings) check() error {
+	list := &fault.ListError{}
+	used := make(map[netip.AddrPort]string)
+	for _, each := range []struct {
+		path    string
+		address netip.AddrPort
+	}{{"/caller", s.Caller}, {"/operator", s.Operator}, {"/peer", s.Peer}} {
+		if other, taken := used[each.address]; taken && each.address.Port() != 0 {
+			list.Add(each.path, "the address is that of %s too", other)
+		}
+		used[each.address] = each.path
+	}
+	if time.Duration(s.TTL) < time.Second {
+		list.Add("/ttl", "shorter than 1s")
+	}
+	if s.Linger >= s.Stop {
+		list.Add("/linger", "not shorter than /stop, %s", time.Duration(s.Stop))
+	}
+	for i, address := range s.Peers {
+		if address == s.Peer {
+			list.Add(fmt.Sprintf("/peers/%d", i), "the address is this entry's own")
+		}
+	}
+	return list.Err()
+}
--- /dev/null
+++ b/internal/daemon/entry/steward.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"gitlab.com/chicorypin/chicorypin/internal/back/platform"
+	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/internal/model/fleet"
+	"gitlab.com/chicorypin/chicorypin/internal/plan/steward"
+)
+
+// heldReport is how long a drain waits before it is reported.
+const heldReport = time.Minute
+
+// stewardDocument names the entry that plans maintenance. It lies under the
+// lease of that entry.
+type stewardDocument struct {
+	ID    string `json:"id"`
+	Entry string `json:"entry"`
+}
+
+// tendFleet makes one steward pass if this entry holds the steward's lease. A
+// second steward would do no harm: every step is a compare-and-swap on the
+// fleet that it was planned from.
+func (e *Entry) tendFleet(ctx context.Context, now time.Time) {
+	if e.leaving.Load() || !e.holdsSteward(ctx) {
+		return
+	}
+	e.mu.Lock()
+	snapshot := steward.Snapshot{
+		Fleet:    e.state.fleet,
+		Document: e.index.Load().Document,
+		Live:     e.state.live,
+		Busy:     e.busyEntries(now),
+	}
+	version, config := e.state.fleetVersion, e.state.config.Revision
+	e.mu.Unlock()
+	if config == 0 {
+		return
+	}
+	plan := steward.NewPlan(snapshot)
+	e.reportPlan(now, plan)
+	if plan.Changes == 0 {
+		return
+	}
+	if e.writeFleet(ctx, plan.Next, version) == nil {
+		event.StepWritten.Log(e.log, logrus.Fields{"revision": plan.Next.Revision, "changes": plan.Changes})
+	}
+}
+
+// holdsSteward returns whether this entry is the steward, taking the role if
+// nobody has it.
+func (e *Entry) holdsSteward(ctx context.Context) bool {
+	e.mu.Lock()
+	lease, holder := e.state.lease, e.state.steward
+	isReached := e.state.reached
+	e.mu.Unlock()
+	if holder != "" || lease == 0 || !isReached {
+		return holder == e.id
+	}
+	data, err := json.Marshal(stewardDocument{ID: uuid.NewString(), Entry: e.id})
+	if err != nil {
+		return false
+	}
+	_, err = e.platform.Swap(ctx, keySteward, 0, data, lease)
+	var conflict *platform.ConflictError
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if errors.As(err, &conflict) {
+		e.takeSteward(conflict.Current.Data)
+	} else if err == nil {
+		e.takeSteward(data)
+	}
+	return e.state.steward == e.id
+}
+
+func (e *Entry) takeSteward(data []byte) {
+	var received stewardDocument
+	if len(data) > 0 && json.Unmarshal(data, &received) != nil {
+		return
+	}
+	was := e.state.steward == e.id
+	is := received.Entry == e.id
+	e.state.steward = received.Entry
+	if is && !was {
+		event.StewardTaken.Log(e.log, nil)
+	}
+	if was && !is {
+		event.StewardLost.Log(e.log, nil)
+	}
+}
+
+// busyEntries returns the function that tells which entries may still run work
+// on an instance.
+func (e *Entry) busyEntries(now time.Time) func(instance string, since uint64) []string {
+	_, _ = e.ownDocument()
+	var documents []MemberDocument
+	for entry := range e.state.table.Holders {
+		if m := e.state.members[entry]; m == nil || !m.isThere(now) {
+			// A holder that cannot be reached may be running anything.
+			documents = append(documents, MemberDocument{Entry: entry})
+		}
+	}
+	for _, m := range e.state.there(now) {
+		documents = append(documents, m.MemberDocument)
+	}
+	return func(instance string, since uint64) (entries []string) {
+		for _, d := range documents {
+			if d.Fleet < since || slices.Contains(d.Busy, instance) {
+				entries = append(entries, d.Entry)
+			}
+		}
+		return entries
+	}
+}
+
+// reportPlan reports pauses and drains that take long.
+func (e *Entry) reportPlan(now time.Time, plan steward.Plan) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	current := make(map[string]time.Time)
+	for _, held := range plan.Held {
+		since, known := e.state.held[held.Instance]
+		if !known {
+			since = now
+		}
+		if now.Sub(since) > heldReport {
+			event.DrainStuck.Log(e.log, logrus.Fields{"instance": held.Instance, "entries": held.Entries})
+			since = now
+		}
+		current[held.Instance] = since
+	}
+	for _, pool := range plan.Paused {
+		if _, known := e.state.held["pool "+pool]; !known {
+			event.WavePaused.Log(e.log, logrus.Fields{"pool": pool})
+		}
+		current["pool "+pool] = now
+	}
+	e.state.held = current
+}
+
+// Drain takes an instance out of service if the budget of its pool allows it.
+func (e *Entry) Drain(ctx context.Context, name string) (revision uint64, err error) {
+	return e.ChangeFleet(ctx, func(next *fleet.Fleet) (bool, error) {
+		position := next.Find(name)
+		if position < 0 {
+			return false, &NameError{Kind: "instance", Name: name}
+		}
+		i := next.Instances[position]
+		if !i.IsServing() {
+			return e.adopt(next, position), nil
+		}
+		budget := next.PoolBudget(i.Pool, e.leastOf(i.Pool))
+		if !budget.Admits(i) {
+			return false, &BudgetError{Pool: i.Pool, Budget: budget}
+		}
+		next.Set(position, fleet.Draining, fleet.ByOperator)
+		return true, nil
+	})
+}
+
+// adopt makes a drain of a wave the operator's, so that it does not end by
+// itself. An instance that reboots or is down is left as it is.
+func (e *Entry) adopt(next *fleet.Fleet, position int) bool {
+	i := next.Instances[position]
+	if i.State != fleet.Draining || i.Reason == fleet.ByOperator {
+		return false
+	}
+	next.Instances[position].Reason = fleet.ByOperator
+	return true
+}
+
+// Return puts an instance back into service.
+func (e *Entry) Return(ctx context.Context, name string) (revision uint64, err error) {
+	return e.ChangeFleet(ctx, func(next *fleet.Fleet) (bool, error) {
+		position := next.Find(name)
+		if position < 0 {
+			return false, &NameError{Kind: "instance", Name: name}
+		}
+		if i := next.Instances[position]; i.State != fleet.Draining {
+			return false, nil
+		}
+		next.Set(position, fleet.Serving, "")
+		next.Instances[position].Target = ""
+		return true, nil
+	})
+}
+
+func (e *Entry) leastOf(pool string) float64 {
+	for _, p := range e.index.Load().Document.Pools {
+		if p.Name == pool {
+			return p.Least
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/daemon/host/host.go
@@ -0,0 +1,56 @@
+// Package host builds a whole daemon from its settings: the entry, the
+// operators' listener, the metrics and the logs.
+package host
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+
+	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
+	"gitlab.com/chicorypin/chicorypin/internal/daemon/entry"
+	"gitlab.com/chicorypin/chicorypin/internal/front/operator"
+)
+
+// reportPeriod is how often counters go to the metrics page.
+const reportPeriod = time.Second
+
+// New returns a daemon that serves once its Run is called. Its logs go to the
+// writer as JSON lines.
+func New(settings entry.Settings, logs io.Writer) (*entry.Entry, error) {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "chicorypin",
+		CachedReporter:         reporter,
+		Separator:              tallyprometheus.DefaultSeparator,
+		SanitizeOptions:        &tallyprometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportPeriod)
+	return entry.New(entry.Config{
+		Settings: settings,
+		Timer:    timer.New(),
+		Log:      newLog(settings, logs),
+		Scope:    scope,
+		Operator: func(e *entry.Entry) http.Handler {
+			return operator.NewListener(operator.Config{Entry: e, Metrics: reporter.HTTPHandler()})
+		},
+	})
+}
+
+func newLog(settings entry.Settings, logs io.Writer) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(logs)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	level, err := logrus.ParseLevel(settings.Level)
+	if err != nil {
+		level = logrus.InfoLevel
+	}
+	logger.SetLevel(level)
+	return logrus.NewEntry(logger)
+}
--- /dev/null
+++ b/units/barrier.go
@@ -0,0 +1,191 @@
+package units
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Limits holds the capacity of every resource at one revision.
+type Limits struct {
+	Revision uint64            `json:"revision"`
+	Units    map[string]uint32 `json:"units"`
+}
+
+// Force names the newest revisions that a member has in force: what it uses
+// and has lent fits its share at them and at every older one that another
+// member may still go by.
+type Force struct {
+	Limits uint64 `json:"limits"`
+	Table  uint64 `json:"table"`
+}
+
+// Barrier computes the share of one member while the members of the group are
+// on different revisions of the limits and of the table.
+//
+// A member uses the least of its shares over all revisions from the oldest
+// that may still be in force somewhere up to its own. There is then always one
+// revision that lies in the range of every member, and the shares at one
+// revision add up to the limit.
+//
+// A Barrier is not safe for concurrent use.
+type Barrier struct {
+	self    string
+	limits  []Limits
+	tables  []Table
+	reports map[string]Force
+}
+
+// NewBarrier returns a Barrier for the named member. It shares out nothing
+// until both a table and limits were added.
+func NewBarrier(self string) *Barrier {
+	return &Barrier{self: self, reports: make(map[string]Force)}
+}
+
+// AddLimits adds limits together with those before them back to the oldest
+// that may still be in force somewhere. Revisions already known are skipped.
+// It reports whether the newest revision is new here.
+func (b *Barrier) AddLimits(history []Limits) (isNew bool) {
+	before := b.Newest().Limits
+	for _, l := range history {
+		if l.Revision > before {
+			b.limits = append(b.limits, l)
+		}
+	}
+	if len(history) > 0 {
+		b.dropLimits(history[0].Revision)
+	}
+	return b.Newest().Limits > before
+}
+
+// AddTables does for tables what AddLimits does for limits.
+func (b *Barrier) AddTables(history []Table) (isNew bool) {
+	before := b.Newest().Table
+	for _, t := range history {
+		if t.Revision > before {
+			b.tables = append(b.tables, t)
+		}
+	}
+	if len(history) > 0 {
+		b.dropTables(history[0].Revision)
+	}
+	return b.Newest().Table > before
+}
+
+// Newest returns the newest revisions known here, whether or not in force.
+func (b *Barrier) Newest() (newest Force) {
+	if n := len(b.limits); n > 0 {
+		newest.Limits = b.limits[n-1].Revision
+	}
+	if n := len(b.tables); n > 0 {
+		newest.Table = b.tables[n-1].Revision
+	}
+	return newest
+}
+
+// Report notes what a member has in force. Reports may arrive late or twice:
+// only an advance counts.
+func (b *Barrier) Report(member string, force Force) {
+	known := b.reports[member]
+	known.Limits = max(known.Limits, force.Limits)
+	known.Table = max(known.Table, force.Table)
+	b.reports[member] = known
+	b.advance()
+}
+
+// Reported returns what the member last reported, zero if it never did.
+func (b *Barrier) Reported(member string) Force {
+	return b.reports[member]
+}
+
+// Table returns the newest table; ok is false before the first.
+func (b *Barrier) Table() (table Table, ok bool) {
+	if len(b.tables) == 0 {
+		return Table{}, false
+	}
+	return b.tables[len(b.tables)-1], true
+}
+
+// Limits returns the limits from the oldest that may still be in force
+// somewhere to the newest.
+func (b *Barrier) Limits() []Limits {
+	return slices.Clone(b.limits)
+}
+
+// Tables returns the tables from the oldest that may still be in force
+// somewhere to the newest.
+func (b *Barrier) Tables() []Table {
+	return slices.Clone(b.tables)
+}
+
+// Share returns how many units of the resource the member may use now.
+func (b *Barrier) Share(name string) uint32 {
+	if len(b.limits) == 0 || len(b.tables) == 0 {
+		return 0
+	}
+	least := uint32(1<<32 - 1)
+	for _, l := range b.limits {
+		for _, t := range b.tables {
+			least = min(least, t.Units(b.self, l.Units[name]))
+		}
+	}
+	return least
+}
+
+// Settle puts the newest revisions in force if fits returns true: the caller
+// compares what it uses and has lent with Share. It returns what is in force.
+func (b *Barrier) Settle(fits func() bool) Force {
+	newest := b.Newest()
+	if b.reports[b.self] == newest || !fits() {
+		return b.reports[b.self]
+	}
+	b.Report(b.self, newest)
+	return newest
+}
+
+// IsSettled returns whether every holder of the newest table has reported
+// revisions at or past those given.
+func (b *Barrier) IsSettled(force Force) bool {
+	return len(b.Missing(force)) == 0
+}
+
+// Missing returns the holders of the newest table that have not reported
+// revisions at or past those given, sorted by name.
+func (b *Barrier) Missing(force Force) (missing []string) {
+	table, _ := b.Table()
+	for member := range table.Slices {
+		known := b.reports[member]
+		if known.Limits < force.Limits || known.Table < force.Table {
+			missing = append(missing, member)
+		}
+	}
+	slices.SortFunc(missing, cmp.Compare[string])
+	return missing
+}
+
+// advance drops the revisions that no holder of the newest table goes by any
+// longer. Members outside it are known to be gone or own nothing.
+func (b *Barrier) advance() {
+	table, ok := b.Table()
+	if !ok || len(table.Slices) == 0 {
+		return
+	}
+	oldest := b.Newest()
+	for member := range table.Slices {
+		oldest.Limits = min(oldest.Limits, b.reports[member].Limits)
+		oldest.Table = min(oldest.Table, b.reports[member].Table)
+	}
+	b.dropLimits(oldest.Limits)
+	b.dropTables(oldest.Table)
+}
+
+func (b *Barrier) dropLimits(oldest uint64) {
+	for len(b.limits) > 1 && b.limits[0].Revision < oldest {
+		b.limits = b.limits[1:]
+	}
+}
+
+func (b *Barrier) dropTables(oldest uint64) {
+	for len(b.tables) > 1 && b.tables[0].Revision < oldest {
+		b.tables = b.tables[1:]
+	}
+}
--- /dev/null
+++ b/units/ledger.go
@@ -0,0 +1,435 @@
+package units
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultTerm     = 6 * time.Second
+	DefaultLongest  = 30 * time.Second
+	DefaultInterval = 200 * time.Millisecond
+	DefaultTimeout  = time.Second
+	DefaultPause    = 2 * time.Second
+)
+
+const (
+	// termMargin is the part of a term that a borrower leaves unused, for
+	// clocks that run at different rates.
+	termMargin = 16
+	// renewals is how often a loan is renewed within its term.
+	renewals = 3
+	// maxBackoff bounds how far the interval grows while nothing is gained.
+	maxBackoff = 8
+	// demandDecay is the part of its demand that an account keeps per tick.
+	demandDecay = 0.875
+)
+
+// Config sets up a Ledger. Zero durations take the defaults.
+type Config struct {
+	// Self is the name of this member, unique for each start of its process.
+	Self string
+	// Term is how long work may start on lent units.
+	Term time.Duration
+	// Longest is the longest run of any work.
+	Longest time.Duration
+	// Interval is the least time between two wants to the same lender.
+	Interval time.Duration
+	// Timeout is how long the answer to a want is awaited.
+	Timeout time.Duration
+	// Pause is how long after a tick units are given out.
+	Pause time.Duration
+	// Now reads a monotonic clock; time.Now if nil.
+	Now func() time.Time
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Term, DefaultTerm)
+	setDefault(&c.Longest, DefaultLongest)
+	setDefault(&c.Interval, DefaultInterval)
+	setDefault(&c.Timeout, DefaultTimeout)
+	setDefault(&c.Pause, DefaultPause)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Ledger keeps the accounts of one member and trades units with the others.
+type Ledger struct {
+	config Config
+	epoch  time.Time
+	ticked atomic.Int64
+	// longest is the longest run of any work in nanoseconds.
+	longest atomic.Int64
+
+	// index is a copy of accounts that is replaced as a whole.
+	index atomic.Pointer[map[string]*Account]
+
+	mu        sync.Mutex
+	accounts  map[string]*Account
+	peers     []string
+	links     map[string]*link
+	borrowers map[string]*inbox
+}
+
+// link is the state of this member's wants towards one lender.
+type link struct {
+	sequence    uint64
+	outstanding bool
+	sent        time.Time
+	renewed     time.Time
+	backoff     time.Duration
+	isIdle      bool
+}
+
+// inbox is the state of one borrower's wants here.
+type inbox struct {
+	sequence uint64
+	answer   Lend
+}
+
+// NewLedger returns a Ledger without accounts.
+func NewLedger(config Config) *Ledger {
+	l := &Ledger{
+		config:    config.withDefaults(),
+		accounts:  make(map[string]*Account),
+		links:     make(map[string]*link),
+		borrowers: make(map[string]*inbox),
+	}
+	l.index.Store(&map[string]*Account{})
+	l.epoch = l.config.Now()
+	l.ticked.Store(1)
+	l.longest.Store(int64(l.config.Longest))
+	return l
+}
+
+// Account returns the account of the resource, a new one if there is none.
+func (l *Ledger) Account(name string) *Account {
+	if a := (*l.index.Load())[name]; a != nil {
+		return a
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.account(name)
+}
+
+func (l *Ledger) account(name string) *Account {
+	a := l.accounts[name]
+	if a == nil {
+		a = &Account{name: name, ledger: l, lent: make(map[string]*lending)}
+		a.loans.Store(&[]*loan{})
+		l.accounts[name] = a
+		index := maps.Clone(l.accounts)
+		l.index.Store(&index)
+	}
+	return a
+}
+
+// ExtendLongest raises the longest run of any work. It never lowers it, since
+// longer work may still be running.
+func (l *Ledger) ExtendLongest(longest time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.longest.Store(max(l.longest.Load(), int64(longest)))
+}
+
+// Recovery is how long after a member was last known to be able to start work
+// nothing of it can still be running.
+func (l *Ledger) Recovery() time.Duration {
+	return l.config.Term + time.Duration(l.longest.Load())
+}
+
+// Names returns the names of all accounts.
+func (l *Ledger) Names() []string {
+	return slices.Collect(maps.Keys(*l.index.Load()))
+}
+
+// SetPeers names the other members, the preferred lenders first.
+func (l *Ledger) SetPeers(peers []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peers = slices.Clone(peers)
+}
+
+// SetLenders names the members that may own units of the resource, in place of
+// all peers.
+func (l *Ledger) SetLenders(name string, lenders []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.account(name).lenders = append(make([]string, 0, len(lenders)), lenders...)
+}
+
+// SetShare sets how many units of the resource the member owns. Units in use
+// or lent above it are not taken back, but no more start.
+func (l *Ledger) SetShare(name string, share uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(name)
+	a.share = share
+	a.refresh()
+}
+
+// Fits returns whether the own units in use and lent lie within the shares,
+// for every account that the function gives a share for.
+func (l *Ledger) Fits(share func(name string) (units uint32, ok bool)) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, a := range l.accounts {
+		if units, ok := share(name); ok && !a.fits(units) {
+			return false
+		}
+	}
+	return true
+}
+
+// IsIdle returns whether nothing is in use here or lent to others.
+func (l *Ledger) IsIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.accounts {
+		if a.Used() > 0 || a.lentTotal() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// IsIdleAt returns whether nothing of one resource is in use here or lent.
+func (l *Ledger) IsIdleAt(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[name]
+	return a == nil || a.Used() == 0 && a.lentTotal() == 0
+}
+
+// Tick moves the ledger to the given time and returns the wants to be sent.
+// It is called several times a second.
+func (l *Ledger) Tick(now time.Time) (wants []Want) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	items := make(map[string][]WantItem)
+	pending := make(map[string]bool)
+	for _, a := range l.accounts {
+		a.expire(now, time.Duration(l.longest.Load()))
+		l.plan(now, a, items, pending)
+	}
+	l.ticked.Store(max(int64(now.Sub(l.epoch)), 1))
+	for _, lender := range l.lenders(items) {
+		if want, ok := l.compose(now, lender, items[lender], pending[lender]); ok {
+			wants = append(wants, want)
+		}
+	}
+	return wants
+}
+
+// lenders returns everyone to whom there is, or was, something to say.
+func (l *Ledger) lenders(items map[string][]WantItem) []string {
+	names := make([]string, 0, len(items)+len(l.links))
+	for name := range items {
+		names = append(names, name)
+	}
+	for name := range l.links {
+		if _, ok := items[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// compose makes the next want for a lender if one is due.
+func (l *Ledger) compose(now time.Time, lender string, items []WantItem, isPending bool) (want Want, ok bool) {
+	k := l.links[lender]
+	if k == nil {
+		k = &link{isIdle: true, backoff: 1}
+		l.links[lender] = k
+	}
+	if k.outstanding && now.Sub(k.sent) < l.config.Timeout {
+		return Want{}, false
+	}
+	if !l.isDue(now, k, items, isPending) {
+		return Want{}, false
+	}
+	k.sequence++
+	k.outstanding = true
+	k.sent = now
+	k.isIdle = false
+	return Want{From: l.config.Self, To: lender, Sequence: k.sequence, Items: items}, true
+}
+
+func (l *Ledger) isDue(now time.Time, k *link, items []WantItem, isPending bool) bool {
+	if len(items) == 0 {
+		return !k.isIdle
+	}
+	if isPending {
+		return now.Sub(k.sent) >= l.config.Interval*k.backoff
+	}
+	return now.Sub(k.renewed) >= l.config.Term/renewals
+}
+
+// plan adds what the account wants to the items of each lender, and marks
+// those lenders from which something changes.
+func (l *Ledger) plan(now time.Time, a *Account, items map[string][]WantItem, pending map[string]bool) {
+	waiting := uint32(max(a.waiting.Load(), 0))
+	current := float64(a.Used() + waiting)
+	a.demand = max(current, a.demand*demandDecay)
+	limit, used := a.own.load()
+	need := saturatingSub(uint32(a.demand), max(limit, used))
+
+	lenders := a.lenders
+	if lenders == nil {
+		lenders = l.peers
+	}
+	wanted := a.spread(lenders, need)
+	for _, loan := range *a.loans.Load() {
+		keep := wanted[loan.lender]
+		if !l.isBefore(now, &loan.until) {
+			keep = 0
+		}
+		held, _ := loan.units.load()
+		hold := loan.units.lower(keep)
+		if hold == 0 && wanted[loan.lender] == 0 {
+			pending[loan.lender] = pending[loan.lender] || held > 0
+			continue
+		}
+		want := max(wanted[loan.lender], hold)
+		items[loan.lender] = append(items[loan.lender], WantItem{Name: a.name, Hold: hold, Want: want})
+		pending[loan.lender] = pending[loan.lender] || held != hold || want != hold
+		delete(wanted, loan.lender)
+	}
+	for lender, want := range wanted {
+		if want > 0 && l.loanOf(a, lender) == nil {
+			items[lender] = append(items[lender], WantItem{Name: a.name, Want: want})
+			pending[lender] = true
+		}
+	}
+	a.dropLoans()
+}
+
+func (l *Ledger) loanOf(a *Account, lender string) *loan {
+	for _, loan := range *a.loans.Load() {
+		if loan.lender == lender {
+			return loan
+		}
+	}
+	return nil
+}
+
+// spread divides the need among the lenders: units already held first, then
+// those known to be spare, then evenly.
+func (a *Account) spread(lenders []string, need uint32) map[string]uint32 {
+	wanted := make(map[string]uint32, len(lenders))
+	spare := make(map[string]uint32, len(lenders))
+	for _, loan := range *a.loans.Load() {
+		held, used := loan.units.load()
+		kept := min(max(held, used), need)
+		wanted[loan.lender] = kept
+		spare[loan.lender] = loan.spare
+		need -= kept
+	}
+	for _, lender := range lenders {
+		extra := min(spare[lender], need)
+		wanted[lender] += extra
+		need -= extra
+	}
+	for i, lender := range lenders {
+		left := uint32(len(lenders) - i)
+		extra := (need + left - 1) / left
+		wanted[lender] += extra
+		need -= extra
+	}
+	return wanted
+}
+
+// ReceiveWant answers a want of a borrower. ok is false for one that came too
+// late to be answered.
+func (l *Ledger) ReceiveWant(now time.Time, want Want) (answer Lend, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	box := l.borrowers[want.From]
+	if box == nil {
+		box = &inbox{}
+		l.borrowers[want.From] = box
+	}
+	if want.Sequence <= box.sequence {
+		return box.answer, want.Sequence == box.sequence
+	}
+	box.sequence = want.Sequence
+	box.answer = Lend{From: l.config.Self, To: want.From, Sequence: want.Sequence, Term: l.config.Term}
+	listed := make(map[string]bool, len(want.Items))
+	for _, item := range want.Items {
+		listed[item.Name] = true
+		a := l.account(item.Name)
+		box.answer.Items = append(box.answer.Items, a.answer(want.From, item, now.Add(l.config.Term)))
+	}
+	l.takeBack(want.From, listed)
+	return box.answer, true
+}
+
+// takeBack ends the lendings to a borrower that its newest want left out.
+func (l *Ledger) takeBack(borrower string, listed map[string]bool) {
+	for name, a := range l.accounts {
+		if _, ok := a.lent[borrower]; ok && !listed[name] {
+			delete(a.lent, borrower)
+			a.refresh()
+		}
+	}
+}
+
+// ReceiveLend puts the units of an answer to use. An answer to any want but
+// the newest is dropped.
+func (l *Ledger) ReceiveLend(answer Lend) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.links[answer.From]
+	if k == nil || !k.outstanding || answer.Sequence != k.sequence {
+		return
+	}
+	k.outstanding = false
+	k.renewed = k.sent
+	k.isIdle = len(answer.Items) == 0
+	gained := false
+	until := k.sent.Add(answer.Term - answer.Term/termMargin)
+	for _, item := range answer.Items {
+		gained = l.applyLend(answer.From, item, until) || gained
+	}
+	k.backoff = nextBackoff(k.backoff, gained)
+}
+
+func (l *Ledger) applyLend(lender string, item LendItem, until time.Time) (gained bool) {
+	loan := l.account(item.Name).loanFrom(lender)
+	before, _ := loan.units.load()
+	// The cap goes first: a term that has ended must not come back to life
+	// with the cap of the old loan.
+	loan.units.setLimit(item.Units)
+	loan.until.Store(int64(until.Sub(l.epoch)))
+	loan.spare = item.Spare
+	return item.Units != before
+}
+
+func nextBackoff(current time.Duration, gained bool) time.Duration {
+	if gained {
+		return 1
+	}
+	return min(current*2, maxBackoff)
+}
+
+// isAwake returns whether the ledger was ticked recently.
+func (l *Ledger) isAwake(now time.Time) bool {
+	return int64(now.Sub(l.epoch))-l.ticked.Load() <= int64(l.config.Pause)
+}
+
+func (l *Ledger) isBefore(now time.Time, until *atomic.Int64) bool {
+	return int64(now.Sub(l.epoch)) < until.Load()
+}
