--- a/internal/back/minion/client.go
+++ b/internal/back/minion/client.go
@@ -132,14 +132,14 @@
 	body := &bodyReader{body: response.Body, conn: conn, conns: c.conns, reusable: !response.Close}
 	whole, err := io.ReadAll(io.LimitReader(body, maxWhole+1))
 	if err != nil {
-		body.Close()
+		_ = body.Close()
 		return nil, &BrokenError{Err: err}
 	}
 	if len(whole) > maxWhole {
 		answer.Rest = &restReader{Reader: io.MultiReader(bytes.NewReader(whole), body), body: body}
 		return answer, nil
 	}
-	body.Close()
+	_ = body.Close()
 	answer.Whole = whole
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderOutcome) == NotRun {
 		return nil, &NotRunError{Reason: "refused", Err: errors.New("the minion refused")}
