--- a/internal/proof/system/load_test.go
+++ b/internal/proof/system/load_test.go
@@ -22,8 +22,6 @@
 	body    string
 	// isCut tells that the connection broke or no whole answer came.
 	isCut bool
-	// wasKilled tells that the entry was killed by the test at that time.
-	wasKilled bool
 }
 
 // load sends requests as a balancer would: only to entries that are ready, and
--- a/units/account.go
+++ b/units/account.go
@@ -20,6 +20,14 @@
 	demand  float64
 	lenders []string
 	lent    map[string]*lending
+	// hints tell what each lender last said that it could spare.
+	hints map[string]hint
+}
+
+// hint is what a lender could spare at a time.
+type hint struct {
+	spare uint32
+	at    time.Time
 }
 
 // loan is what one lender lets this member use.
@@ -28,7 +36,6 @@
 	units  cell
 	// until is the end of the term in nanoseconds since the ledger's epoch.
 	until atomic.Int64
-	spare uint32
 }
 
 // lending is what one borrower may be using of this member's units.
--- a/units/ledger.go
+++ b/units/ledger.go
@@ -25,6 +25,10 @@
 	renewals = 3
 	// maxBackoff bounds how far the interval grows while nothing is gained.
 	maxBackoff = 8
+	// forgetAge is how long a silent member is remembered.
+	forgetAge = time.Hour
+	// hintAge is how long what a lender said that it could spare is believed.
+	hintAge = 2 * time.Second
 	// demandDecay is the part of its demand that an account keeps per tick.
 	demandDecay = 0.875
 )
@@ -95,6 +99,7 @@
 
 // inbox is the state of one borrower's wants here.
 type inbox struct {
+	received time.Time
 	sequence uint64
 	answer   Lend
 }
@@ -127,7 +132,7 @@
 func (l *Ledger) account(name string) *Account {
 	a := l.accounts[name]
 	if a == nil {
-		a = &Account{name: name, ledger: l, lent: make(map[string]*lending)}
+		a = &Account{name: name, ledger: l, lent: make(map[string]*lending), hints: make(map[string]hint)}
 		a.loans.Store(&[]*loan{})
 		l.accounts[name] = a
 		index := maps.Clone(l.accounts)
@@ -225,6 +230,7 @@
 		l.plan(now, a, items, pending)
 	}
 	l.ticked.Store(max(int64(now.Sub(l.epoch)), 1))
+	l.forget(now)
 	for _, lender := range l.lenders(items) {
 		if want, ok := l.compose(now, lender, items[lender], pending[lender]); ok {
 			wants = append(wants, want)
@@ -233,6 +239,28 @@
 	return wants
 }
 
+// forget drops what is known of members that were silent for long. They are
+// most likely gone: a new process has a new name.
+func (l *Ledger) forget(now time.Time) {
+	for name, k := range l.links {
+		if k.isIdle && now.Sub(k.sent) > forgetAge {
+			delete(l.links, name)
+		}
+	}
+	for name, box := range l.borrowers {
+		if now.Sub(box.received) > forgetAge+l.Recovery() {
+			delete(l.borrowers, name)
+		}
+	}
+	for _, a := range l.accounts {
+		for lender, h := range a.hints {
+			if now.Sub(h.at) > hintAge {
+				delete(a.hints, lender)
+			}
+		}
+	}
+}
+
 // lenders returns everyone to whom there is, or was, something to say.
 func (l *Ledger) lenders(items map[string][]WantItem) []string {
 	names := make([]string, 0, len(items)+len(l.links))
@@ -252,7 +280,9 @@
 func (l *Ledger) compose(now time.Time, lender string, items []WantItem, isPending bool) (want Want, ok bool) {
 	k := l.links[lender]
 	if k == nil {
-		k = &link{isIdle: true, backoff: 1}
+		// Sequences start at the time, so that they still go up if the link
+		// was forgotten before.
+		k = &link{isIdle: true, backoff: 1, sequence: uint64(now.Sub(l.epoch))}
 		l.links[lender] = k
 	}
 	if k.outstanding && now.Sub(k.sent) < l.config.Timeout {
@@ -291,7 +321,7 @@
 	if lenders == nil {
 		lenders = l.peers
 	}
-	wanted := a.spread(lenders, need)
+	wanted := a.spread(now, lenders, need)
 	for _, loan := range *a.loans.Load() {
 		keep := wanted[loan.lender]
 		if !l.isBefore(now, &loan.until) {
@@ -327,27 +357,36 @@
 }
 
 // spread divides the need among the lenders: units already held first, then
-// those known to be spare, then evenly.
-func (a *Account) spread(lenders []string, need uint32) map[string]uint32 {
+// those known to be spare. What is still missing is asked of the lenders that
+// have not told lately what they can spare, at least one unit of each, or
+// evenly of all.
+func (a *Account) spread(now time.Time, lenders []string, need uint32) map[string]uint32 {
 	wanted := make(map[string]uint32, len(lenders))
-	spare := make(map[string]uint32, len(lenders))
 	for _, loan := range *a.loans.Load() {
 		held, used := loan.units.load()
 		kept := min(max(held, used), need)
 		wanted[loan.lender] = kept
-		spare[loan.lender] = loan.spare
 		need -= kept
 	}
+	var silent []string
 	for _, lender := range lenders {
-		extra := min(spare[lender], need)
+		h, ok := a.hints[lender]
+		if !ok || now.Sub(h.at) > hintAge {
+			silent = append(silent, lender)
+			continue
+		}
+		extra := min(h.spare, need)
 		wanted[lender] += extra
 		need -= extra
 	}
-	for i, lender := range lenders {
-		left := uint32(len(lenders) - i)
-		extra := (need + left - 1) / left
-		wanted[lender] += extra
-		need -= extra
+	if len(silent) == 0 {
+		silent = lenders
+	}
+	if need > 0 && len(silent) > 0 {
+		each := (need-1)/uint32(len(silent)) + 1
+		for _, lender := range silent {
+			wanted[lender] += each
+		}
 	}
 	return wanted
 }
@@ -365,6 +404,7 @@
 	if want.Sequence <= box.sequence {
 		return box.answer, want.Sequence == box.sequence
 	}
+	box.received = now
 	box.sequence = want.Sequence
 	box.answer = Lend{From: l.config.Self, To: want.From, Sequence: want.Sequence, Term: l.config.Term}
 	listed := make(map[string]bool, len(want.Items))
@@ -408,13 +448,14 @@
 }
 
 func (l *Ledger) applyLend(lender string, item LendItem, until time.Time) (gained bool) {
-	loan := l.account(item.Name).loanFrom(lender)
+	a := l.account(item.Name)
+	a.hints[lender] = hint{spare: item.Spare, at: l.config.Now()}
+	loan := a.loanFrom(lender)
 	before, _ := loan.units.load()
 	// The cap goes first: a term that has ended must not come back to life
 	// with the cap of the old loan.
 	loan.units.setLimit(item.Units)
 	loan.until.Store(int64(until.Sub(l.epoch)))
-	loan.spare = item.Spare
 	return item.Units != before
 }
 
