Bring control under the stated bounds at 610 instances

A profile showed the config parsed again at each lease renewal, every account planned at each tick, and the roster rebuilt for an unchanged list. The worst trade repeated in each answer what the borrower already held. Change: the config is parsed only when its version changed; accounts without anything to trade are skipped; the roster is rebuilt only for a changed list; answers leave out what does not change; heartbeats to other data centres go once a second, usage every two seconds; usage is packed by position.

--- a/internal/daemon/entry/beat.go
+++ b/internal/daemon/entry/beat.go
@@ -10,22 +10,44 @@
 )
 
 const (
+	// farEvery is how many heartbeats there are in the data centre for each
+	// that goes to the others.
+	farEvery = 4
+	// usageEvery is how many heartbeats there are for each that carries usage.
+	usageEvery = 2 * farEvery
 	// introduceEvery is how many heartbeats there are for each that carries
-	// the sender's own addresses.
-	introduceEvery = 20
+	// the sender's own addresses and the usage of all teams.
+	introduceEvery = 5 * usageEvery
 	// pullInterval is the least time between two requests for documents.
 	pullInterval = 200 * time.Millisecond
 )
 
-// beat tells the peers what is in force here.
+// beat tells the peers what is in force here: those in the same data centre
+// each time, the others now and then and when it has changed.
 func (e *Entry) beat(now time.Time) {
 	e.mu.Lock()
 	frame := e.composeBeat(now)
+	isForAll := e.state.beats%farEvery == 0 || e.state.force != e.state.sentForce
+	if isForAll {
+		e.state.sentForce = e.state.force
+	}
+	var near []string
+	for _, m := range e.state.there(now) {
+		if m.Entry != e.id && m.Centre == e.settings.Centre {
+			near = append(near, m.Entry)
+		}
+	}
 	if e.state.beats%introduceEvery == 0 {
 		e.afterChange()
 	}
 	e.mu.Unlock()
-	e.mesh.Broadcast(frame)
+	if isForAll {
+		e.mesh.Broadcast(frame)
+		return
+	}
+	for _, entry := range near {
+		e.mesh.Send(entry, frame)
+	}
 }
 
 func (e *Entry) composeBeat(now time.Time) *wire.Frame {
@@ -45,7 +67,7 @@
 		Busy:        own.Busy,
 		Usage:       e.changedUsage(),
 	}
-	if s.beats%introduceEvery == 1 {
+	if s.beats%introduceEvery == 0 || s.beats == farEvery {
 		body.Member = &wire.Member{
 			Entry: own.Entry, Name: own.Name, Centre: own.Centre,
 			Peer: own.Peer.String(), Operator: own.Operator.String(),
@@ -54,13 +76,20 @@
 	return &wire.Frame{Body: &wire.Frame_Beat{Beat: body}}
 }
 
-// changedUsage returns the totals that changed since the last heartbeat; now
-// and then all of them, since heartbeats may be lost.
-func (e *Entry) changedUsage() (usage []*wire.Usage) {
+// changedUsage returns the totals that changed since they were last sent; now
+// and then all of them, since heartbeats may be lost. Most heartbeats carry
+// none.
+func (e *Entry) changedUsage() *wire.Usage {
+	if e.state.beats%usageEvery != 0 {
+		return nil
+	}
+	usage := &wire.Usage{}
 	used := e.dispatcher.Used()
-	for team, total := range used {
-		if total != e.state.sentUsage[team] || e.state.beats%introduceEvery == 0 {
-			usage = append(usage, &wire.Usage{Team: team, Used: uint64(total / time.Microsecond)})
+	for position, t := range e.index.Load().Document.Teams {
+		total := used[t.Name]
+		if total != e.state.sentUsage[t.Name] || e.state.beats%introduceEvery == 0 {
+			usage.Team = append(usage.Team, uint32(position))
+			usage.Used = append(usage.Used, uint64(total/time.Millisecond))
 		}
 	}
 	e.state.sentUsage = used
@@ -88,7 +117,7 @@
 	if isNew {
 		e.afterChange()
 	}
-	e.chargeRemote(m, beat.GetUsage())
+	e.chargeRemote(m, beat)
 	e.compareRevisions(now, from, beat)
 }
 
@@ -103,14 +132,24 @@
 	return isNew
 }
 
-// chargeRemote charges the teams for slot time that a peer reports.
-func (e *Entry) chargeRemote(m *member, usage []*wire.Usage) {
-	for _, u := range usage {
-		total := time.Duration(u.GetUsed()) * time.Microsecond
-		before, isKnown := m.used[u.GetTeam()]
-		m.used[u.GetTeam()] = max(total, before)
+// chargeRemote charges the teams for slot time that a peer reports. Totals that
+// go by another document are left out; the next ones make up for them.
+func (e *Entry) chargeRemote(m *member, beat *wire.Beat) {
+	index := e.index.Load()
+	used := beat.GetUsage().GetUsed()
+	if beat.GetConfig() != index.Revision {
+		return
+	}
+	for i, position := range beat.GetUsage().GetTeam() {
+		if i >= len(used) || int(position) >= len(index.Document.Teams) {
+			return
+		}
+		team := index.Document.Teams[position].Name
+		total := time.Duration(used[i]) * time.Millisecond
+		before, isKnown := m.used[team]
+		m.used[team] = max(total, before)
 		if isKnown && total > before {
-			e.dispatcher.ChargeRemote(u.GetTeam(), total-before)
+			e.dispatcher.ChargeRemote(team, total-before)
 		}
 	}
 }
--- /dev/null
+++ b/internal/daemon/entry/control_test.go
@@ -0,0 +1,233 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
+	"gitlab.com/chicorypin/chicorypin/internal/model/document"
+	"gitlab.com/chicorypin/chicorypin/internal/model/fleet"
+	"gitlab.com/chicorypin/chicorypin/units"
+)
+
+// scale is a size of the whole system.
+type scale struct {
+	entries   int
+	teams     int
+	pools     int
+	instances int
+}
+
+// aim is the size that the users name.
+var aim = scale{entries: 8, teams: 85, pools: 26, instances: 610}
+
+// sizes are what the slopes are measured at.
+var sizes = map[string]scale{
+	"quarter": {entries: 2, teams: 21, pools: 7, instances: 152},
+	"half":    {entries: 4, teams: 42, pools: 13, instances: 305},
+	"whole":   aim,
+}
+
+func (s scale) document() document.Document {
+	d := document.Document{}
+	for i := range s.pools {
+		name := fmt.Sprintf("pool-%d", i)
+		d.Pools = append(d.Pools, document.Pool{Name: name, Least: 0.75})
+		d.Services = append(d.Services, document.Service{Name: fmt.Sprintf("service-%d", i), Pool: name})
+	}
+	for i := range s.teams {
+		name := fmt.Sprintf("team-%02d", i)
+		keys := []string{document.Digest(name + "/1"), document.Digest(name + "/2")}
+		d.Teams = append(d.Teams, document.Team{Name: name, Share: 100 / float64(s.teams), Limit: 200, Keys: keys})
+	}
+	return d
+}
+
+func (s scale) fleet() fleet.Fleet {
+	f := fleet.Fleet{ID: "f", Revision: 1}
+	for i := range s.instances {
+		f.Instances = append(f.Instances, fleet.Instance{
+			Name:    fmt.Sprintf("worker-%03d", i),
+			Pool:    fmt.Sprintf("pool-%d", i%s.pools),
+			Centre:  fmt.Sprintf("centre-%d", i%5),
+			Rack:    fmt.Sprintf("rack-%d", i/4),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 8080),
+			Slots:   8,
+			State:   fleet.Serving,
+			Boot:    "boot-1",
+		})
+	}
+	return f
+}
+
+// newScaled returns an entry that knows documents and members of the size, and
+// does not run.
+func newScaled(tb testing.TB, s scale) *Entry {
+	tb.Helper()
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	e, err := New(Config{
+		Settings: Settings{
+			Name: "entry-0", Centre: "centre-0", Caller: local, Operator: local, Peer: local,
+			Platform: []netip.AddrPort{local}, List: local, TTL: document.Duration(DefaultTTL),
+		},
+		Timer:    timer.New(),
+		Log:      logrus.NewEntry(logger),
+		Scope:    tally.NoopScope,
+		Operator: func(*Entry) http.Handler { return http.NotFoundHandler() },
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(e.close)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	config, err := document.NewConfig(0, nil, s.document())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	e.takeConfig(encode(tb, config), 1)
+	holders := map[string]Holder{e.id: {Name: "entry-0", Centre: "centre-0"}}
+	names := []string{e.id}
+	for i := 1; i < s.entries; i++ {
+		name := fmt.Sprintf("entry-%d.00000000", i)
+		m := e.state.member(name)
+		m.Name, m.Centre = fmt.Sprintf("entry-%d", i), fmt.Sprintf("centre-%d", i%5)
+		m.heard = e.config.Timer.Now().Add(time.Hour)
+		holders[name] = Holder{Name: m.Name, Centre: m.Centre}
+		names = append(names, name)
+	}
+	e.takeTable(encode(tb, TableDocument{ID: "t", Tables: []units.Table{units.Split(1, names)}, Holders: holders}), 1)
+	e.takeFleet(encode(tb, s.fleet()), 1)
+	return e
+}
+
+func encode(tb testing.TB, body any) []byte {
+	tb.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return data
+}
+
+// busyBeat returns a heartbeat in which the usage of every team has changed.
+func busyBeat(e *Entry, s scale) *wire.Frame {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.beats = introduceEvery - 1
+	frame := e.composeBeat(e.config.Timer.Now())
+	usage := frame.GetBeat().GetUsage()
+	for i := range usage.GetUsed() {
+		usage.Used[i] = 7 * 24 * 3600 * 1000 / uint64(s.teams)
+	}
+	return frame
+}
+
+func BenchmarkBeat(b *testing.B) {
+	for name, s := range sizes {
+		b.Run(name, func(b *testing.B) {
+			e := newScaled(b, s)
+			frame := busyBeat(e, s)
+			b.ReportMetric(float64(proto.Size(frame)), "bytes")
+			for range b.N {
+				data, _ := proto.Marshal(frame)
+				received := &wire.Frame{}
+				_ = proto.Unmarshal(data, received)
+				e.receiveBeat("entry-1.00000000", received.GetBeat())
+			}
+		})
+	}
+}
+
+func BenchmarkWant(b *testing.B) {
+	for name, s := range sizes {
+		b.Run(name, func(b *testing.B) {
+			e := newScaled(b, s)
+			want := units.Want{From: "entry-1.00000000", To: e.id, Sequence: 1}
+			for i := range s.teams {
+				want.Items = append(want.Items, units.WantItem{Name: fmt.Sprintf("team-%02d", i), Hold: 1, Want: 3})
+			}
+			b.ReportMetric(float64(proto.Size(wantFrame(groupTeams, want))), "want-bytes")
+			for range b.N {
+				want.Sequence++
+				data, _ := proto.Marshal(wantFrame(groupTeams, want))
+				received := &wire.Frame{}
+				_ = proto.Unmarshal(data, received)
+				answer, _ := e.teams.ReceiveWant(e.config.Timer.Now(), want)
+				data, _ = proto.Marshal(lendFrame(groupTeams, answer))
+				b.ReportMetric(float64(len(data)), "lend-bytes")
+			}
+		})
+	}
+}
+
+func BenchmarkTrade(b *testing.B) {
+	for name, s := range sizes {
+		b.Run(name, func(b *testing.B) {
+			e := newScaled(b, s)
+			for range b.N {
+				e.trade(e.config.Timer.Now())
+			}
+		})
+	}
+}
+
+func BenchmarkDocuments(b *testing.B) {
+	for name, s := range sizes {
+		b.Run(name, func(b *testing.B) {
+			e := newScaled(b, s)
+			b.ReportMetric(float64(len(e.state.configData)), "config-bytes")
+			b.ReportMetric(float64(len(e.state.fleetData)), "fleet-bytes")
+			b.ReportMetric(float64(len(e.state.tableData)), "table-bytes")
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			next := e.state.fleet
+			for range b.N {
+				next = next.Next()
+				e.takeFleet(encode(b, next), 2)
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports the live heap of one entry by size.
+func BenchmarkMemory(b *testing.B) {
+	const copies = 8
+	for name, s := range sizes {
+		b.Run(name, func(b *testing.B) {
+			before := liveHeap()
+			entries := make([]*Entry, copies)
+			for i := range entries {
+				entries[i] = newScaled(b, s)
+			}
+			b.ReportMetric(float64(liveHeap()-before)/copies/(1<<20), "MB")
+			runtime.KeepAlive(entries)
+			for range b.N {
+				continue
+			}
+		})
+	}
+}
+
+func liveHeap() uint64 {
+	// Connections are freed by finalizers, which need further rounds.
+	for range 4 {
+		runtime.GC()
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -104,8 +104,10 @@
 
 	barrier *units.Barrier
 	force   units.Force
-	members map[string]*member
-	live    map[string]platform.Instance
+	// sentForce is what was last told to all peers.
+	sentForce units.Force
+	members   map[string]*member
+	live      map[string]platform.Instance
 
 	// fresh is when the documents were last known to be the newest.
 	fresh time.Time
--- a/internal/daemon/entry/store.go
+++ b/internal/daemon/entry/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -186,7 +187,7 @@
 	e.setReached(true, nil)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if value.Version > 0 {
+	if value.Version > 0 && value.Version != e.state.configVersion {
 		e.takeConfig(value.Data, value.Version)
 	}
 	e.setFresh(e.config.Timer.Now())
@@ -284,6 +285,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state.live = live
-	e.buildRoster(now)
+	if !maps.Equal(live, e.state.live) {
+		e.state.live = live
+		e.buildRoster(now)
+	}
 }
--- a/internal/front/operator/listener.go
+++ b/internal/front/operator/listener.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"strings"
 
@@ -57,6 +58,7 @@
 	l.router.GET("/readyz", l.ready)
 	l.router.Handler(http.MethodGet, "/metrics", l.config.Metrics)
 	l.router.GET("/dump", l.guard(l.dump))
+	l.router.GET("/profile", l.guard(profile))
 	l.router.GET("/status", l.guard(l.status))
 	l.router.GET("/config", l.guard(l.getConfig))
 	l.router.PUT("/config", l.guard(l.putConfig))
@@ -113,6 +115,9 @@
 	write(w, http.StatusOK, l.config.Entry.Dump())
 }
 
+// profile serves a processor profile of ?seconds=N.
+func profile(w http.ResponseWriter, r *http.Request, _ httprouter.Params) { pprof.Profile(w, r) }
+
 func (l *Listener) getConfig(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	parsed, revision := l.config.Entry.Document()
 	write(w, http.StatusOK, struct {
--- a/internal/proof/system/process_test.go
+++ b/internal/proof/system/process_test.go
@@ -59,7 +59,7 @@
 	done    chan struct{}
 }
 
-func start(t *testing.T, name string, program string, args ...string) *process {
+func start(t testing.TB, name string, program string, args ...string) *process {
 	t.Helper()
 	logs, err := os.Create(filepath.Join(t.TempDir(), name+".log"))
 	if err != nil {
@@ -128,7 +128,7 @@
 
 // system is a whole system of processes.
 type system struct {
-	t        *testing.T
+	t        testing.TB
 	platform netip.AddrPort
 	store    *process
 	nodes    []*node
@@ -368,7 +368,7 @@
 	}
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/units/account.go
+++ b/units/account.go
@@ -123,6 +123,14 @@
 	return free
 }
 
+// isQuiet returns whether there is nothing to trade: no demand that the own
+// units do not cover, and nothing lent or borrowed.
+func (a *Account) isQuiet() bool {
+	limit, used := a.own.load()
+	return used <= limit && a.waiting.Load() == 0 && a.demand <= float64(limit) &&
+		len(a.lent) == 0 && len(*a.loans.Load()) == 0
+}
+
 // lentTotal returns how many units other members may be using.
 func (a *Account) lentTotal() (total uint32) {
 	for _, l := range a.lent {
--- a/units/ledger.go
+++ b/units/ledger.go
@@ -10,7 +10,7 @@
 
 // Defaults of Config.
 const (
-	DefaultTerm     = 6 * time.Second
+	DefaultTerm     = 15 * time.Second
 	DefaultLongest  = 30 * time.Second
 	DefaultInterval = 200 * time.Millisecond
 	DefaultTimeout  = time.Second
@@ -23,8 +23,8 @@
 	termMargin = 16
 	// renewals is how often a loan is renewed within its term.
 	renewals = 3
-	// maxBackoff bounds how far the interval grows while nothing is gained.
-	maxBackoff = 8
+	// MaxBackoff bounds how many times the interval grows while nothing is gained.
+	MaxBackoff = 16
 	// forgetAge is how long a silent member is remembered.
 	forgetAge = time.Hour
 	// hintAge is how long what a lender said that it could spare is believed.
@@ -95,6 +95,8 @@
 	renewed     time.Time
 	backoff     time.Duration
 	isIdle      bool
+	// items are those of the newest want.
+	items []WantItem
 }
 
 // inbox is the state of one borrower's wants here.
@@ -226,6 +228,9 @@
 	items := make(map[string][]WantItem)
 	pending := make(map[string]bool)
 	for _, a := range l.accounts {
+		if a.isQuiet() {
+			continue
+		}
 		a.expire(now, time.Duration(l.longest.Load()))
 		l.plan(now, a, items, pending)
 	}
@@ -295,6 +300,7 @@
 	k.outstanding = true
 	k.sent = now
 	k.isIdle = false
+	k.items = items
 	return Want{From: l.config.Self, To: lender, Sequence: k.sequence, Items: items}, true
 }
 
@@ -411,7 +417,10 @@
 	for _, item := range want.Items {
 		listed[item.Name] = true
 		a := l.account(item.Name)
-		box.answer.Items = append(box.answer.Items, a.answer(want.From, item, now.Add(l.config.Term)))
+		lent := a.answer(want.From, item, now.Add(l.config.Term))
+		if lent.Units != item.Hold || lent.Spare > 0 {
+			box.answer.Items = append(box.answer.Items, lent)
+		}
 	}
 	l.takeBack(want.From, listed)
 	return box.answer, true
@@ -438,10 +447,18 @@
 	}
 	k.outstanding = false
 	k.renewed = k.sent
-	k.isIdle = len(answer.Items) == 0
+	k.isIdle = len(k.items) == 0
 	gained := false
 	until := k.sent.Add(answer.Term - answer.Term/termMargin)
+	lent := make(map[string]LendItem, len(answer.Items))
 	for _, item := range answer.Items {
+		lent[item.Name] = item
+	}
+	for _, asked := range k.items {
+		item, ok := lent[asked.Name]
+		if !ok {
+			item = LendItem{Name: asked.Name, Units: asked.Hold}
+		}
 		gained = l.applyLend(answer.From, item, until) || gained
 	}
 	k.backoff = nextBackoff(k.backoff, gained)
@@ -463,7 +480,7 @@
 	if gained {
 		return 1
 	}
-	return min(current*2, maxBackoff)
+	return min(current*2, MaxBackoff)
 }
 
 // isAwake returns whether the ledger was ticked recently.
--- a/units/message.go
+++ b/units/message.go
@@ -33,7 +33,8 @@
 	Items []LendItem
 }
 
-// LendItem lends units of one resource.
+// LendItem lends units of one resource. For a resource that a Lend leaves out
+// the borrower may use what it holds, and no more can be spared.
 type LendItem struct {
 	Name string
 	// Units is how many units the borrower may use in all. It may be less than
