Try: start-time fair queueing charged by slot time, measured at full load

Cause found: virtual time is fair over all time, not over 10 s. Work of 20 s that was started on credit holds its slots long after the credit is spent, so the teams' occupancy swings slowly around their shares.

--- a/internal/back/minion/roster.go
+++ b/internal/back/minion/roster.go
@@ -79,6 +79,18 @@
 // Pool returns the minions of a pool. The result must not be changed.
 func (r *Roster) Pool(pool string) []*Minion { return (*r.pools.Load())[pool] }
 
+// Slots returns how many slots of a pool this entry holds, and how many of them
+// are free.
+func (r *Roster) Slots(now time.Time, pool string) (free, held int) {
+	for _, m := range r.Pool(pool) {
+		held += int(m.Slots.Held())
+		if !m.health.isOut(now) {
+			free += int(m.Slots.Free())
+		}
+	}
+	return free, held
+}
+
 // Pick takes a slot on a minion of the pool, other than the one to avoid: of two
 // taken at random among those with a free slot, the less loaded. It returns nil
 // if there is none.
--- a/internal/front/caller/dispatcher.go
+++ b/internal/front/caller/dispatcher.go
@@ -26,8 +26,7 @@
 	minion *minion.Minion
 	unit   *units.Permit
 	slot   *units.Permit
-	// predicted is the run time that the team was charged.
-	predicted time.Duration
+	item   *share.Item[*ticket]
 }
 
 // ending says how an attempt ended.
@@ -61,7 +60,7 @@
 // pool is the queue of one pool.
 type pool struct {
 	name  string
-	queue *share.Queue[*ticket]
+	queue *share.Scheduler[*ticket]
 	// full is when the pool was first found without a free slot; zero if it
 	// has some.
 	full time.Time
@@ -81,9 +80,10 @@
 
 // await waits until the request may start. It returns a *RefusalError if the wait
 // is over before.
-func (d *Dispatcher) await(ctx context.Context, service *document.Service, team, avoid string) (start, error) {
+func (d *Dispatcher) await(ctx context.Context, r request, avoid string) (start, error) {
+	service := r.service
 	t := &ticket{avoid: avoid, started: make(chan start, 1)}
-	item, err := d.push(service, team, t)
+	item, err := d.push(service, r.team, t)
 	if err != nil {
 		return start{}, err
 	}
@@ -103,19 +103,12 @@
 	// It was started in the meantime.
 	begun := <-t.started
 	if ctx.Err() != nil {
-		begun.giveBack()
-		d.Kick()
+		d.drop(begun, r)
 		return start{}, ctx.Err()
 	}
 	return begun, nil
 }
 
-func (s start) giveBack() {
-	s.minion.Skip()
-	s.slot.Release()
-	s.unit.Release()
-}
-
 func (d *Dispatcher) push(service *document.Service, team string, t *ticket) (*share.Item[*ticket], error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -139,7 +132,7 @@
 func (d *Dispatcher) pool(name string) *pool {
 	p := d.pools[name]
 	if p == nil {
-		p = &pool{name: name, queue: share.NewQueue[*ticket](share.Config{}), short: make(map[string]bool)}
+		p = &pool{name: name, queue: share.NewScheduler[*ticket](share.Config{}), short: make(map[string]bool)}
 		for _, t := range d.config.Index().Document.Teams {
 			p.queue.SetShare(t.Name, t.Share)
 		}
@@ -180,20 +173,19 @@
 }
 
 func (d *Dispatcher) startNext(now time.Time, p *pool) bool {
+	free, held := d.config.Roster.Slots(now, p.name)
 	chosen, slot := d.config.Roster.Pick(now, p.name, "")
 	if slot == nil {
-		if p.full.IsZero() {
-			p.full = now
-		}
+		p.noteFull(now)
 		return false
 	}
-	p.full = time.Time{}
-	item, unit := d.pop(p)
+	item, unit := d.next(now, p, free, held)
 	if item == nil {
 		chosen.Skip()
 		slot.Release()
 		return false
 	}
+	p.full = time.Time{}
 	if item.Value.avoid == chosen.Name {
 		chosen.Skip()
 		slot.Release()
@@ -201,19 +193,28 @@
 	}
 	if slot == nil {
 		unit.Release()
-		p.queue.Return(item)
+		p.queue.Return(now, item)
 		return false
 	}
-	item.Value.started <- start{minion: chosen, unit: unit, slot: slot, predicted: item.Predicted}
+	item.Value.started <- start{minion: chosen, unit: unit, slot: slot, item: item}
 	return true
 }
 
-// pop takes out the next item whose team has a free unit, with the unit.
-func (d *Dispatcher) pop(p *pool) (item *share.Item[*ticket], unit *units.Permit) {
-	item = p.queue.Pop(func(team string) bool {
+// noteFull notes that the pool has no slot for what waits.
+func (p *pool) noteFull(now time.Time) {
+	if p.full.IsZero() {
+		p.full = now
+	}
+}
+
+// next takes out the next item whose team has a free unit, with the unit.
+func (d *Dispatcher) next(now time.Time, p *pool, free, held int) (item *share.Item[*ticket], unit *units.Permit) {
+	isShort := false
+	item = p.queue.Next(now, free, held, func(team string) bool {
 		taken := d.config.Teams.Account(team).Acquire()
 		if taken == nil {
 			p.short[team] = true
+			isShort = true
 			return false
 		}
 		// The team found before this one is behind it after all.
@@ -223,6 +224,10 @@
 		unit = taken
 		return true
 	})
+	if item == nil && !isShort {
+		// The free slots are kept for quick work.
+		p.noteFull(now)
+	}
 	return item, unit
 }
 
@@ -290,11 +295,17 @@
 	begun.unit.Release()
 	d.usage.add(r.team, run)
 	d.mu.Lock()
-	d.pool(r.service.Pool).queue.Charge(r.team, run-begun.predicted)
+	d.pool(r.service.Pool).queue.Finish(d.config.Timer.Now(), begun.item, run)
 	d.mu.Unlock()
 	d.Kick()
 }
 
+// drop gives back a start that nothing was sent for.
+func (d *Dispatcher) drop(begun start, r request) {
+	begun.minion.Skip()
+	d.release(begun, r, 0)
+}
+
 // ChargeRemote charges slot time that a peer reports.
 func (d *Dispatcher) ChargeRemote(team string, used time.Duration) {
 	d.mu.Lock()
--- a/internal/front/caller/run.go
+++ b/internal/front/caller/run.go
@@ -34,7 +34,7 @@
 		if attempt > 0 && !l.budget.spend() {
 			break
 		}
-		begun, err := l.dispatcher.await(r.raw.Context(), r.service, r.team, avoid)
+		begun, err := l.dispatcher.await(r.raw.Context(), r, avoid)
 		if err != nil {
 			return finished{}, settle(err, mayHaveRun)
 		}
--- a/share/queue.go
+++ b/share/queue.go
@@ -9,6 +9,7 @@
 const (
 	DefaultAgeing = 1.0
 	DefaultDebt   = 10 * time.Second
+	DefaultQuick  = time.Second
 )
 
 // minCompact is the least number of cancelled items that is cleared at once.
@@ -22,6 +23,8 @@
 	// Debt bounds how far, in slot time per unit of share, a team can fall
 	// behind the others by usage elsewhere.
 	Debt time.Duration
+	// Quick is the longest predicted run time of work that counts as quick.
+	Quick time.Duration
 }
 
 // Queue orders items of type T by team. It is not safe for concurrent use.
@@ -30,7 +33,9 @@
 	flows   map[string]*flow[T]
 	active  []*flow[T]
 	virtual float64
-	length  int
+	// quickVirtual is the virtual time of quick work alone.
+	quickVirtual float64
+	length       int
 }
 
 // Item is one waiting piece of work.
@@ -41,17 +46,27 @@
 	// Predicted is the run time that was charged when the item started.
 	Predicted time.Duration
 
+	quick     bool
 	rank      time.Time
 	cancelled bool
 	queued    bool
 }
 
+// IsQuick returns whether the item was predicted to be quick.
+func (i *Item[T]) IsQuick() bool { return i.quick }
+
 // flow is the queue of one team.
 type flow[T any] struct {
-	team      string
-	share     float64
-	virtual   float64
-	items     itemHeap[T]
+	team         string
+	share        float64
+	virtual      float64
+	quickVirtual float64
+	// quickUsed and longUsed are the team's own slot time, in seconds, by kind.
+	quickUsed float64
+	longUsed  float64
+	// quick and long hold the items by predicted run time.
+	quick     itemHeap[T]
+	long      itemHeap[T]
 	waiting   int
 	cancelled int
 }
@@ -61,6 +76,9 @@
 	if config.Ageing == 0 {
 		config.Ageing = DefaultAgeing
 	}
+	if config.Quick == 0 {
+		config.Quick = DefaultQuick
+	}
 	if config.Debt == 0 {
 		config.Debt = DefaultDebt
 	}
@@ -90,9 +108,11 @@
 		q.activate(f)
 	}
 	ageing := time.Duration(q.config.Ageing * float64(predicted))
-	item := &Item[T]{Value: value, Team: team, Predicted: predicted, rank: now.Add(ageing), queued: true}
-	heap.Push(&f.items, item)
-	f.waiting++
+	item := &Item[T]{
+		Value: value, Team: team, Predicted: predicted, quick: predicted <= q.config.Quick,
+		rank: now.Add(ageing), queued: true,
+	}
+	f.add(item)
 	q.length++
 	return item
 }
@@ -107,7 +127,7 @@
 	item.queued, item.cancelled = false, true
 	f.cancelled++
 	q.leave(f)
-	if f.cancelled >= minCompact && f.cancelled > f.items.Len()/2 {
+	if f.cancelled >= minCompact && f.cancelled > (f.quick.Len()+f.long.Len())/2 {
 		f.compact()
 	}
 	return true
@@ -115,15 +135,35 @@
 
 // Pop takes out the next item among the teams for which isReady returns true
 // and charges its predicted run time. It returns nil if there is none.
-func (q *Queue[T]) Pop(isReady func(team string) bool) *Item[T] {
-	f := q.next(isReady)
+func (q *Queue[T]) Pop(now time.Time, isReady func(team string) bool) *Item[T] {
+	f := q.next(isReady, func(f *flow[T]) float64 { return f.virtual })
 	if f == nil {
 		return nil
 	}
-	item := f.pop()
-	item.queued = false
 	q.virtual = max(q.virtual, f.virtual)
-	f.charge(item.Predicted)
+	return q.take(f, f.first(now))
+}
+
+// PopQuick does what Pop does for quick items alone. The teams take turns by
+// share of what quick work they had started, so that a team whose long work
+// has used up its share still gets quick work started.
+func (q *Queue[T]) PopQuick(isReady func(team string) bool) *Item[T] {
+	isQuickReady := func(team string) bool {
+		return q.flows[team].trim(&q.flows[team].quick) && isReady(team)
+	}
+	f := q.next(isQuickReady, func(f *flow[T]) float64 { return f.quickVirtual })
+	if f == nil {
+		return nil
+	}
+	q.quickVirtual = max(q.quickVirtual, f.quickVirtual)
+	return q.take(f, &f.quick)
+}
+
+// take takes the first item out of a heap of a flow.
+func (q *Queue[T]) take(f *flow[T], items *itemHeap[T]) *Item[T] {
+	item := heap.Pop(items).(*Item[T])
+	item.queued = false
+	f.chargeItem(item, 1)
 	q.leave(f)
 	return item
 }
@@ -132,13 +172,12 @@
 // place and the charge are as before.
 func (q *Queue[T]) Return(item *Item[T]) {
 	f := q.flow(item.Team)
-	f.charge(-item.Predicted)
+	f.chargeItem(item, -1)
 	if f.waiting == 0 {
 		q.active = append(q.active, f)
 	}
 	item.queued = true
-	heap.Push(&f.items, item)
-	f.waiting++
+	f.add(item)
 	q.length++
 }
 
@@ -150,6 +189,13 @@
 	f.virtual = min(f.virtual, q.virtual+q.config.Debt.Seconds())
 }
 
+// ChargeRemote adds slot time that another of so many processes reports for a
+// team. Every process makes up for its own part of it, so that together they do
+// not make up for it several times.
+func (q *Queue[T]) ChargeRemote(team string, used time.Duration, processes int) {
+	q.Charge(team, used/time.Duration(max(processes, 1)))
+}
+
 func (q *Queue[T]) flow(team string) *flow[T] {
 	f := q.flows[team]
 	if f == nil {
@@ -162,6 +208,7 @@
 // activate lets a team back in without credit for the time it had no work.
 func (q *Queue[T]) activate(f *flow[T]) {
 	f.virtual = max(f.virtual, q.virtual)
+	f.quickVirtual = max(f.quickVirtual, q.quickVirtual)
 	q.active = append(q.active, f)
 }
 
@@ -180,9 +227,10 @@
 	}
 }
 
-func (q *Queue[T]) next(isReady func(team string) bool) (best *flow[T]) {
+// next returns the active flow with the least virtual time that is ready.
+func (q *Queue[T]) next(isReady func(team string) bool, virtual func(f *flow[T]) float64) (best *flow[T]) {
 	for _, f := range q.active {
-		if best != nil && best.virtual <= f.virtual {
+		if best != nil && virtual(best) <= virtual(f) {
 			continue
 		}
 		if isReady(f.team) {
@@ -196,28 +244,76 @@
 	f.virtual += used.Seconds() / f.share
 }
 
-func (f *flow[T]) pop() *Item[T] {
-	for {
-		item := heap.Pop(&f.items).(*Item[T])
-		if !item.cancelled {
-			return item
-		}
+// chargeItem charges the prediction of an item, or takes the charge back.
+func (f *flow[T]) chargeItem(item *Item[T], sign float64) {
+	used := sign * item.Predicted.Seconds()
+	f.virtual += used / f.share
+	if item.quick {
+		f.quickVirtual += used / f.share
+		f.quickUsed += used
+	} else {
+		f.longUsed += used
+	}
+}
+
+func (f *flow[T]) add(item *Item[T]) {
+	heap.Push(f.heapOf(item), item)
+	f.waiting++
+}
+
+func (f *flow[T]) heapOf(item *Item[T]) *itemHeap[T] {
+	if item.quick {
+		return &f.quick
+	}
+	return &f.long
+}
+
+// first returns the heap that goes first. The flow must not be empty. Quick
+// work goes before long, unless the long item has waited for its own run time
+// and long work has had less slot time. A kind of work that was not there gets
+// no credit for it.
+func (f *flow[T]) first(now time.Time) *itemHeap[T] {
+	hasQuick, hasLong := f.trim(&f.quick), f.trim(&f.long)
+	switch {
+	case !hasLong:
+		f.longUsed = max(f.longUsed, f.quickUsed)
+		return &f.quick
+	case !hasQuick:
+		f.quickUsed = max(f.quickUsed, f.longUsed)
+		return &f.long
+	case f.quickUsed > f.longUsed && f.long[0].rank.Before(now):
+		return &f.long
+	}
+	return &f.quick
+}
+
+// trim takes cancelled items off the front of a heap. It returns whether any
+// item is left.
+func (f *flow[T]) trim(items *itemHeap[T]) bool {
+	for items.Len() > 0 && (*items)[0].cancelled {
+		heap.Pop(items)
 		f.cancelled--
 	}
+	return items.Len() > 0
 }
 
-// compact clears the cancelled items out of the heap.
+// compact clears the cancelled items out of the heaps.
 func (f *flow[T]) compact() {
-	kept := f.items[:0]
-	for _, item := range f.items {
+	f.quick.compact()
+	f.long.compact()
+	f.cancelled = 0
+}
+
+func (h *itemHeap[T]) compact() {
+	kept := (*h)[:0]
+	for _, item := range *h {
 		if !item.cancelled {
 			kept = append(kept, item)
 		}
 	}
-	clear(f.items[len(kept):])
-	f.items = kept
-	f.cancelled = 0
-	heap.Init(&f.items)
+	clear((*h)[len(kept):])
+	*h = kept
+	heap.Init(h)
 }
 
 // itemHeap orders items by rank.
