Order teams by the slots they occupy, and services within a team alike

Change: the team with the fewest occupied slots for its share goes first; within it the service with the fewest. Entries report occupied slots, and each makes up for its part of what a team lacks elsewhere. A reserve learned from running quick work is kept from long work.

--- a/internal/daemon/entry/beat.go
+++ b/internal/daemon/entry/beat.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"gitlab.com/chicorypin/chicorypin/internal/front/caller"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
 	"gitlab.com/chicorypin/chicorypin/units"
 )
@@ -16,7 +17,7 @@
 	// usageEvery is how many heartbeats there are for each that carries usage.
 	usageEvery = 2 * farEvery
 	// introduceEvery is how many heartbeats there are for each that carries
-	// the sender's own addresses and the usage of all teams.
+	// the sender's own addresses.
 	introduceEvery = 5 * usageEvery
 	// pullInterval is the least time between two requests for documents.
 	pullInterval = 200 * time.Millisecond
@@ -39,6 +40,7 @@
 	}
 	if e.state.beats%introduceEvery == 0 {
 		e.afterChange()
+		e.sumRemote(now)
 	}
 	e.mu.Unlock()
 	if isForAll {
@@ -65,7 +67,7 @@
 		Leaving:     own.Leaving,
 		BusyFleet:   own.Fleet,
 		Busy:        own.Busy,
-		Usage:       e.changedUsage(),
+		Usage:       e.usage(),
 	}
 	if s.beats%introduceEvery == 0 || s.beats == farEvery {
 		body.Member = &wire.Member{
@@ -76,23 +78,22 @@
 	return &wire.Frame{Body: &wire.Frame_Beat{Beat: body}}
 }
 
-// changedUsage returns the totals that changed since they were last sent; now
-// and then all of them, since heartbeats may be lost. Most heartbeats carry
-// none.
-func (e *Entry) changedUsage() *wire.Usage {
+// usage returns the slots that the teams occupy here, nil in most heartbeats.
+func (e *Entry) usage() *wire.Usage {
 	if e.state.beats%usageEvery != 0 {
 		return nil
 	}
 	usage := &wire.Usage{}
-	used := e.dispatcher.Used()
-	for position, t := range e.index.Load().Document.Teams {
-		total := used[t.Name]
-		if total != e.state.sentUsage[t.Name] || e.state.beats%introduceEvery == 0 {
-			usage.Team = append(usage.Team, uint32(position))
-			usage.Used = append(usage.Used, uint64(total/time.Millisecond))
+	running := e.dispatcher.Running()
+	d := e.index.Load().Document
+	for i, pool := range d.Pools {
+		for k, team := range d.Teams {
+			if slots := running[pool.Name][team.Name]; slots > 0 {
+				usage.Place = append(usage.Place, uint32(i*len(d.Teams)+k))
+				usage.Slots = append(usage.Slots, uint32(slots))
+			}
 		}
 	}
-	e.state.sentUsage = used
 	return usage
 }
 
@@ -117,7 +118,7 @@
 	if isNew {
 		e.afterChange()
 	}
-	e.chargeRemote(m, beat)
+	e.takeUsage(now, m, beat)
 	e.compareRevisions(now, from, beat)
 }
 
@@ -132,26 +133,36 @@
 	return isNew
 }
 
-// chargeRemote charges the teams for slot time that a peer reports. Totals that
-// go by another document are left out; the next ones make up for them.
-func (e *Entry) chargeRemote(m *member, beat *wire.Beat) {
+// takeUsage takes the slots that the teams occupy through a peer. Places that go
+// by another document are left out; the next report makes up for them.
+func (e *Entry) takeUsage(now time.Time, m *member, beat *wire.Beat) {
 	index := e.index.Load()
-	used := beat.GetUsage().GetUsed()
-	if beat.GetConfig() != index.Revision {
+	usage := beat.GetUsage()
+	if usage == nil || beat.GetConfig() != index.Revision || len(usage.GetPlace()) != len(usage.GetSlots()) {
 		return
 	}
-	for i, position := range beat.GetUsage().GetTeam() {
-		if i >= len(used) || int(position) >= len(index.Document.Teams) {
+	m.running = make(caller.Occupancy)
+	pools, teams := index.Document.Pools, index.Document.Teams
+	for i, place := range usage.GetPlace() {
+		if int(place) >= len(pools)*len(teams) {
 			return
 		}
-		team := index.Document.Teams[position].Name
-		total := time.Duration(used[i]) * time.Millisecond
-		before, isKnown := m.used[team]
-		m.used[team] = max(total, before)
-		if isKnown && total > before {
-			e.dispatcher.ChargeRemote(team, total-before)
+		pool, team := pools[int(place)/len(teams)].Name, teams[int(place)%len(teams)].Name
+		m.running.Add(caller.Occupancy{pool: {team: int(usage.GetSlots()[i])}})
+	}
+	e.sumRemote(now)
+}
+
+// sumRemote gives the dispatcher the slots that are occupied through all peers.
+func (e *Entry) sumRemote(now time.Time) {
+	remote := make(caller.Occupancy)
+	members := e.state.there(now)
+	for _, m := range members {
+		if m.Entry != e.id {
+			remote.Add(m.running)
 		}
 	}
+	e.dispatcher.SetRemote(remote, len(members))
 }
 
 // compareRevisions asks a peer for documents that are newer there. A peer that
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -118,16 +118,15 @@
 	isSuspect bool
 	resumed   time.Time
 	// rewatch ends the watch, so that all keys are read anew.
-	rewatch   context.CancelFunc
-	ticked    time.Time
-	missing   map[string]time.Time
-	written   string
-	lease     platform.Lease
-	version   int64
-	beats     uint64
-	sentUsage map[string]time.Duration
-	pulled    time.Time
-	changed   chan struct{}
+	rewatch context.CancelFunc
+	ticked  time.Time
+	missing map[string]time.Time
+	written string
+	lease   platform.Lease
+	version int64
+	beats   uint64
+	pulled  time.Time
+	changed chan struct{}
 	// steward is the entry that plans maintenance.
 	steward string
 	// held are the drains that wait, by when they were last reported, and the
--- a/internal/daemon/entry/member.go
+++ b/internal/daemon/entry/member.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"gitlab.com/chicorypin/chicorypin/internal/front/caller"
 	"gitlab.com/chicorypin/chicorypin/units"
 )
 
@@ -38,8 +39,8 @@
 	isListed bool
 	// heard is when its last heartbeat came.
 	heard time.Time
-	// used is the slot time that its last heartbeats reported.
-	used map[string]time.Duration
+	// running are the slots that the teams occupy through it.
+	running caller.Occupancy
 }
 
 func (m *member) isThere(now time.Time) bool {
@@ -50,7 +51,7 @@
 func (s *state) member(entry string) *member {
 	m := s.members[entry]
 	if m == nil {
-		m = &member{used: make(map[string]time.Duration)}
+		m = &member{}
 		m.Entry = entry
 		s.members[entry] = m
 	}
--- a/internal/front/caller/dispatcher.go
+++ b/internal/front/caller/dispatcher.go
@@ -15,12 +15,6 @@
 // slots of other data centres are asked for.
 const spillAfter = 300 * time.Millisecond
 
-// kind is what run times are learned by.
-type kind struct {
-	team    string
-	service string
-}
-
 // start is the right to run one attempt: a unit of the team's limit and a slot.
 type start struct {
 	minion *minion.Minion
@@ -50,7 +44,7 @@
 // Dispatcher hands out starts, pool by pool, in fair order.
 type Dispatcher struct {
 	config    Config
-	predictor *share.Predictor[kind]
+	predictor *share.Predictor
 	usage     usage
 
 	mu    sync.Mutex
@@ -72,7 +66,7 @@
 func NewDispatcher(config Config) *Dispatcher {
 	return &Dispatcher{
 		config:    config,
-		predictor: share.NewPredictor[kind](),
+		predictor: share.NewPredictor(),
 		usage:     usage{own: make(map[string]time.Duration)},
 		pools:     make(map[string]*pool),
 	}
@@ -117,8 +111,8 @@
 		return nil, notRun(429, "the queue is full", retrySoon)
 	}
 	now := d.config.Timer.Now()
-	predicted := d.predictor.Predict(kind{team, service.Name})
-	item := p.queue.Push(now, team, predicted, t)
+	predicted := d.predictor.Predict(share.Kind{Team: team, Service: service.Name})
+	item := p.queue.Push(now, team, service.Name, predicted, t)
 	d.dispatch(now, p)
 	return item, nil
 }
@@ -281,7 +275,7 @@
 	longest := time.Duration(r.service.Longest)
 	switch how {
 	case ran:
-		d.predictor.Learn(kind{r.team, r.service.Name}, run)
+		d.predictor.Learn(share.Kind{Team: r.team, Service: r.service.Name}, run)
 		d.release(begun, r, run)
 	case skipped:
 		d.release(begun, r, 0)
@@ -295,7 +289,7 @@
 	begun.unit.Release()
 	d.usage.add(r.team, run)
 	d.mu.Lock()
-	d.pool(r.service.Pool).queue.Finish(d.config.Timer.Now(), begun.item, run)
+	d.pool(r.service.Pool).queue.Finish(d.config.Timer.Now(), begun.item)
 	d.mu.Unlock()
 	d.Kick()
 }
@@ -306,12 +300,39 @@
 	d.release(begun, r, 0)
 }
 
-// ChargeRemote charges slot time that a peer reports.
-func (d *Dispatcher) ChargeRemote(team string, used time.Duration) {
+// Occupancy counts slots by pool and team.
+type Occupancy map[string]map[string]int
+
+// Add adds the slots of another occupancy.
+func (o Occupancy) Add(other Occupancy) {
+	for pool, teams := range other {
+		if o[pool] == nil {
+			o[pool] = make(map[string]int)
+		}
+		for team, slots := range teams {
+			o[pool][team] += slots
+		}
+	}
+}
+
+// Running returns the slots that are occupied through this entry.
+func (d *Dispatcher) Running() Occupancy {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, p := range d.pools {
-		p.queue.Charge(team, used)
+	running := make(Occupancy, len(d.pools))
+	for name, p := range d.pools {
+		running[name] = p.queue.Running()
+	}
+	return running
+}
+
+// SetRemote sets the slots that are occupied through the other entries, of so
+// many in all.
+func (d *Dispatcher) SetRemote(remote Occupancy, entries int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, p := range d.pools {
+		p.queue.SetRemote(remote[name], entries)
 	}
 }
 
--- a/share/scheduler.go
+++ b/share/scheduler.go
@@ -15,8 +15,8 @@
 }
 
 // Push adds an item.
-func (s *Scheduler[T]) Push(now time.Time, team string, predicted time.Duration, value T) *Item[T] {
-	item := s.Queue.Push(now, team, predicted, value)
+func (s *Scheduler[T]) Push(now time.Time, team, service string, predicted time.Duration, value T) *Item[T] {
+	item := s.Queue.Push(team, service, predicted, value)
 	s.reserve.See(now, item.IsQuick())
 	return item
 }
@@ -27,7 +27,7 @@
 	if free <= s.reserve.Spare(now, held) {
 		item = s.PopQuick(isReady)
 	} else {
-		item = s.Pop(now, isReady)
+		item = s.Pop(isReady)
 	}
 	if item != nil {
 		s.reserve.Start(now, item.IsQuick())
@@ -41,9 +41,8 @@
 	s.Queue.Return(item)
 }
 
-// Finish notes that an item has ended after the run time and corrects what its
-// team was charged.
-func (s *Scheduler[T]) Finish(now time.Time, item *Item[T], run time.Duration) {
+// Finish notes that the work of an item has ended.
+func (s *Scheduler[T]) Finish(now time.Time, item *Item[T]) {
 	s.reserve.End(now, item.IsQuick())
-	s.Charge(item.Team, run-item.Predicted)
+	s.Queue.Finish(item)
 }
