--- a/cmd/chicorypin-standin/main.go
+++ b/cmd/chicorypin-standin/main.go
@@ -20,6 +20,7 @@
 type arguments struct {
 	Platform string   `arg:"--platform" help:"address to serve the platform on"`
 	Minions  []string `arg:"--minion,separate" help:"address to serve a minion on; may be repeated"`
+	Meter    string   `arg:"--meter" help:"address to serve the most that ran at once on all these minions, by team"`
 }
 
 func main() {
@@ -29,8 +30,14 @@
 	if args.Platform != "" {
 		go serve(failed, args.Platform, platform.NewServer())
 	}
+	meter := minion.NewMeter()
 	for _, address := range args.Minions {
-		go serve(failed, address, minion.NewServer(address))
+		server := minion.NewServer(address)
+		server.Observe = meter.Observe
+		go serve(failed, address, server)
+	}
+	if args.Meter != "" {
+		go serve(failed, args.Meter, meter)
 	}
 	fmt.Fprintln(os.Stderr, <-failed)
 	os.Exit(1)
--- a/internal/daemon/entry/change.go
+++ b/internal/daemon/entry/change.go
@@ -18,6 +18,9 @@
 const (
 	// maxUnsettled bounds the config revisions that may be unsettled at once.
 	maxUnsettled = 64
+	// forcePoll is how often it is looked whether a missing entry is known to
+	// be gone.
+	forcePoll = 200 * time.Millisecond
 	// maxRaces bounds how often a change that names one thing is tried again
 	// after another operator's change.
 	maxRaces = 8
@@ -76,27 +79,6 @@
 	return fmt.Sprintf("more than %d revisions are not in force yet at %v", maxUnsettled, e.Missing)
 }
 
-// NameError reports a name that nothing has.
-type NameError struct {
-	Kind string
-	Name string
-}
-
-// Error implements error.
-func (e *NameError) Error() string { return fmt.Sprintf("no %s is named %q", e.Kind, e.Name) }
-
-// BudgetError reports a drain that would leave a pool with less than its least
-// share.
-type BudgetError struct {
-	Pool   string
-	Budget fleet.Budget
-}
-
-// Error implements error.
-func (e *BudgetError) Error() string {
-	return fmt.Sprintf("pool %q has %d of %d slots out and may have %d", e.Pool, e.Budget.Out, e.Budget.Total, e.Budget.Allowed)
-}
-
 // Document returns the document in force and its revision.
 func (e *Entry) Document() (parsed document.Document, revision uint64) {
 	e.mu.Lock()
@@ -127,9 +109,7 @@
 	pools := make(map[string]bool)
 	for i, p := range parsed.Pools {
 		pools[p.Name] = true
-		if count := counts[p.Name]; count > 0 && p.Floor > count {
-			list.Add(fmt.Sprintf("/pools/%d/floor", i), "the pool has %d instances", count)
-		}
+		checkPool(list, fmt.Sprintf("/pools/%d", i), p, counts[p.Name], current)
 	}
 	for _, name := range sortedKeys(counts) {
 		if !pools[name] {
@@ -139,6 +119,26 @@
 	return list.Err()
 }
 
+// checkPool checks the numbers of a pool against its instances.
+func checkPool(list *fault.ListError, path string, p document.Pool, count int, current fleet.Fleet) {
+	if count == 0 {
+		return
+	}
+	if p.Floor > count {
+		list.Add(path+"/floor", "the pool has %d instances", count)
+	}
+	budget := current.PoolBudget(p.Name, p.Least)
+	smallest := budget.Total
+	for _, i := range current.Instances {
+		if i.Pool == p.Name {
+			smallest = min(smallest, i.Slots)
+		}
+	}
+	if budget.Allowed < smallest {
+		list.Add(path+"/least", "leaves %d of %d slots, so that no instance could ever be drained", budget.Allowed, budget.Total)
+	}
+}
+
 func sortedKeys(counts map[string]int) (names []string) {
 	for name := range counts {
 		names = append(names, name)
@@ -217,14 +217,19 @@
 		case <-ctx.Done():
 			return Applied{Revision: revision, State: Pending, Missing: missing}
 		case <-changed:
+		case <-time.After(forcePoll):
 		}
 	}
 }
 
 // missingForce returns the entries that may be serving and have not reported
-// the revision: the holders of slices, and the members that are there.
+// the revision: the holders of slices whose process is not known to be gone, and
+// the members that are there.
 func (e *Entry) missingForce(revision uint64) []string {
-	missing := e.state.barrier.Missing(units.Force{Limits: revision})
+	missing := slices.DeleteFunc(e.state.barrier.Missing(units.Force{Limits: revision}), func(entry string) bool {
+		_, isGone := e.state.missing[entry]
+		return isGone
+	})
 	for _, m := range e.state.there(e.config.Timer.Now()) {
 		if m.Force.Limits < revision && !slices.Contains(missing, m.Entry) {
 			missing = append(missing, m.Entry)
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -197,7 +197,7 @@
 
 func (e *Entry) listen() (err error) {
 	e.mesh, err = peer.NewMesh(peer.Config{
-		Entry: e.id, Listen: e.settings.Peer, Receive: e.receive, Log: e.log,
+		Entry: e.id, Listen: e.settings.Peer, Advertise: e.settings.Advertise, Receive: e.receive, Log: e.log,
 	})
 	if err != nil {
 		return err
--- a/internal/daemon/entry/settings.go
+++ b/internal/daemon/entry/settings.go
@@ -34,6 +34,8 @@
 	Caller   netip.AddrPort `json:"caller"`
 	Operator netip.AddrPort `json:"operator"`
 	Peer     netip.AddrPort `json:"peer"`
+	// Advertise is the address that peers are told, if it is not Peer.
+	Advertise netip.AddrPort `json:"advertise,omitzero"`
 	// Platform holds the addresses of the key-value service, List that of the
 	// list of instances.
 	Platform []netip.AddrPort `json:"platform"`
--- a/internal/daemon/entry/steward.go
+++ b/internal/daemon/entry/steward.go
@@ -149,55 +149,13 @@
 // Drain takes an instance out of service if the budget of its pool allows it.
 func (e *Entry) Drain(ctx context.Context, name string) (revision uint64, err error) {
 	return e.ChangeFleet(ctx, func(next *fleet.Fleet) (bool, error) {
-		position := next.Find(name)
-		if position < 0 {
-			return false, &NameError{Kind: "instance", Name: name}
-		}
-		i := next.Instances[position]
-		if !i.IsServing() {
-			return e.adopt(next, position), nil
-		}
-		budget := next.PoolBudget(i.Pool, e.leastOf(i.Pool))
-		if !budget.Admits(i) {
-			return false, &BudgetError{Pool: i.Pool, Budget: budget}
-		}
-		next.Set(position, fleet.Draining, fleet.ByOperator)
-		return true, nil
+		return steward.Drain(next, e.index.Load().Document, name)
 	})
 }
 
-// adopt makes a drain of a wave the operator's, so that it does not end by
-// itself. An instance that reboots or is down is left as it is.
-func (e *Entry) adopt(next *fleet.Fleet, position int) bool {
-	i := next.Instances[position]
-	if i.State != fleet.Draining || i.Reason == fleet.ByOperator {
-		return false
-	}
-	next.Instances[position].Reason = fleet.ByOperator
-	return true
-}
-
 // Return puts an instance back into service.
 func (e *Entry) Return(ctx context.Context, name string) (revision uint64, err error) {
 	return e.ChangeFleet(ctx, func(next *fleet.Fleet) (bool, error) {
-		position := next.Find(name)
-		if position < 0 {
-			return false, &NameError{Kind: "instance", Name: name}
-		}
-		if i := next.Instances[position]; i.State != fleet.Draining {
-			return false, nil
-		}
-		next.Set(position, fleet.Serving, "")
-		next.Instances[position].Target = ""
-		return true, nil
+		return steward.Return(next, name)
 	})
 }
-
-func (e *Entry) leastOf(pool string) float64 {
-	for _, p := range e.index.Load().Document.Pools {
-		if p.Name == pool {
-			return p.Least
-		}
-	}
-	return 0
-}
--- a/internal/front/operator/listener.go
+++ b/internal/front/operator/listener.go
@@ -20,6 +20,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/daemon/entry"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
 	"gitlab.com/chicorypin/chicorypin/internal/model/fleet"
+	"gitlab.com/chicorypin/chicorypin/internal/plan/steward"
 )
 
 // maxDocument is the largest document that is taken, in bytes: a value of the
@@ -215,7 +216,7 @@
 				return nil
 			}
 		}
-		return &entry.NameError{Kind: "team", Name: p.ByName("team")}
+		return &steward.NameError{Kind: "team", Name: p.ByName("team")}
 	})
 	writeApplied(w, applied, err)
 }
@@ -252,7 +253,7 @@
 		case "resume":
 			next.Paused = false
 		default:
-			return false, &entry.NameError{Kind: "action", Name: do}
+			return false, &steward.NameError{Kind: "action", Name: do}
 		}
 		return true, nil
 	})
@@ -286,8 +287,8 @@
 		race        *entry.RaceError
 		unsettled   *entry.UnsettledError
 		unreachable *entry.UnreachableError
-		name        *entry.NameError
-		budget      *entry.BudgetError
+		name        *steward.NameError
+		budget      *steward.BudgetError
 	)
 	switch {
 	case errors.As(err, &list):
--- a/internal/mesh/peer/mesh.go
+++ b/internal/mesh/peer/mesh.go
@@ -44,6 +44,8 @@
 	Entry string
 	// Listen is the address for peers.
 	Listen netip.AddrPort
+	// Advertise is the address that peers are told; Listen if it is not valid.
+	Advertise netip.AddrPort
 	// Receive is called for each message; calls for one peer are in order for
 	// each stream. It must not block for long.
 	Receive func(from string, frame *wire.Frame)
@@ -102,6 +104,9 @@
 
 // Address returns the address that peers reach this process at.
 func (m *Mesh) Address() netip.AddrPort {
+	if m.config.Advertise.IsValid() {
+		return m.config.Advertise
+	}
 	return m.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
@@ -214,7 +219,9 @@
 }
 
 func (m *Mesh) connect(ctx context.Context, k *link) error {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	// Peers know this process by the address that it listens on.
+	local := net.TCPAddrFromAddrPort(netip.AddrPortFrom(m.config.Listen.Addr(), 0))
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: local}
 	conn, err := dialer.DialContext(ctx, "tcp", k.address.String())
 	if err != nil {
 		return err
--- a/internal/plan/steward/plan.go
+++ b/internal/plan/steward/plan.go
@@ -179,6 +179,9 @@
 
 // startDrains starts the drains of the maintenance wave that the budgets allow.
 func (p *planner) startDrains() {
+	if !p.hasPending() {
+		return
+	}
 	for _, pool := range p.Document.Pools {
 		if p.hasFailures(pool.Name) {
 			p.plan.Paused = append(p.plan.Paused, pool.Name)
@@ -188,6 +191,13 @@
 	}
 }
 
+// hasPending returns whether any instance is left to maintain.
+func (p *planner) hasPending() bool {
+	return slices.ContainsFunc(p.plan.Next.Instances, func(i fleet.Instance) bool {
+		return i.IsServing() && i.Cycle < p.plan.Next.Cycle
+	})
+}
+
 func (p *planner) hasFailures(pool string) bool {
 	return slices.ContainsFunc(p.plan.Next.Instances, func(i fleet.Instance) bool {
 		return i.Pool == pool && i.State == fleet.Down
@@ -198,6 +208,7 @@
 // most instances left, so that the fewest racks are touched at once.
 func (p *planner) drainPool(pool document.Pool) {
 	racks := p.pendingRacks(pool.Name)
+	allowance := newAllowance(p.plan.Next, pool)
 	begun := 0
 	for _, r := range racks {
 		if r.begun {
@@ -208,12 +219,49 @@
 		if !r.begun && pool.Racks > 0 && begun >= pool.Racks {
 			return
 		}
-		if p.drainRack(pool, r) && !r.begun {
+		if p.drainRack(allowance, r) && !r.begun {
 			begun++
 		}
 	}
 }
 
+// allowance is what the budgets of a pool leave for a pass.
+type allowance struct {
+	fleet   fleet.Fleet
+	pool    document.Pool
+	budget  fleet.Budget
+	centres map[string]*fleet.Budget
+}
+
+func newAllowance(current fleet.Fleet, pool document.Pool) *allowance {
+	return &allowance{
+		fleet:   current,
+		pool:    pool,
+		budget:  current.PoolBudget(pool.Name, pool.Least),
+		centres: make(map[string]*fleet.Budget),
+	}
+}
+
+// take takes an instance out if the budgets of the pool and of its part in the
+// data centre admit it.
+func (a *allowance) take(i fleet.Instance) bool {
+	if !a.budget.Admits(i) {
+		return false
+	}
+	centre := a.centres[i.Centre]
+	if centre == nil {
+		b := a.fleet.CentreBudget(a.pool.Name, i.Centre, a.pool.Least)
+		centre = &b
+		a.centres[i.Centre] = centre
+	}
+	if !centre.Admits(i) {
+		return false
+	}
+	a.budget.Out += i.Slots
+	centre.Out += i.Slots
+	return true
+}
+
 // rack is a rack of a pool with instances left to maintain.
 type rack struct {
 	name    string
@@ -256,15 +304,12 @@
 
 // drainRack drains what the budgets allow of a rack. It returns whether it
 // drained any.
-func (p *planner) drainRack(pool document.Pool, r *rack) (drained bool) {
+func (p *planner) drainRack(a *allowance, r *rack) (drained bool) {
 	for _, position := range r.pending {
-		i := p.plan.Next.Instances[position]
-		if !p.plan.Next.PoolBudget(pool.Name, pool.Least).Admits(i) ||
-			!p.plan.Next.CentreBudget(pool.Name, i.Centre, pool.Least).Admits(i) {
-			continue
+		if a.take(p.plan.Next.Instances[position]) {
+			p.set(position, fleet.Draining, fleet.ByWave)
+			drained = true
 		}
-		p.set(position, fleet.Draining, fleet.ByWave)
-		drained = true
 	}
 	return drained
 }
--- a/internal/proof/system/load_test.go
+++ b/internal/proof/system/load_test.go
@@ -130,7 +130,9 @@
 		body = strings.NewReader("rota of " + id)
 	}
 	request, _ := http.NewRequest(method, fmt.Sprintf("http://%s%s", n.settings.Caller, l.target), body)
-	request.Header.Set("Authorization", "Bearer "+l.key)
+	if l.key != "" {
+		request.Header.Set("Authorization", "Bearer "+l.key)
+	}
 	request.Header.Set("Request-Id", id)
 	response, err := l.client.Do(request)
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/proof/system/process_test.go
+++ b/internal/proof/system/process_test.go
@@ -78,7 +78,7 @@
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		<-p.done
-		if t.Failed() {
+		if t.Failed() && os.Getenv("LOGS") != "" {
 			text, _ := os.ReadFile(logs.Name())
 			t.Logf("log of %s:\n%s", name, tail(text))
 		}
@@ -123,14 +123,14 @@
 	centre  string
 	rack    string
 	address netip.AddrPort
-	process *process
 }
 
 // system is a whole system of processes.
 type system struct {
 	t        testing.TB
 	platform netip.AddrPort
-	store    *process
+	meter    netip.AddrPort
+	network  *network
 	nodes    []*node
 	workers  []*worker
 	pool     string
@@ -154,14 +154,16 @@
 func newSystem(t *testing.T, s shape) *system {
 	t.Helper()
 	c := &system{t: t, pool: "rota", unlisted: map[string]bool{}, leaving: map[string]bool{}, boots: map[string]int{}}
+	c.network = newNetwork(t)
 	c.platform = freeAddress(t)
-	c.store = start(t, "platform", "chicorypin-standin", "--platform", c.platform.String())
+	start(t, "platform", "chicorypin-standin", "--platform", c.platform.String())
 	c.await("the platform answers", func() bool { return c.setFaults(platform.Faults{}) == nil })
 	for _, centre := range centreNames {
 		for range s.workers[centre] {
 			c.addWorker(centre, max(s.perRack, 1))
 		}
 	}
+	c.startWorkers()
 	for _, centre := range centreNames {
 		for range s.entries[centre] {
 			c.addEntry(fmt.Sprintf("entry-%d", len(c.nodes)+1), centre)
@@ -179,16 +181,41 @@
 		rack:    fmt.Sprintf("rack-%d", len(c.workers)/perRack+1),
 		address: freeAddress(c.t),
 	}
-	w.process = start(c.t, w.name, "chicorypin-standin", "--minion", w.address.String())
 	c.workers = append(c.workers, w)
 }
 
+// startWorkers runs all minions in one process, so that it can count what runs
+// on all of them at once.
+func (c *system) startWorkers() {
+	c.meter = freeAddress(c.t)
+	args := []string{"--meter", c.meter.String()}
+	for _, w := range c.workers {
+		args = append(args, "--minion", w.address.String())
+	}
+	start(c.t, "minions", "chicorypin-standin", args...)
+}
+
+// most returns the most that ran at once, by team.
+func (c *system) most() (most map[string]int) {
+	c.t.Helper()
+	response, err := http.Get(fmt.Sprintf("http://%s/", c.meter))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if err = json.NewDecoder(response.Body).Decode(&most); err != nil {
+		c.t.Fatal(err)
+	}
+	return most
+}
+
 // addEntry starts an entry with new addresses.
 func (c *system) addEntry(name, centre string) *node {
+	peer, advertised, store := c.network.join(name, c.platform)
 	n := &node{settings: entry.Settings{
 		Name: name, Centre: centre,
-		Caller: freeAddress(c.t), Operator: freeAddress(c.t), Peer: freeAddress(c.t),
-		Platform: []netip.AddrPort{c.platform}, List: c.platform,
+		Caller: freeAddress(c.t), Operator: freeAddress(c.t), Peer: peer, Advertise: advertised,
+		Platform: []netip.AddrPort{store}, List: store,
 		Operators: []string{document.Digest(operatorKey)},
 		TTL:       document.Duration(2 * time.Second),
 		Linger:    document.Duration(500 * time.Millisecond),
--- a/internal/proof/system/size_test.go
+++ b/internal/proof/system/size_test.go
@@ -72,8 +72,9 @@
 // newEntries starts entries in five data centres and lists so many instances.
 func newEntries(tb testing.TB, entries, instances int) *system {
 	c := &system{t: tb, unlisted: map[string]bool{}, leaving: map[string]bool{}, boots: map[string]int{}}
+	c.network = newNetwork(tb)
 	c.platform = freeAddress(tb)
-	c.store = start(tb, "platform", "chicorypin-standin", "--platform", c.platform.String())
+	start(tb, "platform", "chicorypin-standin", "--platform", c.platform.String())
 	c.await("the platform answers", func() bool { return c.setFaults(platform.Faults{}) == nil })
 	var targets []platform.Target
 	for i := range instances {
--- a/internal/standin/minion/minion.go
+++ b/internal/standin/minion/minion.go
@@ -41,6 +41,34 @@
 	Peak int `json:"peak"`
 }
 
+// Meter counts what runs on several minions together. It is an http.Handler that
+// serves the most that ran at once, by team.
+type Meter struct {
+	mu      sync.Mutex
+	running map[string]int
+	most    map[string]int
+}
+
+// NewMeter returns a Meter at zero.
+func NewMeter() *Meter {
+	return &Meter{running: make(map[string]int), most: make(map[string]int)}
+}
+
+// Observe counts a start (+1) or an end (-1) of a team's work.
+func (m *Meter) Observe(team string, change int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running[team] += change
+	m.most[team] = max(m.most[team], m.running[team])
+}
+
+// ServeHTTP implements http.Handler.
+func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(m.most)
+}
+
 // Server is one stand-in minion. It is an http.Handler. The query of a request
 // gives its run time in milliseconds as "run" and the answer's size as "size".
 type Server struct {
