Prove cuts, outages, races, replacement and waves with processes

Found in the scaffold: free ports came from the range of outgoing connections and were taken at times; they now come from below it.

--- a/internal/daemon/entry/dump.go
+++ b/internal/daemon/entry/dump.go
@@ -25,6 +25,7 @@
 	Force      units.Force              `json:"force"`
 	Table      TableDocument            `json:"table"`
 	Members    []MemberDocument         `json:"members"`
+	Steward    string                   `json:"steward"`
 	Connected  []string                 `json:"connected"`
 	Teams      []units.AccountDump      `json:"teams"`
 	Slots      []units.AccountDump      `json:"slots"`
@@ -58,6 +59,7 @@
 		Fleet:      e.state.fleet,
 		Force:      e.state.force,
 		Table:      e.state.table,
+		Steward:    e.state.steward,
 		Connected:  e.mesh.Connected(),
 		Teams:      e.teams.Dump(),
 		Slots:      e.slots.Dump(),
--- a/internal/proof/system/process_test.go
+++ b/internal/proof/system/process_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -139,6 +140,8 @@
 	unlisted map[string]bool
 	leaving  map[string]bool
 	boots    map[string]int
+	// frozen is the process that was last found to be the steward's.
+	frozen *process
 }
 
 // shape says what a system consists of.
@@ -210,7 +213,7 @@
 }
 
 // addEntry starts an entry with new addresses.
-func (c *system) addEntry(name, centre string) *node {
+func (c *system) addEntry(name, centre string) {
 	peer, advertised, store := c.network.join(name, c.platform)
 	n := &node{settings: entry.Settings{
 		Name: name, Centre: centre,
@@ -224,7 +227,6 @@
 	}}
 	c.launch(n)
 	c.nodes = append(c.nodes, n)
-	return n
 }
 
 func (c *system) launch(n *node) {
@@ -268,11 +270,6 @@
 	return c.tryPut(c.platform, "/standin/faults", f)
 }
 
-func (c *system) setWorkerFaults(w *worker, f minion.Faults) {
-	c.t.Helper()
-	c.put(w.address, "/standin/faults", f)
-}
-
 func (c *system) put(address netip.AddrPort, path string, body any) {
 	c.t.Helper()
 	if err := c.tryPut(address, path, body); err != nil {
@@ -296,18 +293,24 @@
 	return response.Body.Close()
 }
 
+func (c *system) bootOf(w *worker) string { return fmt.Sprint(c.boots[w.name]) }
+
+// countsAt returns what a minion has run and is running.
+func (c *system) countsAt(w *worker) (counts minion.Counts) {
+	response, err := http.Get(fmt.Sprintf("http://%s/standin/counts", w.address))
+	if err != nil {
+		return counts
+	}
+	defer response.Body.Close()
+	_ = json.NewDecoder(response.Body).Decode(&counts)
+	return counts
+}
+
 // counts adds up what all minions have run, by request.
 func (c *system) counts() map[string]int {
 	total := make(map[string]int)
 	for _, w := range c.workers {
-		response, err := http.Get(fmt.Sprintf("http://%s/standin/counts", w.address))
-		if err != nil {
-			continue
-		}
-		var counts minion.Counts
-		_ = json.NewDecoder(response.Body).Decode(&counts)
-		response.Body.Close()
-		for id, runs := range counts.Runs {
+		for id, runs := range c.countsAt(w).Runs {
 			total[id] += runs
 		}
 	}
@@ -395,12 +398,26 @@
 	}
 }
 
+// nextPort counts through ports below those that the system gives to outgoing
+// connections, which could take a free one before its process listens on it.
+var nextPort atomic.Uint32
+
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
 func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (uint32(os.Getpid())*97+nextPort.Add(1))%portCount
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		socket, err := net.Listen("tcp", address.String())
+		if err == nil {
+			socket.Close()
+			return address
+		}
 	}
-	defer socket.Close()
-	return socket.Addr().(*net.TCPAddr).AddrPort()
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
--- a/internal/standin/minion/minion.go
+++ b/internal/standin/minion/minion.go
@@ -39,6 +39,8 @@
 	Most map[string]int `json:"most"`
 	// Peak is the most that ran at once.
 	Peak int `json:"peak"`
+	// Running is how many run now.
+	Running int `json:"running"`
 }
 
 // Meter counts what runs on several minions together. It is an http.Handler that
@@ -103,7 +105,7 @@
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result := Counts{Runs: make(map[string]int), Most: make(map[string]int), Peak: s.counts.Peak}
+	result := Counts{Runs: make(map[string]int), Most: make(map[string]int), Peak: s.counts.Peak, Running: s.total}
 	for id, runs := range s.counts.Runs {
 		result.Runs[id] = runs
 	}
