Serve a console of forms; report faults of form and between parts together

Found while looking at it: a fault of form hid those between the parts, so that not every fault was told. Both are reported now.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -42,6 +42,19 @@
 	l.Faults = append(l.Faults, Fault{Path: path, Reason: fmt.Sprintf(format, values...)})
 }
 
+// Merge adds the faults of another list at places where this one has none.
+func (l *ListError) Merge(other *ListError) {
+	known := make(map[string]bool)
+	for _, f := range l.Faults {
+		known[f.Path] = true
+	}
+	for _, f := range other.Faults {
+		if !known[f.Path] {
+			l.Faults = append(l.Faults, f)
+		}
+	}
+}
+
 // Err returns the list as an error, nil if it is empty.
 func (l *ListError) Err() error {
 	if len(l.Faults) == 0 {
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -300,5 +300,8 @@
 	e.state.changed = make(chan struct{})
 }
 
+// Now reads the clock of the entry.
+func (e *Entry) Now() time.Time { return e.config.Timer.Now() }
+
 // Log returns the log of the entry.
 func (e *Entry) Log() *logrus.Entry { return e.log }
--- a/internal/daemon/entry/steward.go
+++ b/internal/daemon/entry/steward.go
@@ -204,3 +204,21 @@
 		return steward.Return(next, name)
 	})
 }
+
+// Wave starts a maintenance cycle, or pauses or resumes the waves. The error is a
+// *steward.NameError for any other word.
+func (e *Entry) Wave(ctx context.Context, do string) (revision uint64, err error) {
+	return e.ChangeFleet(ctx, func(next *fleet.Fleet) (bool, error) {
+		switch do {
+		case "start":
+			next.Cycle++
+		case "pause":
+			next.Paused = true
+		case "resume":
+			next.Paused = false
+		default:
+			return false, &steward.NameError{Kind: "action", Name: do}
+		}
+		return true, nil
+	})
+}
--- a/internal/front/operator/listener.go
+++ b/internal/front/operator/listener.go
@@ -19,7 +19,6 @@
 	"gitlab.com/chicorypin/chicorypin/internal/base/fault"
 	"gitlab.com/chicorypin/chicorypin/internal/daemon/entry"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
-	"gitlab.com/chicorypin/chicorypin/internal/model/fleet"
 	"gitlab.com/chicorypin/chicorypin/internal/plan/steward"
 )
 
@@ -71,6 +70,7 @@
 	l.router.POST("/instances/:name/drain", l.guard(l.drain))
 	l.router.POST("/instances/:name/return", l.guard(l.giveBack))
 	l.router.POST("/wave", l.guard(l.wave))
+	l.routeConsole()
 }
 
 // ServeHTTP implements http.Handler.
@@ -244,19 +244,7 @@
 
 // wave starts, pauses or resumes maintenance by ?do=start|pause|resume.
 func (l *Listener) wave(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	revision, err := l.config.Entry.ChangeFleet(r.Context(), func(next *fleet.Fleet) (bool, error) {
-		switch do := r.URL.Query().Get("do"); do {
-		case "start":
-			next.Cycle++
-		case "pause":
-			next.Paused = true
-		case "resume":
-			next.Paused = false
-		default:
-			return false, &steward.NameError{Kind: "action", Name: do}
-		}
-		return true, nil
-	})
+	revision, err := l.config.Entry.Wave(r.Context(), r.URL.Query().Get("do"))
 	writeRevision(w, revision, err)
 }
 
--- a/internal/front/operator/status.go
+++ b/internal/front/operator/status.go
@@ -13,6 +13,8 @@
 	Entry    string                `json:"entry"`
 	Config   uint64                `json:"config"`
 	Fleet    uint64                `json:"fleet"`
+	Cycle    uint64                `json:"cycle"`
+	Paused   bool                  `json:"paused"`
 	Reached  bool                  `json:"reached"`
 	Isolated bool                  `json:"isolated"`
 	Entries  []EntryStatus         `json:"entries"`
@@ -34,6 +36,9 @@
 type PoolStatus struct {
 	Serving int `json:"serving"`
 	Out     int `json:"out"`
+	// Due is the number of instances left to maintain in this cycle.
+	Due    int          `json:"due"`
+	Budget fleet.Budget `json:"budget"`
 }
 
 // DrainStatus is one instance that does not serve, with what holds it up.
@@ -46,11 +51,17 @@
 }
 
 func (l *Listener) status(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	write(w, http.StatusOK, l.currentStatus())
+}
+
+func (l *Listener) currentStatus() Status {
 	dump := l.config.Entry.Dump()
 	status := Status{
 		Entry:    dump.Entry,
 		Config:   dump.Config,
 		Fleet:    dump.Fleet.Revision,
+		Cycle:    dump.Fleet.Cycle,
+		Paused:   dump.Fleet.Paused,
 		Reached:  dump.Reached,
 		Isolated: dump.Isolated,
 		Pools:    make(map[string]PoolStatus),
@@ -64,14 +75,32 @@
 		}
 	}
 	for _, i := range dump.Fleet.Instances {
-		pool := status.Pools[i.Pool]
-		if i.IsServing() {
-			pool.Serving++
-		} else {
-			pool.Out++
-			status.Drains = append(status.Drains, DrainStatus{i.Name, i.State, i.Reason, busy[i.Name]})
-		}
-		status.Pools[i.Pool] = pool
+		status.count(i, dump.Fleet.Cycle, busy[i.Name])
+	}
+	l.addBudgets(&status, dump.Fleet)
+	return status
+}
+
+// count adds an instance to its pool, and to the drains if it does not serve.
+func (s *Status) count(i fleet.Instance, cycle uint64, busy []string) {
+	pool := s.Pools[i.Pool]
+	if i.IsServing() {
+		pool.Serving++
+	} else {
+		pool.Out++
+		s.Drains = append(s.Drains, DrainStatus{i.Name, i.State, i.Reason, busy})
+	}
+	if i.Cycle < cycle {
+		pool.Due++
+	}
+	s.Pools[i.Pool] = pool
+}
+
+func (l *Listener) addBudgets(s *Status, current fleet.Fleet) {
+	parsed, _ := l.config.Entry.Document()
+	for _, p := range parsed.Pools {
+		pool := s.Pools[p.Name]
+		pool.Budget = current.PoolBudget(p.Name, p.Least)
+		s.Pools[p.Name] = pool
 	}
-	write(w, http.StatusOK, status)
 }
--- a/internal/model/document/check.go
+++ b/internal/model/document/check.go
@@ -2,6 +2,8 @@
 
 import (
 	_ "embed" // The schema is part of the program.
+	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -22,12 +24,22 @@
 
 var schema = fault.CompileSchema("document.json", schemaText)
 
-// Parse reads and checks a document. The error is a *fault.ListError.
+// Parse reads and checks a document. The error is a *fault.ListError with every
+// fault: those of form, and those between the parts as far as they can be read.
 func Parse(data []byte) (parsed Document, err error) {
-	if err = fault.Decode(schema, data, &parsed); err != nil {
-		return Document{}, err
+	formErr := fault.Decode(schema, data, &parsed)
+	if formErr == nil {
+		return parsed, parsed.Check()
 	}
-	return parsed, parsed.Check()
+	list := &fault.ListError{}
+	errors.As(formErr, &list)
+	// What has the wrong type is left out; the rest is read all the same.
+	_ = json.Unmarshal(data, &parsed)
+	var between *fault.ListError
+	if errors.As(parsed.Check(), &between) {
+		list.Merge(between)
+	}
+	return Document{}, list
 }
 
 // Check finds every fault between the parts of a document whose form is right.
--- a/internal/model/document/document.go
+++ b/internal/model/document/document.go
@@ -49,8 +49,6 @@
 	Depth int `json:"depth,omitempty"`
 	// Body is the largest request body in bytes.
 	Body int64 `json:"body,omitempty"`
-	// Size is the slots that a request is declared to need; 1 if absent.
-	Size int `json:"size,omitempty"`
 }
 
 // Team submits requests.
@@ -103,7 +101,6 @@
 		setDefault(&s.Wait, Duration(DefaultWait))
 		setDefault(&s.Depth, DefaultDepth)
 		setDefault(&s.Body, DefaultBody)
-		setDefault(&s.Size, 1)
 	}
 	d.Services = services
 	return d
