Write documents back to a store that has lost them

Cause: 'never reverts' held only while one entry lived: after the store lost its content, replacing all entries would have lost the document. Change: the first entry by name writes what is in force back by compare-and-swap on what the store holds. Seen to fail first (scratch copy with the write taken out): the test waits in vain for the store to have the config again. After: all three entries are killed after the loss and come up at revision 3. Conclusion: an accepted document outlives the loss of the store, or of all entries, but not of both at once.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -18,6 +18,7 @@
 	RevisionRefused  = define(202, logrus.ErrorLevel, "document older than the one in force refused")
 	FleetChanged     = define(203, logrus.InfoLevel, "fleet revision in force")
 	TableChanged     = define(204, logrus.InfoLevel, "slice table in force")
+	DocumentRestored = define(206, logrus.WarnLevel, "document in force written back to an older store")
 	DocumentRejected = define(205, logrus.ErrorLevel, "platform document cannot be read")
 )
 
--- a/internal/daemon/entry/change.go
+++ b/internal/daemon/entry/change.go
@@ -160,7 +160,7 @@
 
 func (e *Entry) apply(ctx context.Context, read uint64, parsed document.Document) (applied Applied, err error) {
 	e.mu.Lock()
-	current, version := e.state.config.Revision, e.state.configVersion
+	current, version := e.state.config.Revision, e.state.configStore.version
 	history := e.state.barrier.Limits()
 	missing := e.state.barrier.Missing(e.state.barrier.Newest())
 	e.mu.Unlock()
@@ -265,7 +265,7 @@
 func (e *Entry) ChangeFleet(ctx context.Context, change func(next *fleet.Fleet) (bool, error)) (revision uint64, err error) {
 	for range maxRaces {
 		e.mu.Lock()
-		next, version := e.state.fleet.Next(), e.state.fleetVersion
+		next, version := e.state.fleet.Next(), e.state.fleetStore.version
 		e.mu.Unlock()
 		isChanged, err := change(&next)
 		if err != nil || !isChanged {
--- a/internal/daemon/entry/documents.go
+++ b/internal/daemon/entry/documents.go
@@ -30,24 +30,16 @@
 		e.reject(keyConfig, err)
 		return
 	}
+	e.state.configStore.note(version, received.Revision)
 	current := &e.state.config
-	switch {
-	case received.Revision < current.Revision:
-		e.refuseOld(keyConfig, received.Revision, current.Revision, version)
-		return
-	case received.Revision == current.Revision:
-		if received.Digest != current.Digest {
+	if received.Revision <= current.Revision {
+		if received.Revision < current.Revision || received.Digest != current.Digest {
 			e.refuseOld(keyConfig, received.Revision, current.Revision, version)
-		} else if version != unversioned {
-			e.state.configVersion = version
 		}
 		return
 	}
 	*current = received
 	e.state.configData = data
-	if version != unversioned {
-		e.state.configVersion = version
-	}
 	e.state.barrier.AddLimits(received.History)
 	index := document.NewIndex(received.Revision, parsed)
 	longest := time.Duration(index.Document.Longest)
@@ -67,15 +59,12 @@
 		e.reject(keyFleet, err)
 		return
 	}
+	e.state.fleetStore.note(version, received.Revision)
 	current := &e.state.fleet
-	if received.Revision < current.Revision || received.Revision == current.Revision && received.ID != current.ID {
-		e.refuseOld(keyFleet, received.Revision, current.Revision, version)
-		return
-	}
-	if version != unversioned {
-		e.state.fleetVersion = version
-	}
-	if received.Revision == current.Revision {
+	if received.Revision <= current.Revision {
+		if received.Revision < current.Revision || received.ID != current.ID {
+			e.refuseOld(keyFleet, received.Revision, current.Revision, version)
+		}
 		return
 	}
 	*current = received
@@ -91,15 +80,12 @@
 		e.reject(keyTable, err)
 		return
 	}
+	e.state.tableStore.note(version, received.Revision())
 	current := e.state.table.Revision()
-	if received.Revision() < current || received.Revision() == current && received.ID != e.state.table.ID {
-		e.refuseOld(keyTable, received.Revision(), current, version)
-		return
-	}
-	if version != unversioned {
-		e.state.tableVersion = version
-	}
-	if received.Revision() == current {
+	if received.Revision() <= current {
+		if received.Revision() < current || received.ID != e.state.table.ID {
+			e.refuseOld(keyTable, received.Revision(), current, version)
+		}
 		return
 	}
 	e.state.table = received
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -94,15 +94,15 @@
 
 // state is what an entry knows; the mutex of the Entry guards it.
 type state struct {
-	config        document.Config
-	configData    []byte
-	configVersion int64
-	fleet         fleet.Fleet
-	fleetData     []byte
-	fleetVersion  int64
-	table         TableDocument
-	tableData     []byte
-	tableVersion  int64
+	config      document.Config
+	configData  []byte
+	configStore stored
+	fleet       fleet.Fleet
+	fleetData   []byte
+	fleetStore  stored
+	table       TableDocument
+	tableData   []byte
+	tableStore  stored
 
 	barrier *units.Barrier
 	force   units.Force
--- a/internal/daemon/entry/leave.go
+++ b/internal/daemon/entry/leave.go
@@ -55,7 +55,7 @@
 		delete(holders, e.id)
 		_, isHolder := e.state.table.Holders[e.id]
 		next, ok := e.composeTable(holders)
-		version, isReached := e.state.tableVersion, e.state.reached
+		version, isReached := e.state.tableStore.version, e.state.reached
 		e.mu.Unlock()
 		if !isHolder || !ok || !isReached || e.writeTable(ctx, next, version) == nil {
 			return
--- a/internal/daemon/entry/steward.go
+++ b/internal/daemon/entry/steward.go
@@ -40,7 +40,7 @@
 		Live:     e.state.live,
 		Busy:     e.busyEntries(now),
 	}
-	version, config := e.state.fleetVersion, e.state.config.Revision
+	version, config := e.state.fleetStore.version, e.state.config.Revision
 	e.mu.Unlock()
 	if config == 0 {
 		return
--- a/internal/daemon/entry/store.go
+++ b/internal/daemon/entry/store.go
@@ -47,7 +47,7 @@
 	for _, m := range e.state.members {
 		m.isListed = false
 	}
-	e.state.configVersion, e.state.fleetVersion, e.state.tableVersion = 0, 0, 0
+	e.state.configStore, e.state.fleetStore, e.state.tableStore = stored{}, stored{}, stored{}
 	e.state.steward = ""
 	for _, value := range values {
 		e.takeValue(value)
@@ -89,11 +89,11 @@
 func (e *Entry) dropValue(key string) {
 	switch {
 	case key == keyConfig:
-		e.state.configVersion = 0
+		e.state.configStore = stored{}
 	case key == keyFleet:
-		e.state.fleetVersion = 0
+		e.state.fleetStore = stored{}
 	case key == keyTable:
-		e.state.tableVersion = 0
+		e.state.tableStore = stored{}
 	case key == keySteward:
 		e.takeSteward(nil)
 	case strings.HasPrefix(key, keyMembers):
@@ -187,7 +187,7 @@
 	e.setReached(true, nil)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if value.Version > 0 && value.Version != e.state.configVersion {
+	if value.Version > 0 && value.Version != e.state.configStore.version {
 		e.takeConfig(value.Data, value.Version)
 	}
 	e.setFresh(e.config.Timer.Now())
--- a/internal/daemon/entry/table.go
+++ b/internal/daemon/entry/table.go
@@ -57,12 +57,19 @@
 	e.noteMissing(now)
 	holders := e.wantedHolders(now)
 	next, isDue := e.nextTable(now, holders)
-	version := e.state.tableVersion
+	version := e.state.tableStore.version
 	isReached := e.state.reached
+	isFirst := e.rank(now) == 0
 	e.mu.Unlock()
-	if isDue && isReached && !e.leaving.Load() {
+	if !isReached || e.leaving.Load() {
+		return
+	}
+	if isDue {
 		_ = e.writeTable(ctx, next, version)
 	}
+	if isFirst {
+		e.restoreAll(ctx)
+	}
 }
 
 // nextTable returns the table for the holders if it differs from the present
--- a/internal/front/caller/harness_test.go
+++ b/internal/front/caller/harness_test.go
@@ -34,23 +34,29 @@
 type scripted struct {
 	address netip.AddrPort
 	socket  net.Listener
-	play    script
 	// greet, if set, is called for a new connection; false closes it.
 	greet func(number int) bool
 
 	mu    sync.Mutex
+	play  script
 	runs  map[string]int
 	conns int
 }
 
 func newScripted(tb testing.TB, play script) *scripted {
+	tb.Helper()
+	return newGreeting(tb, play, nil)
+}
+
+// newGreeting returns a minion that may close new connections.
+func newGreeting(tb testing.TB, play script, greet func(number int) bool) *scripted {
 	tb.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
 	}
 	s := &scripted{
-		address: socket.Addr().(*net.TCPAddr).AddrPort(), socket: socket, play: play, runs: make(map[string]int),
+		address: socket.Addr().(*net.TCPAddr).AddrPort(), socket: socket, play: play, greet: greet, runs: make(map[string]int),
 	}
 	go s.accept()
 	tb.Cleanup(func() { _ = socket.Close() })
@@ -86,13 +92,20 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		s.mu.Lock()
 		s.runs[r.Header.Get("Request-Id")]++
+		play := s.play
 		s.mu.Unlock()
-		if !s.play(conn, r, number) {
+		if !play(conn, r, number) {
 			return
 		}
 	}
 }
 
+func (s *scripted) setPlay(play script) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.play = play
+}
+
 func (s *scripted) count(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/front/caller/outcome_test.go
+++ b/internal/front/caller/outcome_test.go
@@ -99,8 +99,7 @@
 func TestOutcomeOfNonIdempotentRequests(t *testing.T) {
 	for name, f := range faults {
 		Convey("Given a minion with the fault: "+name, t, func() {
-			bad := newScripted(t, f.play)
-			bad.greet = f.greet
+			bad := newGreeting(t, f.play, f.greet)
 			b := newBench(t, benchOptions{service: document.Service{Longest: document.Duration(time.Second)}}, bad)
 			r := b.send(http.MethodPost, "swap")
 
@@ -129,8 +128,7 @@
 func TestNonIdempotentRequestsRunOnceAmongMany(t *testing.T) {
 	for name, f := range faults {
 		Convey("Given a good minion and one with the fault: "+name, t, func() {
-			bad, good := newScripted(t, f.play), newScripted(t, healthy)
-			bad.greet = f.greet
+			bad, good := newGreeting(t, f.play, f.greet), newScripted(t, healthy)
 			b := newBench(t, benchOptions{service: document.Service{Longest: document.Duration(time.Second)}}, bad, good)
 			b.listener.budget.saved = retryStock
 			for i := range 8 {
@@ -157,8 +155,7 @@
 func TestIdempotentRequestsAreRetriedElsewhere(t *testing.T) {
 	for name, f := range faults {
 		Convey("Given a good minion and one with the fault: "+name, t, func() {
-			bad, good := newScripted(t, f.play), newScripted(t, healthy)
-			bad.greet = f.greet
+			bad, good := newGreeting(t, f.play, f.greet), newScripted(t, healthy)
 			b := newBench(t, benchOptions{service: document.Service{Longest: document.Duration(time.Second)}}, bad, good)
 			// A budget for the retries of this test.
 			b.listener.budget.saved = retryStock
@@ -260,7 +257,7 @@
 		So(failing.total(), ShouldBeLessThanOrEqualTo, requests/4)
 
 		Convey("and it is let back once it works", func() {
-			failing.play = healthy
+			failing.setPlay(healthy)
 			before := failing.total()
 			deadline := time.Now().Add(10 * time.Second)
 			for failing.total() < before+3 && time.Now().Before(deadline) {
--- a/internal/proof/system/failure_test.go
+++ b/internal/proof/system/failure_test.go
@@ -1,7 +1,9 @@
 package system
 
 import (
+	"encoding/base64"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -187,6 +189,20 @@
 		for _, n := range c.nodes {
 			So(c.dump(n).Config, ShouldEqual, 3)
 		}
+		Convey("the documents are written back, so that all entries may be replaced at once", func() {
+			c.await("the store has the config again", func() bool {
+				return c.setFaults(platform.Faults{}) == nil && c.stored("/chicorypin/config") && c.stored("/chicorypin/slices")
+			})
+			for _, n := range c.nodes {
+				n.kill()
+			}
+			for i := range c.nodes {
+				c.restart(i)
+			}
+			for _, n := range c.nodes {
+				So(c.dump(n).Config, ShouldEqual, 3)
+			}
+		})
 		Convey("a restarted entry comes up with the newest document, and changes go on from it", func() {
 			c.nodes[1].kill()
 			c.restart(1)
@@ -199,6 +215,18 @@
 	})
 }
 
+// stored returns whether the platform has a key.
+func (c *system) stored(key string) bool {
+	request := fmt.Sprintf(`{"key": %q}`, base64.StdEncoding.EncodeToString([]byte(key)))
+	response, err := http.Post(fmt.Sprintf("http://%s/v3/kv/range", c.platform), "application/json", strings.NewReader(request))
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	data, _ := io.ReadAll(response.Body)
+	return strings.Contains(string(data), "mod_revision")
+}
+
 func (c *system) tryPost(address fmt.Stringer, path string) error {
 	response, err := http.Post(fmt.Sprintf("http://%s%s", address, path), "", nil)
 	if err != nil {
--- a/internal/proof/system/process_test.go
+++ b/internal/proof/system/process_test.go
@@ -44,7 +44,11 @@
 	}
 	defer os.RemoveAll(folder)
 	binaries = folder
-	build := exec.Command("go", "build", "-o", folder, "gitlab.com/chicorypin/chicorypin/cmd/...")
+	args := []string{"build", "-o", folder}
+	if os.Getenv("RACE") != "" {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "gitlab.com/chicorypin/chicorypin/cmd/...")...)
 	if output, err := build.CombinedOutput(); err != nil {
 		fmt.Println(string(output))
 		return 1
@@ -78,8 +82,11 @@
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		<-p.done
+		text, _ := os.ReadFile(logs.Name())
+		if bytes.Contains(text, []byte("DATA RACE")) || bytes.Contains(text, []byte("panic:")) {
+			t.Errorf("%s reported a fault in itself:\n%s", name, tail(text))
+		}
 		if t.Failed() && os.Getenv("LOGS") != "" {
-			text, _ := os.ReadFile(logs.Name())
 			t.Logf("log of %s:\n%s", name, tail(text))
 		}
 	})
