--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -14,7 +14,6 @@
 // Events of documents, 200 to 299.
 var (
 	ConfigInForce    = define(200, logrus.InfoLevel, "config revision in force")
-	ConfigRefused    = define(201, logrus.ErrorLevel, "config refused")
 	RevisionRefused  = define(202, logrus.ErrorLevel, "document older than the one in force refused")
 	FleetChanged     = define(203, logrus.InfoLevel, "fleet revision in force")
 	TableChanged     = define(204, logrus.InfoLevel, "slice table in force")
@@ -24,12 +23,11 @@
 
 // Events of the platform, 300 to 399.
 var (
-	PlatformLost    = define(300, logrus.WarnLevel, "platform out of reach")
-	PlatformBack    = define(301, logrus.InfoLevel, "platform reached again")
-	LeaseLost       = define(302, logrus.WarnLevel, "lease lapsed, taking a new one")
-	GraceEnded      = define(303, logrus.ErrorLevel, "isolated for too long, serving open queues only")
-	GraceResumed    = define(304, logrus.InfoLevel, "no longer isolated, serving all queues")
-	PlatformRefused = define(305, logrus.ErrorLevel, "platform refused a call")
+	PlatformLost = define(300, logrus.WarnLevel, "platform out of reach")
+	PlatformBack = define(301, logrus.InfoLevel, "platform reached again")
+	LeaseLost    = define(302, logrus.WarnLevel, "lease lapsed, taking a new one")
+	GraceEnded   = define(303, logrus.ErrorLevel, "isolated for too long, serving open queues only")
+	GraceResumed = define(304, logrus.InfoLevel, "no longer isolated, serving all queues")
 )
 
 // Events of peers, 400 to 499.
