Give the entry's state a file of its own, the units' borrowing another; forget gone members

Cause: read as a newcomer: the state was a list without order, a map's empty key held a time of another kind, pools and drains shared one map, and limits and tables each had the same code in the barrier. Members that are gone were kept for as long as the process ran. Change: names, files and a generic history; behaviour as before, but for members that are forgotten after an hour.

--- a/internal/daemon/entry/beat.go
+++ b/internal/daemon/entry/beat.go
@@ -41,6 +41,7 @@
 	if e.state.beats%introduceEvery == 0 {
 		e.afterChange()
 		e.sumRemote(now)
+		e.state.forgetGone(now)
 	}
 	e.mu.Unlock()
 	if isForAll {
--- a/internal/daemon/entry/documents.go
+++ b/internal/daemon/entry/documents.go
@@ -136,7 +136,7 @@
 	if force != e.state.force {
 		e.state.force = force
 		e.self().Force = force
-		e.notify()
+		e.state.notify()
 	}
 }
 
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -26,7 +26,6 @@
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/peer"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
-	"gitlab.com/chicorypin/chicorypin/internal/model/fleet"
 	"gitlab.com/chicorypin/chicorypin/internal/plan/mover"
 	"gitlab.com/chicorypin/chicorypin/units"
 )
@@ -92,50 +91,6 @@
 	state state
 }
 
-// state is what an entry knows; the mutex of the Entry guards it.
-type state struct {
-	config      document.Config
-	configData  []byte
-	configStore stored
-	fleet       fleet.Fleet
-	fleetData   []byte
-	fleetStore  stored
-	table       TableDocument
-	tableData   []byte
-	tableStore  stored
-
-	barrier *units.Barrier
-	force   units.Force
-	// sentForce is what was last told to all peers.
-	sentForce units.Force
-	members   map[string]*member
-	live      map[string]platform.Instance
-
-	// fresh is when the documents were last known to be the newest.
-	fresh time.Time
-	// reached tells whether the platform answered the last call.
-	reached bool
-	// isSuspect tells that this process was paused and has not confirmed its
-	// slices since.
-	isSuspect bool
-	resumed   time.Time
-	// rewatch ends the watch, so that all keys are read anew.
-	rewatch context.CancelFunc
-	ticked  time.Time
-	missing map[string]time.Time
-	written string
-	lease   platform.Lease
-	version int64
-	beats   uint64
-	pulled  time.Time
-	changed chan struct{}
-	// steward is the entry that plans maintenance.
-	steward string
-	// held are the drains that wait, by when they were last reported, and the
-	// pools whose wave is paused.
-	held map[string]time.Time
-}
-
 // New opens the listeners and returns an Entry that serves once Run is called.
 func New(config Config) (e *Entry, err error) {
 	defer fault.Annotate(&err, "starting entry %s", config.Settings.Name)
@@ -154,14 +109,7 @@
 	e.teams = units.NewLedger(e.ledgerConfig())
 	e.slots = units.NewLedger(e.ledgerConfig())
 	e.index.Store(document.NewIndex(0, document.Document{}))
-	e.state = state{
-		barrier: units.NewBarrier(e.id),
-		members: make(map[string]*member),
-		live:    make(map[string]platform.Instance),
-		missing: make(map[string]time.Time),
-		changed: make(chan struct{}),
-		ticked:  e.started,
-	}
+	e.state = newState(e.id, e.started)
 	e.buildFront()
 	return e, e.listen()
 }
@@ -294,12 +242,6 @@
 	}
 }
 
-// notify wakes those that wait for a change of what the members have in force.
-func (e *Entry) notify() {
-	close(e.state.changed)
-	e.state.changed = make(chan struct{})
-}
-
 // Now reads the clock of the entry.
 func (e *Entry) Now() time.Time { return e.config.Timer.Now() }
 
--- a/internal/daemon/entry/member.go
+++ b/internal/daemon/entry/member.go
@@ -15,6 +15,9 @@
 // heartbeat.
 const silence = 3 * time.Second
 
+// forgetAge is how long a silent member is remembered.
+const forgetAge = time.Hour
+
 // MemberDocument is what an entry writes about itself under its lease.
 type MemberDocument struct {
 	// ID is unique to each write, so that a lost reply can be settled.
@@ -60,6 +63,18 @@
 	return m
 }
 
+// forgetGone drops what is known of members that were silent for long and hold
+// no slice: a new process has a new name.
+func (s *state) forgetGone(now time.Time) {
+	for entry, m := range s.members {
+		_, isHolder := s.table.Holders[entry]
+		if !isHolder && !m.isThere(now) && now.Sub(m.heard) > forgetAge {
+			delete(s.members, entry)
+			s.barrier.Forget(entry)
+		}
+	}
+}
+
 // there returns the members that are there, sorted by name.
 func (s *state) there(now time.Time) (members []*member) {
 	for _, m := range s.members {
@@ -99,7 +114,7 @@
 	}
 	e.state.barrier.Report(m.Entry, m.Force)
 	e.refresh()
-	e.notify()
+	e.state.notify()
 }
 
 // link keeps links to all members and to the peers of the settings.
--- a/internal/daemon/entry/steward.go
+++ b/internal/daemon/entry/steward.go
@@ -166,27 +166,33 @@
 	}
 }
 
-// reportPlan reports pauses and drains that take long.
+// reportPlan reports drains that take long, and pools that have been paused.
 func (e *Entry) reportPlan(now time.Time, plan steward.Plan) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.reportHeld(now, plan.Held)
+	paused := make(map[string]bool)
+	for _, pool := range plan.Paused {
+		paused[pool] = true
+		if !e.state.paused[pool] {
+			event.WavePaused.Log(e.log, logrus.Fields{"pool": pool})
+		}
+	}
+	e.state.paused = paused
+}
+
+func (e *Entry) reportHeld(now time.Time, held []steward.Held) {
 	current := make(map[string]time.Time)
-	for _, held := range plan.Held {
-		since, known := e.state.held[held.Instance]
+	for _, h := range held {
+		since, known := e.state.held[h.Instance]
 		if !known {
 			since = now
 		}
 		if now.Sub(since) > heldReport {
-			event.DrainStuck.Log(e.log, logrus.Fields{"instance": held.Instance, "entries": held.Entries})
+			event.DrainStuck.Log(e.log, logrus.Fields{"instance": h.Instance, "entries": h.Entries})
 			since = now
 		}
-		current[held.Instance] = since
-	}
-	for _, pool := range plan.Paused {
-		if _, known := e.state.held["pool "+pool]; !known {
-			event.WavePaused.Log(e.log, logrus.Fields{"pool": pool})
-		}
-		current["pool "+pool] = now
+		current[h.Instance] = since
 	}
 	e.state.held = current
 }
--- a/internal/daemon/entry/store.go
+++ b/internal/daemon/entry/store.go
@@ -173,7 +173,7 @@
 	if errors.As(err, &lapsed) {
 		event.LeaseLost.Log(e.log, nil)
 		e.mu.Lock()
-		e.state.lease, e.state.written, e.state.version = 0, "", 0
+		e.state.lease, e.state.memberText, e.state.memberVersion = 0, "", 0
 		e.mu.Unlock()
 		return nil
 	}
@@ -198,8 +198,8 @@
 func (e *Entry) writeMember(ctx context.Context, ttl time.Duration) error {
 	e.mu.Lock()
 	own, text := e.ownDocument()
-	isWritten := text == e.state.written
-	lease, version := e.state.lease, e.state.version
+	isWritten := text == e.state.memberText
+	lease, version := e.state.lease, e.state.memberVersion
 	e.mu.Unlock()
 	if isWritten {
 		return nil
@@ -218,14 +218,14 @@
 	defer e.mu.Unlock()
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
-		e.state.version = conflict.Current.Version
+		e.state.memberVersion = conflict.Current.Version
 		return nil
 	}
 	if err == nil {
-		e.state.written, e.state.version = text, version
+		e.state.memberText, e.state.memberVersion = text, version
 	} else {
 		// The lease may have lapsed with an older store.
-		e.state.lease, e.state.version = 0, 0
+		e.state.lease, e.state.memberVersion = 0, 0
 	}
 	return err
 }
--- a/internal/daemon/entry/table.go
+++ b/internal/daemon/entry/table.go
@@ -97,15 +97,13 @@
 // one and it is this entry's turn to write it.
 func (e *Entry) nextTable(now time.Time, holders map[string]Holder) (next TableDocument, isDue bool) {
 	if maps.Equal(holders, e.state.table.Holders) {
-		delete(e.state.missing, "")
+		e.state.tableDue = time.Time{}
 		return TableDocument{}, false
 	}
-	since, known := e.state.missing[""]
-	if !known {
-		e.state.missing[""] = now
-		since = now
+	if e.state.tableDue.IsZero() {
+		e.state.tableDue = now
 	}
-	if now.Sub(since) < time.Duration(e.rank(now))*rankDelay {
+	if now.Sub(e.state.tableDue) < time.Duration(e.rank(now))*rankDelay {
 		return TableDocument{}, false
 	}
 	return e.composeTable(holders)
@@ -182,7 +180,7 @@
 		}
 	}
 	for entry := range e.state.missing {
-		if _, isHolder := e.state.table.Holders[entry]; entry != "" && !isHolder {
+		if _, isHolder := e.state.table.Holders[entry]; !isHolder {
 			delete(e.state.missing, entry)
 		}
 	}
--- a/internal/daemon/entry/trade.go
+++ b/internal/daemon/entry/trade.go
@@ -47,8 +47,8 @@
 func (e *Entry) noticePause(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	pause := now.Sub(e.state.ticked)
-	e.state.ticked = now
+	pause := now.Sub(e.state.traded)
+	e.state.traded = now
 	if pause <= pauseLimit {
 		e.resumeAlone(now)
 		return
--- a/units/barrier.go
+++ b/units/barrier.go
@@ -30,8 +30,8 @@
 // A Barrier is not safe for concurrent use.
 type Barrier struct {
 	self    string
-	limits  []Limits
-	tables  []Table
+	limits  history[Limits]
+	tables  history[Table]
 	reports map[string]Force
 }
 
@@ -43,43 +43,14 @@
 
 // AddLimits adds limits together with those before them back to the oldest
 // that may still be in force somewhere. Revisions already known are skipped.
-// It reports whether the newest revision is new here.
-func (b *Barrier) AddLimits(history []Limits) (isNew bool) {
-	before := b.Newest().Limits
-	for _, l := range history {
-		if l.Revision > before {
-			b.limits = append(b.limits, l)
-		}
-	}
-	if len(history) > 0 {
-		b.dropLimits(history[0].Revision)
-	}
-	return b.Newest().Limits > before
-}
+func (b *Barrier) AddLimits(added []Limits) { b.limits.add(added) }
 
 // AddTables does for tables what AddLimits does for limits.
-func (b *Barrier) AddTables(history []Table) (isNew bool) {
-	before := b.Newest().Table
-	for _, t := range history {
-		if t.Revision > before {
-			b.tables = append(b.tables, t)
-		}
-	}
-	if len(history) > 0 {
-		b.dropTables(history[0].Revision)
-	}
-	return b.Newest().Table > before
-}
+func (b *Barrier) AddTables(added []Table) { b.tables.add(added) }
 
 // Newest returns the newest revisions known here, whether or not in force.
-func (b *Barrier) Newest() (newest Force) {
-	if n := len(b.limits); n > 0 {
-		newest.Limits = b.limits[n-1].Revision
-	}
-	if n := len(b.tables); n > 0 {
-		newest.Table = b.tables[n-1].Revision
-	}
-	return newest
+func (b *Barrier) Newest() Force {
+	return Force{Limits: b.limits.newest(), Table: b.tables.newest()}
 }
 
 // Report notes what a member has in force. Reports may arrive late or twice:
@@ -92,6 +63,9 @@
 	b.advance()
 }
 
+// Forget drops the reports of a member that is gone for good.
+func (b *Barrier) Forget(member string) { delete(b.reports, member) }
+
 // Reported returns what the member last reported, zero if it never did.
 func (b *Barrier) Reported(member string) Force {
 	return b.reports[member]
@@ -174,18 +148,6 @@
 		oldest.Limits = min(oldest.Limits, b.reports[member].Limits)
 		oldest.Table = min(oldest.Table, b.reports[member].Table)
 	}
-	b.dropLimits(oldest.Limits)
-	b.dropTables(oldest.Table)
-}
-
-func (b *Barrier) dropLimits(oldest uint64) {
-	for len(b.limits) > 1 && b.limits[0].Revision < oldest {
-		b.limits = b.limits[1:]
-	}
-}
-
-func (b *Barrier) dropTables(oldest uint64) {
-	for len(b.tables) > 1 && b.tables[0].Revision < oldest {
-		b.tables = b.tables[1:]
-	}
+	b.limits.drop(oldest.Limits)
+	b.tables.drop(oldest.Table)
 }
