--- a/internal/proof/system/path_test.go
+++ b/internal/proof/system/path_test.go
@@ -48,7 +48,7 @@
 		Convey("requests are answered by key, and every one is accounted for while entries stop and die", func() {
 			gate := c.startLoad("gate", gateKey, "/publish/week?run=20", 12)
 			// These run for longer than the stopping entry still takes requests.
-			slow := c.startLoad("slow", vetKey, "/publish/week?run=1500", 6)
+			slow := c.startLoad("slow", vetKey, "/publish/week?run=2500", 6)
 			wrong := c.startLoad("wrong", "no-such-key", "/publish/week", 1)
 			time.Sleep(time.Second)
 
--- a/internal/proof/system/wave_test.go
+++ b/internal/proof/system/wave_test.go
@@ -161,6 +161,11 @@
 				c.unlisted[w.name] = true
 				c.publish()
 			},
+			"the platform's list, while the key-value service is down": func(w *worker) {
+				So(c.setFaults(platform.Faults{Store: true}), ShouldBeNil)
+				c.leaving[w.name] = true
+				c.publish()
+			},
 			"an operator's drain": func(w *worker) {
 				status, err := c.ask(c.nodes[1], http.MethodPost, "/instances/"+w.name+"/drain", nil, nil)
 				So(err, ShouldBeNil)
@@ -179,6 +184,7 @@
 			clear(c.leaving)
 			clear(c.unlisted)
 			c.publish()
+			So(c.setFaults(platform.Faults{}), ShouldBeNil)
 			_, _ = c.ask(c.nodes[0], http.MethodPost, "/instances/"+w.name+"/return", nil, nil)
 			c.await("it gets work again", func() bool { return c.ranAt(w) > before })
 		}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -18,6 +18,8 @@
 type Faults struct {
 	// Outage refuses every call.
 	Outage bool `json:"outage"`
+	// Store refuses every call to the key-value service; the list answers.
+	Store bool `json:"store"`
 	// Slow delays every call by so many milliseconds.
 	Slow int `json:"slow"`
 	// Lose drops the reply of so many of the next writes, after their effect.
@@ -26,6 +28,9 @@
 	Freeze bool `json:"freeze"`
 }
 
+// pathList is where the list of instances is served.
+const pathList = "/instances"
+
 type record struct {
 	value   []byte
 	version int64
@@ -84,7 +89,7 @@
 	s.router.POST("/v3/lease/keepalive", s.fail(s.serveRenew))
 	s.router.POST("/v3/lease/revoke", s.fail(s.serveRevoke))
 	s.router.POST("/v3/watch", s.fail(s.serveWatch))
-	s.router.GET("/instances", s.fail(s.serveInstances))
+	s.router.GET(pathList, s.fail(s.serveInstances))
 	s.router.PUT("/standin/instances", s.putInstances)
 	s.router.PUT("/standin/faults", s.putFaults)
 	s.router.POST("/standin/reset", s.postReset)
@@ -112,7 +117,7 @@
 	if faults.Freeze {
 		s.frozen = s.instances
 	}
-	if faults.Outage {
+	if faults.Outage || faults.Store {
 		close(s.stopped)
 		s.stopped = make(chan struct{})
 	}
@@ -173,7 +178,7 @@
 		if faults.Slow > 0 {
 			time.Sleep(time.Duration(faults.Slow) * time.Millisecond)
 		}
-		if faults.Outage {
+		if faults.Outage || faults.Store && r.URL.Path != pathList {
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
 		}
--- a/units/ledger_test.go
+++ b/units/ledger_test.go
@@ -104,6 +104,42 @@
 			So(w.start(borrower), ShouldBeFalse)
 			So(lender.ledger.Account(teamName).Free(), ShouldEqual, 2)
 		},
+		"after a time of vain asking, what was not wanted before is asked for at once": func() {
+			w, lender, borrower := pair(1)
+			w.tick(lender)
+			So(w.start(lender), ShouldBeTrue)
+			borrower.ledger.Account(teamName).SetWaiting(1)
+			for range 40 {
+				w.step()
+				w.jobs[0].started = w.now
+			}
+			So(borrower.ledger.links[lender.name].backoff, ShouldEqual, MaxBackoff)
+			borrower.ledger.Account("other").SetWaiting(1)
+			w.advance(round)
+			So(borrower.ledger.Tick(w.now), ShouldNotBeEmpty)
+		},
+		"and what is not needed any longer is given back soon": func() {
+			w, lender, borrower := pair(2)
+			borrow(w, borrower, 1)
+			So(w.start(borrower), ShouldBeTrue)
+			w.tick(lender)
+			So(w.start(lender), ShouldBeTrue)
+			borrower.ledger.Account(teamName).SetWaiting(1)
+			link := borrower.ledger.links[lender.name]
+			for i, sent := 0, link.sent; i < 40 || link.sent.Equal(sent); i++ {
+				sent = link.sent
+				w.step()
+				w.jobs[0].started, w.jobs[1].started = w.now, w.now
+			}
+			w.end(0)
+			borrower.ledger.Account(teamName).SetWaiting(0)
+			// The demand that is remembered has to fade before.
+			for range 12 {
+				w.step()
+				w.jobs[0].started = w.now
+			}
+			So(lender.ledger.Account(teamName).Free(), ShouldEqual, 1)
+		},
 		"members that are gone are forgotten, and one that comes back is heard": func() {
 			w, lender, borrower := pair(4)
 			borrow(w, borrower, 4)
