Report gauges and counters; tell faults of the whole document plainly

Cause: run by hand as a newcomer: /metrics held one counter, a fault without a path read ': missing properties', and the diff against no document listed nulls. Conclusion: settings, document, keys, status, metrics and dump were tried by hand.

--- a/cmd/chicorypin/client.go
+++ b/cmd/chicorypin/client.go
@@ -47,7 +47,7 @@
 func (e *refusedError) Error() string {
 	lines := []string{e.Text}
 	for _, f := range e.Faults {
-		lines = append(lines, fmt.Sprintf("  %s: %s", f.Path, f.Reason))
+		lines = append(lines, "  "+f.String())
 	}
 	return strings.Join(lines, "\n")
 }
--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -32,11 +32,19 @@
 func (l *ListError) Error() string {
 	lines := make([]string, len(l.Faults))
 	for i, f := range l.Faults {
-		lines[i] = f.Path + ": " + f.Reason
+		lines[i] = f.String()
 	}
 	return strings.Join(lines, "\n")
 }
 
+// String returns the fault as one line.
+func (f Fault) String() string {
+	if f.Path == "" {
+		return "the document as a whole: " + f.Reason
+	}
+	return f.Path + ": " + f.Reason
+}
+
 // Add notes a fault.
 func (l *ListError) Add(path, format string, values ...any) {
 	l.Faults = append(l.Faults, Fault{Path: path, Reason: fmt.Sprintf(format, values...)})
--- a/internal/daemon/entry/documents.go
+++ b/internal/daemon/entry/documents.go
@@ -119,7 +119,8 @@
 	}
 	for _, limits := range e.state.barrier.Limits() {
 		for team := range limits.Units {
-			e.teams.SetShare(team, e.state.barrier.Share(team))
+			// A team that is new gets its account here.
+			e.teams.Account(team)
 		}
 	}
 	for _, name := range e.teams.Names() {
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -44,6 +44,7 @@
 	beatPeriod   = 250 * time.Millisecond
 	tablePeriod  = 500 * time.Millisecond
 	fleetPeriod  = 500 * time.Millisecond
+	reportPeriod = time.Second
 	listPeriod   = 2 * time.Second
 	memberPeriod = 100 * time.Millisecond
 )
@@ -190,6 +191,7 @@
 	e.every(loops, beatPeriod, e.beat)
 	e.every(loops, tablePeriod, func(now time.Time) { e.tendTable(loops, now) })
 	e.every(loops, fleetPeriod, func(now time.Time) { e.tendFleet(loops, now) })
+	e.every(loops, reportPeriod, e.reportMetrics)
 	e.every(loops, listPeriod, func(now time.Time) { e.readList(loops, now) })
 	e.link()
 	<-ctx.Done()
--- /dev/null
+++ b/internal/daemon/entry/metrics.go
@@ -0,0 +1,45 @@
+package entry
+
+import "time"
+
+// reportMetrics sets the gauges of what this entry knows and holds.
+func (e *Entry) reportMetrics(now time.Time) {
+	scope := e.config.Scope
+	e.mu.Lock()
+	gauges := map[string]float64{
+		"config_revision": float64(e.state.config.Revision),
+		"fleet_revision":  float64(e.state.fleet.Revision),
+		"table_revision":  float64(e.state.table.Revision()),
+		"age_seconds":     now.Sub(e.state.fresh).Seconds(),
+		"entries":         float64(len(e.state.there(now))),
+		"missing":         float64(len(e.missingForce(e.state.config.Revision))),
+		"held_drains":     float64(len(e.state.held)),
+	}
+	e.mu.Unlock()
+	counts := e.mesh.Counts()
+	gauges["open_requests"] = float64(e.listener.Open())
+	gauges["platform_calls"] = float64(e.platform.Calls())
+	gauges["peer_bytes"] = float64(counts.Bytes)
+	gauges["peer_dropped"] = float64(counts.Dropped)
+	gauges["isolated"] = gaugeOf(e.isolated.Load())
+	gauges["ready"] = gaugeOf(e.IsReady())
+	for name, value := range gauges {
+		scope.Gauge(name).Update(value)
+	}
+	for pool, waiting := range e.dispatcher.Waiting() {
+		scope.Tagged(map[string]string{"pool": pool}).Gauge("waiting").Update(float64(waiting))
+	}
+	for _, t := range e.index.Load().Document.Teams {
+		account := e.teams.Account(t.Name)
+		tagged := scope.Tagged(map[string]string{"team": t.Name})
+		tagged.Gauge("units_used").Update(float64(account.Used()))
+		tagged.Gauge("units_held").Update(float64(account.Held()))
+	}
+}
+
+func gaugeOf(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/internal/front/caller/dispatcher.go
+++ b/internal/front/caller/dispatcher.go
@@ -245,6 +245,9 @@
 // planSlots spreads the demand of a pool over its minions, those of the own
 // data centre first.
 func (d *Dispatcher) planSlots(now time.Time, p *pool) {
+	if p.queue.Len() == 0 {
+		p.full = time.Time{}
+	}
 	need := 0
 	if !p.full.IsZero() {
 		need = p.queue.Len()
--- a/internal/front/caller/listener.go
+++ b/internal/front/caller/listener.go
@@ -64,11 +64,20 @@
 	open       atomic.Int64
 	// wait is for attempts that go on without their callers.
 	wait conc.WaitGroup
+
+	answered tally.Counter
+	retried  tally.Counter
 }
 
 // NewListener returns a Listener that uses the dispatcher.
 func NewListener(config Config, dispatcher *Dispatcher) *Listener {
-	return &Listener{config: config, dispatcher: dispatcher, bodies: semaphore.NewWeighted(bodyMemory)}
+	return &Listener{
+		config:     config,
+		dispatcher: dispatcher,
+		bodies:     semaphore.NewWeighted(bodyMemory),
+		answered:   config.Scope.Counter("answered"),
+		retried:    config.Scope.Counter("retried"),
+	}
 }
 
 // Open returns the number of requests being served.
@@ -102,7 +111,9 @@
 }
 
 func (l *Listener) refuse(w http.ResponseWriter, refusal *RefusalError) {
-	l.config.Scope.Tagged(map[string]string{"status": strconv.Itoa(refusal.Status)}).Counter("refused").Inc(1)
+	l.config.Scope.Tagged(map[string]string{
+		"status": strconv.Itoa(refusal.Status), "outcome": string(refusal.Outcome),
+	}).Counter("refused").Inc(1)
 	if refusal.Status == http.StatusMethodNotAllowed {
 		w.Header().Set("Allow", strings.Join(methods, ", "))
 	}
--- a/internal/front/caller/run.go
+++ b/internal/front/caller/run.go
@@ -34,6 +34,9 @@
 		if attempt > 0 && !l.budget.spend() {
 			break
 		}
+		if attempt > 0 {
+			l.retried.Inc(1)
+		}
 		begun, err := l.dispatcher.await(r.raw.Context(), r, avoid)
 		if err != nil {
 			return finished{}, settle(err, mayHaveRun)
@@ -192,6 +195,7 @@
 // answer passes a minion's answer on. A large answer that breaks off ends the
 // caller's connection, so that it cannot pass for a whole one.
 func (l *Listener) answer(w http.ResponseWriter, r request, f finished) {
+	l.answered.Inc(1)
 	header := w.Header()
 	for name, values := range f.Header {
 		if !isHopByHop(name) && name != minion.HeaderAttempt {
--- a/internal/model/document/diff.go
+++ b/internal/model/document/diff.go
@@ -49,6 +49,7 @@
 
 func flattenValue(leaves map[string]string, path string, value any) {
 	switch v := value.(type) {
+	case nil:
 	case map[string]any:
 		for name, field := range v {
 			flattenValue(leaves, path+"/"+name, field)
