--- a/cmd/chicorypin-standin/main.go
+++ b/cmd/chicorypin-standin/main.go
@@ -28,22 +28,25 @@
 	arg.MustParse(&args)
 	failed := make(chan error)
 	if args.Platform != "" {
-		go serve(failed, args.Platform, platform.NewServer())
+		go serve(failed, newServer(args.Platform, platform.NewServer()))
 	}
 	meter := minion.NewMeter()
 	for _, address := range args.Minions {
 		server := minion.NewServer(address)
 		server.Observe = meter.Observe
-		go serve(failed, address, server)
+		listener := newServer(address, server)
+		listener.ConnState = server.NoteConn
+		go serve(failed, listener)
 	}
 	if args.Meter != "" {
-		go serve(failed, args.Meter, meter)
+		go serve(failed, newServer(args.Meter, meter))
 	}
 	fmt.Fprintln(os.Stderr, <-failed)
 	os.Exit(1)
 }
 
-func serve(failed chan<- error, address string, handler http.Handler) {
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout}
-	failed <- server.ListenAndServe()
+func newServer(address string, handler http.Handler) *http.Server {
+	return &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout}
 }
+
+func serve(failed chan<- error, server *http.Server) { failed <- server.ListenAndServe() }
--- a/internal/front/caller/harness_test.go
+++ b/internal/front/caller/harness_test.go
@@ -184,6 +184,8 @@
 		Timer:      timer.New(),
 		Log:        log,
 		Scope:      tally.NoopScope,
+
+		BodyTimeout: 200 * time.Millisecond,
 	}
 	var roster []*minion.Minion
 	for i, m := range minions {
--- a/internal/front/caller/listener.go
+++ b/internal/front/caller/listener.go
@@ -27,8 +27,8 @@
 const (
 	// bodyMemory bounds the request bodies held at once, in bytes.
 	bodyMemory = 256 << 20
-	// bodyTimeout bounds how long a caller may take to send its body.
-	bodyTimeout = 10 * time.Second
+	// DefaultBodyTimeout is the default of Config.BodyTimeout.
+	DefaultBodyTimeout = 10 * time.Second
 	// MaxHeader bounds the header of a request, in bytes.
 	MaxHeader = 32 << 10
 	// HeaderTimeout bounds how long a caller may take to send its header.
@@ -49,9 +49,11 @@
 	Teams  *units.Ledger
 	Roster *minion.Roster
 	Client *minion.Client
-	Timer  *timer.Service
-	Log    *logrus.Entry
-	Scope  tally.Scope
+	// BodyTimeout bounds how long a caller may take to send its body.
+	BodyTimeout time.Duration
+	Timer       *timer.Service
+	Log         *logrus.Entry
+	Scope       tally.Scope
 }
 
 // Listener is an http.Handler.
@@ -71,6 +73,9 @@
 
 // NewListener returns a Listener that uses the dispatcher.
 func NewListener(config Config, dispatcher *Dispatcher) *Listener {
+	if config.BodyTimeout == 0 {
+		config.BodyTimeout = DefaultBodyTimeout
+	}
 	return &Listener{
 		config:     config,
 		dispatcher: dispatcher,
@@ -201,7 +206,7 @@
 		return nil, nil, notRun(503, "too many bodies are held", retrySoon)
 	}
 	free = func() { l.bodies.Release(size) }
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(l.config.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, service.Body))
 	if err != nil {
 		free()
--- a/internal/proof/system/path_test.go
+++ b/internal/proof/system/path_test.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/minion"
 )
 
 const (
@@ -65,6 +67,9 @@
 
 			So(c.audit(results), ShouldBeEmpty)
 			So(c.audit(refused), ShouldBeEmpty)
+			for _, w := range c.workers {
+				So(c.countsAt(w).Conns, ShouldBeLessThanOrEqualTo, minion.MaxConns)
+			}
 			counts := tallyResults(results)
 			Println(counts)
 			So(counts["200"], ShouldBeGreaterThan, 0)
@@ -82,6 +87,14 @@
 				So(r.status, ShouldEqual, http.StatusUnauthorized)
 			}
 			So(c.cli(c.nodes[0], "status"), ShouldContainSubstring, "config revision 2")
+
+			// A header that is too large gets one clear answer as well.
+			r, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/publish/x", c.nodes[0].settings.Caller), nil)
+			r.Header.Set("Filler", strings.Repeat("x", 100<<10))
+			response, err := http.DefaultClient.Do(r)
+			So(err, ShouldBeNil)
+			response.Body.Close()
+			So(response.StatusCode, ShouldEqual, http.StatusRequestHeaderFieldsTooLarge)
 			So(c.cli(c.nodes[0], "dump"), ShouldNotContainSubstring, document.Digest(vetKey))
 		})
 	})
--- a/internal/standin/minion/minion.go
+++ b/internal/standin/minion/minion.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -41,8 +42,13 @@
 	Peak int `json:"peak"`
 	// Running is how many run now.
 	Running int `json:"running"`
+	// Conns is the most connections that were open at once.
+	Conns int `json:"conns"`
 }
 
+// MaxConns is how many connections a minion takes from all entries together.
+const MaxConns = 64
+
 // Meter counts what runs on several minions together. It is an http.Handler that
 // serves the most that ran at once, by team.
 type Meter struct {
@@ -83,6 +89,20 @@
 	counts  Counts
 	running map[string]int
 	total   int
+	conns   int
+}
+
+// NoteConn counts connections; it is an http.Server's ConnState.
+func (s *Server) NoteConn(_ net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns++
+		s.counts.Conns = max(s.counts.Conns, s.conns)
+	case http.StateClosed, http.StateHijacked:
+		s.conns--
+	}
 }
 
 // NewServer returns a stand-in without faults.
@@ -105,7 +125,7 @@
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result := Counts{Runs: make(map[string]int), Most: make(map[string]int), Peak: s.counts.Peak, Running: s.total}
+	result := Counts{Runs: make(map[string]int), Most: make(map[string]int), Peak: s.counts.Peak, Running: s.total, Conns: s.counts.Conns}
 	for id, runs := range s.counts.Runs {
 		result.Runs[id] = runs
 	}
