Try an entry that was frozen until its slice was given away

Found: an entry whose instance is not listed was put into the table again as soon as it was heard, and out again after its recovery time, over and over. Members whose instance is known to be gone are left out now.

--- a/internal/daemon/entry/table.go
+++ b/internal/daemon/entry/table.go
@@ -149,7 +149,7 @@
 }
 
 // wantedHolders are the present holders that may still be running work, and
-// the members that are there.
+// the members that are there and whose instance is not known to be gone.
 func (e *Entry) wantedHolders(now time.Time) map[string]Holder {
 	holders := make(map[string]Holder)
 	for entry, holder := range e.state.table.Holders {
@@ -160,7 +160,7 @@
 	}
 	for _, m := range e.state.there(now) {
 		_, isHolder := holders[m.Entry]
-		if !m.Leaving && m.Name != "" && !isHolder && e.state.missing[m.Entry].IsZero() {
+		if !m.Leaving && m.Name != "" && !isHolder && !e.isUnlisted(m.Name) {
 			holders[m.Entry] = Holder{Name: m.Name, Centre: m.Centre}
 		}
 	}
--- a/internal/proof/system/failure_test.go
+++ b/internal/proof/system/failure_test.go
@@ -63,6 +63,44 @@
 	})
 }
 
+func TestFreezePastEveryLease(t *testing.T) {
+	Convey("Given an entry that is frozen until its slice was given to others", t, func() {
+		c := newSystem(t, twoCentres)
+		c.apply(c.nodes[0], twoTeams(teamLimit))
+		c.awaitPool()
+		l := c.startLoad("gate", gateKey, "/publish/week?run=100", 30)
+		time.Sleep(time.Second)
+		frozen := c.nodes[1]
+		name := c.dump(frozen).Entry
+		frozen.signal(syscall.SIGSTOP)
+		// Its platform takes it for gone.
+		c.unlisted[frozen.settings.Name] = true
+		c.publish()
+		others := []*node{c.nodes[0], c.nodes[2]}
+		c.await("the others hold its slice", func() bool {
+			for _, n := range others {
+				d := c.dump(n)
+				if _, isHolder := d.Table.Holders[name]; isHolder || d.Force.Table != d.Table.Revision() {
+					return false
+				}
+			}
+			return true
+		})
+		frozen.signal(syscall.SIGCONT)
+		c.servedBy(l, frozen)
+		So(c.most()["gate"], ShouldBeLessThanOrEqualTo, teamLimit)
+		So(c.dump(frozen).Table.Holders, ShouldNotContainKey, name)
+
+		delete(c.unlisted, frozen.settings.Name)
+		c.publish()
+		c.awaitReady()
+		results := l.stop()
+		Println(tallyResults(results), c.most())
+		So(c.most()["gate"], ShouldBeLessThanOrEqualTo, teamLimit)
+		So(c.audit(results), ShouldBeEmpty)
+	})
+}
+
 // restart starts an entry that was killed anew, on the same addresses.
 func (c *system) restart(position int) {
 	c.t.Helper()
@@ -400,6 +438,12 @@
 		time.Sleep(poll)
 	}
 	c.t.Logf("%s reached %d units after %s", n.settings.Name, most, time.Since(since).Round(poll))
+	if most < teamLimit {
+		for _, other := range others {
+			d := c.dump(other)
+			c.t.Logf("%s: force %+v, tables %d, teams %+v, slots %+v", d.Entry, d.Force, len(d.Table.Tables), d.Teams, d.Slots)
+		}
+	}
 	return most
 }
 
