Use what is gained by a new revision also when settling last

The shares were applied before settling. When the others' reports had come first, settling itself dropped the old table, and the share that it freed was not applied before the next change. Ruled out: leaked permits, lendings to entries that left (checked by the same test), slots (16 held). Change: settling applies the shares again.

--- a/internal/daemon/entry/documents.go
+++ b/internal/daemon/entry/documents.go
@@ -123,13 +123,19 @@
 			e.teams.Account(team)
 		}
 	}
+	e.applyShares()
+	e.settle()
+}
+
+// applyShares gives the ledger the shares that the barrier allows now.
+func (e *Entry) applyShares() {
 	for _, name := range e.teams.Names() {
 		e.teams.SetShare(name, e.state.barrier.Share(name))
 	}
-	e.settle()
 }
 
-// settle reports the newest revisions once what runs fits them.
+// settle reports the newest revisions once what runs fits them. If this entry
+// was the last to do so, it gains by them at once.
 func (e *Entry) settle() {
 	force := e.state.barrier.Settle(func() bool {
 		return e.teams.Fits(func(name string) (uint32, bool) { return e.state.barrier.Share(name), true })
@@ -137,6 +143,9 @@
 	if force != e.state.force {
 		e.state.force = force
 		e.self().Force = force
+		if !e.state.isSuspect {
+			e.applyShares()
+		}
 		e.state.notify()
 	}
 }
--- a/internal/daemon/entry/table_test.go
+++ b/internal/daemon/entry/table_test.go
@@ -7,6 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/platform"
+	"gitlab.com/chicorypin/chicorypin/units"
 )
 
 const silentHolder = "entry-1.00000000"
@@ -48,3 +49,19 @@
 		})
 	}
 }
+
+func TestGainIsUsedAtOnceByTheLastToSettle(t *testing.T) {
+	Convey("Given a table by which this entry alone holds everything, it uses all units once it has settled", t, func() {
+		e := newScaled(t, sizes["quarter"])
+		account := e.teams.Account("team-01")
+		So(account.Held(), ShouldEqual, 100)
+		next := TableDocument{
+			ID:      "next",
+			Tables:  append(e.state.barrier.Tables(), units.Split(2, []string{e.id})),
+			Holders: map[string]Holder{e.id: {Name: "entry-0", Centre: "centre-0"}},
+		}
+		e.takeTable(encode(t, next), 2)
+		So(e.state.force.Table, ShouldEqual, 2)
+		So(account.Held(), ShouldEqual, 200)
+	})
+}
