Take out what nothing uses, and the member document made for nothing

Change: the document is encoded only where it is written; the rest is gone. Behaviour as before, no test changed. Checked: linter; tests of units, entry and operator; five process tests (whole path, wave, replacement, races, limit) and the demo. Left: the tests of three modules each set rapid's seed in the same lines; the two consoles of tests start an entry alike.

--- a/internal/base/timer/timer.go
+++ b/internal/base/timer/timer.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
-	"sync"
 	"time"
 )
 
@@ -51,77 +49,3 @@
 		}
 	}
 }
-
-// Manual is a clock that a test moves.
-type Manual struct {
-	mu            sync.Mutex
-	current       time.Time
-	subscriptions []*subscription
-}
-
-type subscription struct {
-	ctx    context.Context
-	period time.Duration
-	due    time.Time
-	call   func(now time.Time)
-}
-
-// NewManual returns a Manual that shows the given time.
-func NewManual(start time.Time) *Manual {
-	return &Manual{current: start}
-}
-
-// Service returns a Service on the manual clock. Its Every returns at once.
-func (m *Manual) Service() *Service {
-	return &Service{now: m.Now, subscribe: m.subscribe}
-}
-
-// Now returns the time that the clock shows.
-func (m *Manual) Now() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.current
-}
-
-// Advance moves the clock and makes the calls that fall due, in order of time.
-func (m *Manual) Advance(step time.Duration) {
-	m.mu.Lock()
-	end := m.current.Add(step)
-	m.mu.Unlock()
-	for m.callNext(end) {
-		continue
-	}
-	m.mu.Lock()
-	m.current = end
-	m.mu.Unlock()
-}
-
-func (m *Manual) subscribe(ctx context.Context, period time.Duration, call func(now time.Time)) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.subscriptions = append(m.subscriptions, &subscription{
-		ctx: ctx, period: period, due: m.current.Add(period), call: call,
-	})
-}
-
-func (m *Manual) callNext(end time.Time) bool {
-	m.mu.Lock()
-	m.subscriptions = slices.DeleteFunc(m.subscriptions, func(s *subscription) bool {
-		return s.ctx.Err() != nil
-	})
-	var first *subscription
-	for _, s := range m.subscriptions {
-		if !s.due.After(end) && (first == nil || s.due.Before(first.due)) {
-			first = s
-		}
-	}
-	if first == nil {
-		m.mu.Unlock()
-		return false
-	}
-	m.current = first.due
-	first.due = first.due.Add(first.period)
-	m.mu.Unlock()
-	first.call(m.Now())
-	return true
-}
--- a/internal/daemon/entry/beat.go
+++ b/internal/daemon/entry/beat.go
@@ -56,7 +56,7 @@
 func (e *Entry) composeBeat(now time.Time) *wire.Frame {
 	s := &e.state
 	s.beats++
-	own, _ := e.ownDocument()
+	own := e.ownDocument()
 	body := &wire.Beat{
 		Sequence:    s.beats,
 		LimitsForce: s.force.Limits,
--- a/internal/daemon/entry/change.go
+++ b/internal/daemon/entry/change.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -111,7 +112,7 @@
 		pools[p.Name] = true
 		checkPool(list, fmt.Sprintf("/pools/%d", i), p, counts[p.Name], current)
 	}
-	for _, name := range sortedKeys(counts) {
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		if !pools[name] {
 			list.Add("/pools", "pool %q is left out but has %d instances", name, counts[name])
 		}
@@ -139,14 +140,6 @@
 	}
 }
 
-func sortedKeys(counts map[string]int) (names []string) {
-	for name := range counts {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Apply writes a document in place of the revision that it was made from and
 // waits until it is in force everywhere, or the context ends. The error is a
 // *fault.ListError, *RaceError, *UnsettledError or *UnreachableError.
--- a/internal/daemon/entry/steward.go
+++ b/internal/daemon/entry/steward.go
@@ -145,7 +145,7 @@
 // busyEntries returns the function that tells which entries may still run work
 // on an instance.
 func (e *Entry) busyEntries(now time.Time) func(instance string, since uint64) []string {
-	_, _ = e.ownDocument()
+	e.ownDocument()
 	var documents []MemberDocument
 	for entry := range e.state.table.Holders {
 		if m := e.state.members[entry]; m == nil || !m.isThere(now) {
--- a/internal/daemon/entry/store.go
+++ b/internal/daemon/entry/store.go
@@ -197,14 +197,15 @@
 // writeMember writes this entry's document if it has changed.
 func (e *Entry) writeMember(ctx context.Context, ttl time.Duration) error {
 	e.mu.Lock()
-	own, text := e.ownDocument()
-	isWritten := text == e.state.memberText
+	own := e.ownDocument()
+	written := e.state.memberText
 	lease, version := e.state.lease, e.state.memberVersion
 	e.mu.Unlock()
-	if isWritten {
-		return nil
+	text, err := json.Marshal(own)
+	if err != nil || string(text) == written {
+		return err
 	}
-	lease, err := e.ensureLease(ctx, lease, ttl)
+	lease, err = e.ensureLease(ctx, lease, ttl)
 	if err != nil {
 		return err
 	}
@@ -222,7 +223,7 @@
 		return nil
 	}
 	if err == nil {
-		e.state.memberText, e.state.memberVersion = text, version
+		e.state.memberText, e.state.memberVersion = string(text), version
 	} else {
 		// The lease may have lapsed with an older store.
 		e.state.lease, e.state.memberVersion = 0, 0
@@ -244,8 +245,9 @@
 	return lease, nil
 }
 
-// ownDocument returns this entry's document and its text without an id.
-func (e *Entry) ownDocument() (own MemberDocument, text string) {
+// ownDocument brings this entry's own record up to date and returns its document
+// without an id.
+func (e *Entry) ownDocument() MemberDocument {
 	m := e.self()
 	m.Name = e.settings.Name
 	m.Centre = e.settings.Centre
@@ -254,10 +256,9 @@
 	m.Leaving = e.leaving.Load()
 	m.Fleet = e.state.fleet.Revision
 	m.Busy = e.busy()
-	own = m.MemberDocument
+	own := m.MemberDocument
 	own.ID = ""
-	data, _ := json.Marshal(own)
-	return own, string(data)
+	return own
 }
 
 // busy are the instances that get no new work here and still run some, or on
--- a/units/barrier.go
+++ b/units/barrier.go
@@ -116,12 +116,6 @@
 	return newest
 }
 
-// IsSettled returns whether every holder of the newest table has reported
-// revisions at or past those given.
-func (b *Barrier) IsSettled(force Force) bool {
-	return len(b.Missing(force)) == 0
-}
-
 // Missing returns the holders of the newest table that have not reported
 // revisions at or past those given, sorted by name.
 func (b *Barrier) Missing(force Force) (missing []string) {
