--- a/cmd/chicorypind/main.go
+++ b/cmd/chicorypind/main.go
@@ -13,6 +13,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/daemon/entry"
+	"gitlab.com/chicorypin/chicorypin/internal/daemon/fleet"
 	"gitlab.com/chicorypin/chicorypin/internal/daemon/host"
 )
 
@@ -26,7 +27,7 @@
 var version = "development"
 
 type arguments struct {
-	Settings string `arg:"positional,required" help:"settings file, JSON"`
+	Settings string `arg:"positional,required,env:CHICORYPIN_CONFIG" help:"settings file, JSON"`
 	Check    bool   `arg:"--check" help:"check the settings and exit"`
 }
 
@@ -41,6 +42,10 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
+	if fleet.IsFleet(mustRead(args.Settings)) {
+		serveFleet(args)
+		return
+	}
 	settings, err := entry.ReadSettings(args.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -61,6 +66,25 @@
 	e.Run(ctx)
 }
 
+// serveFleet runs an entry that serves jobs.
+func serveFleet(args arguments) {
+	settings, err := fleet.ReadSettings(args.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if args.Check {
+		fmt.Println("the settings are valid")
+		return
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := runFleet(ctx, settings, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
 // dumpOnSignal writes the whole state to standard error at each SIGUSR1.
 func dumpOnSignal(e *entry.Entry) {
 	signals := make(chan os.Signal, 1)
--- /dev/null
+++ b/internal/cell/owner/order.go
@@ -0,0 +1,153 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"gitlab.com/chicorypin/chicorypin/internal/back/endpoint"
+	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
+	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/jobs"
+)
+
+// metrics are the counters and histograms of an owner.
+type metrics struct {
+	write, start, look tally.Histogram
+	starts, stops      tally.Counter
+	refused, open      tally.Counter
+	looks              tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
+	return metrics{
+		write:   scope.Histogram("journal_write", buckets),
+		start:   scope.Histogram("start", buckets),
+		look:    scope.Histogram("look", buckets),
+		starts:  scope.Counter("starts"),
+		stops:   scope.Counter("stops"),
+		refused: scope.Counter("orders_refused"),
+		open:    scope.Counter("orders_open"),
+		looks:   scope.Counter("looks"),
+	}
+}
+
+// order gives an order in the background, a few at a time for each endpoint.
+// With an ownership that is not certain nothing is sent.
+func (o *Owner) order(id string, give func(ctx context.Context, target endpoint.Target) endpoint.Receipt, take func(receipt endpoint.Receipt)) {
+	l := o.lookers[id]
+	if l == nil {
+		take(endpoint.Receipt{Answer: jobs.Refused, Reason: "endpoint is not known any more"})
+		return
+	}
+	target := l.target
+	o.wait.Go(func() {
+		receipt := endpoint.Receipt{Answer: jobs.Refused, Reason: "ownership is not certain"}
+		select {
+		case l.slots <- struct{}{}:
+			if o.config.IsValid() {
+				ctx, cancel := context.WithTimeout(o.ctx, startTimeout)
+				receipt = give(ctx, target)
+				cancel()
+			}
+			<-l.slots
+		case <-o.ctx.Done():
+		}
+		o.post(func() {
+			take(receipt)
+			if receipt.Answer == jobs.Fenced {
+				o.lose(errFenced)
+			}
+			l.nudge()
+		})
+	})
+}
+
+// note logs an order that was not accepted.
+func (o *Owner) note(kind, id, task string, run int, receipt endpoint.Receipt) {
+	fields := logrus.Fields{
+		"order": kind, "endpoint": id, "task": task, "run": run, "reason": receipt.Reason,
+		"clock": receipt.Clock, "epoch": int64(o.epoch),
+	}
+	switch receipt.Answer {
+	case jobs.Accepted:
+	case jobs.Unanswered:
+		o.metrics.open.Inc(1)
+		event.RunOpen.Log(o.config.Log, fields)
+	default:
+		o.metrics.refused.Inc(1)
+		event.RunRefused.Log(o.config.Log, fields)
+	}
+}
+
+func (o *Owner) orderStart(start jobs.Start) {
+	began := boot.Now()
+	o.metrics.starts.Inc(1)
+	o.order(start.Endpoint, func(ctx context.Context, target endpoint.Target) endpoint.Receipt {
+		return o.config.Endpoints.Start(ctx, target, o.epoch, start)
+	}, func(receipt endpoint.Receipt) {
+		now := boot.Now()
+		o.metrics.start.RecordDuration(now.Sub(began))
+		o.note("start", start.Endpoint, start.Task, start.Run, receipt)
+		o.cell.StartAnswered(now, start, receipt.Answer, receipt.Clock)
+	})
+}
+
+func (o *Owner) orderStops(now time.Time) {
+	for _, stop := range o.cell.Stops(now) {
+		o.orderStop(stop)
+	}
+}
+
+func (o *Owner) orderStop(stop jobs.Stop) {
+	o.metrics.stops.Inc(1)
+	event.RunStopped.Log(o.config.Log, logrus.Fields{
+		"task": stop.Task, "run": stop.Run, "endpoint": stop.Endpoint, "reason": stop.Why,
+	})
+	o.order(stop.Endpoint, func(ctx context.Context, target endpoint.Target) endpoint.Receipt {
+		return o.config.Endpoints.Stop(ctx, target, o.epoch, stop)
+	}, func(receipt endpoint.Receipt) {
+		o.note("stop", stop.Endpoint, stop.Task, stop.Run, receipt)
+		o.cell.StopAnswered(boot.Now(), stop, receipt.Answer, receipt.Clock)
+	})
+}
+
+func (o *Owner) orderPaces(now time.Time) {
+	for _, pace := range o.cell.Paces(now) {
+		o.order(pace.Endpoint, func(ctx context.Context, target endpoint.Target) endpoint.Receipt {
+			return o.config.Endpoints.Pace(ctx, target, o.epoch, pace)
+		}, func(receipt endpoint.Receipt) {
+			o.note("pace", pace.Endpoint, pace.Task, pace.Run, receipt)
+			o.cell.PaceAnswered(pace, receipt.Answer)
+		})
+	}
+}
+
+func (o *Owner) askAdvice(now time.Time) {
+	if o.config.Advise == nil {
+		return
+	}
+	for _, question := range o.cell.Questions(now) {
+		o.wait.Go(func() {
+			ctx, cancel := context.WithTimeout(o.ctx, adviceTimeout)
+			defer cancel()
+			asked := boot.Now()
+			tickets, valid, err := o.config.Advise(ctx, question.Step, question.Endpoints)
+			if err != nil {
+				event.CallFailed.Log(o.config.Log, logrus.Fields{"step": question.Step, "error": err.Error()})
+				return
+			}
+			o.post(func() { o.cell.Advised(question, tickets, asked.Add(valid)) })
+		})
+	}
+}
+
+// adviceTimeout bounds a question; the service answers one at a time for each
+// caller, a decision taking some tenths of a second.
+const adviceTimeout = 3 * time.Second
--- /dev/null
+++ b/internal/daemon/fleet/daemon.go
@@ -0,0 +1,347 @@
+// Package fleet is the entry daemon for jobs: it wires the submitters' listener,
+// the cells that this entry owns, the peers, the store and the steward together.
+package fleet
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
+	"gitlab.com/chicorypin/chicorypin/internal/back/endpoint"
+	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
+	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/ledger"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/owner"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/roster"
+	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/call"
+	"gitlab.com/chicorypin/chicorypin/internal/model/setup"
+)
+
+const (
+	// sessionTTL is how long the store keeps an entry's keys without a renewal.
+	// A dead owner is replaced after it; a shorter one loses cells to short cuts.
+	sessionTTL = 3 * time.Second
+	// manageEvery is how often ownership is looked at without a change.
+	manageEvery = 100 * time.Millisecond
+	// balanceEvery is how often limits are divided anew.
+	balanceEvery = 300 * time.Millisecond
+	// registryGap is the least time between two answers of the watch on
+	// endpoints, which write about once a second each.
+	registryGap = 400 * time.Millisecond
+	// settleTimeout bounds the end of a cell's work before it is handed over.
+	settleTimeout = 1500 * time.Millisecond
+)
+
+// Platform is what the daemon runs on.
+type Platform struct {
+	Store     *store.Client
+	Endpoints *endpoint.Client
+	// Cloud is nil where machines are not moved or maintained.
+	Cloud *cloud.Client
+	// Advise is nil where no queue has a policy.
+	Advise func(ctx context.Context, step string, ids []string) (map[string]string, time.Duration, error)
+	Codec  submitter.Codec
+	// ReadyPath is where the balancer asks for readiness.
+	ReadyPath string
+	// Prefixes and keys in the store, and how to read what lies there.
+	OperatorPrefix, ConfigKey, WavePrefix, EndpointPrefix string
+	DecodeConfig                                          func(value []byte, revision int64) (*setup.Setup, error)
+	DecodeEndpoint                                        func(key string, value []byte) (endpoint.Entry, error)
+	DecodeWave                                            func(value []byte) (cloud.Wave, error)
+	EncodeWaveStatus                                      func(number int, isCompleted bool) (key string, value []byte)
+	DecodeWaveStatus                                      func(value []byte) (isCompleted bool, err error)
+}
+
+// Config sets up a Daemon.
+type Config struct {
+	Settings Settings
+	Platform Platform
+	Timer    *timer.Service
+	Log      *logrus.Entry
+	Scope    tally.Scope
+}
+
+// Daemon is an entry that serves jobs.
+type Daemon struct {
+	config   Config
+	platform Platform
+	log      *logrus.Entry
+	self     roster.Member
+	mesh     *call.Mesh
+	session  *store.Session
+	roster   *roster.Roster
+	ledger   *ledger.Ledger
+	setup    atomic.Pointer[setup.Setup]
+	contact  contact
+
+	wait conc.WaitGroup
+	wake chan struct{}
+
+	mu     sync.Mutex
+	owners map[string]*owner.Owner
+	taking map[string]bool
+	// endpoints are those that discovery lists, waves those of the operators.
+	endpoints map[string]endpoint.Entry
+	foreign   map[string]int64
+	waves     map[string]store.Item
+	isLeaving bool
+}
+
+// New returns a daemon; Run serves.
+func New(config Config) (daemon *Daemon, err error) {
+	d := &Daemon{
+		config: config, platform: config.Platform, log: config.Log,
+		wake: make(chan struct{}, 1), owners: make(map[string]*owner.Owner), taking: make(map[string]bool),
+		endpoints: make(map[string]endpoint.Entry), foreign: make(map[string]int64), waves: make(map[string]store.Item),
+	}
+	s := config.Settings
+	d.self = roster.Member{Name: s.Name, Centre: s.Centre, Peer: s.Peer, Life: uuid.NewString()}
+	d.mesh, err = call.New(call.Config{Listen: s.Peer, Serve: d.serve})
+	if err != nil {
+		return nil, err
+	}
+	d.contact = contact{log: d.log}
+	d.roster = roster.New(roster.Config{Client: d.platform.Store, Self: d.self, Changed: d.nudge})
+	d.ledger = ledger.New(d.platform.Store, d.log)
+	d.session = store.NewSession(store.SessionConfig{
+		Client: d.platform.Store, TTL: sessionTTL,
+		Made: d.sessionMade, Lost: d.sessionLost, Failed: d.contact.failed, Reached: d.contact.reached,
+	})
+	return d, nil
+}
+
+// Run serves until the context ends, then hands over and stops.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	event.Started.Log(d.log, logrus.Fields{"name": d.self.Name, "centre": d.self.Centre, "life": d.self.Life})
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	d.wait.Go(func() { d.session.Run(background) })
+	d.wait.Go(func() { d.watchOperators(background) })
+	d.wait.Go(func() { d.watchRoster(background) })
+	d.wait.Go(func() { d.watchEndpoints(background) })
+	d.wait.Go(func() { d.manage(background) })
+	d.wait.Go(func() { d.config.Timer.Every(background, balanceEvery, func(time.Time) { d.balance(background) }) })
+	d.wait.Go(func() { d.steward(background) })
+	<-ctx.Done()
+	d.leave()
+	listeners.close(d.lingering())
+	cancel()
+	d.mesh.Close()
+	d.stopOwners()
+	d.wait.Wait()
+	event.Stopped.Log(d.log, nil)
+	return nil
+}
+
+// nudge makes manage look at ownership at once.
+func (d *Daemon) nudge() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// IsReady tells whether the balancer should send callers here.
+func (d *Daemon) IsReady() bool {
+	d.mu.Lock()
+	isLeaving := d.isLeaving
+	d.mu.Unlock()
+	return !isLeaving && d.setup.Load() != nil && d.contact.isUp()
+}
+
+func (d *Daemon) sessionMade(lease store.Lease) {
+	event.SessionMade.Log(d.log, logrus.Fields{"lease": int64(lease)})
+	d.wait.Go(func() { d.announce(lease) })
+}
+
+// announce writes the entry's own key until it is written or the lease is
+// another one.
+func (d *Daemon) announce(lease store.Lease) {
+	for d.session.Lease() == lease {
+		err := d.roster.Announce(context.Background(), lease)
+		if err == nil {
+			d.nudge()
+			return
+		}
+		event.CallFailed.Log(d.log, logrus.Fields{"call": "announce", "error": err.Error()})
+		time.Sleep(manageEvery)
+	}
+}
+
+func (d *Daemon) sessionLost(lease store.Lease) {
+	event.SessionLost.Log(d.log, logrus.Fields{"lease": int64(lease)})
+	d.mu.Lock()
+	owners := d.owners
+	d.owners = make(map[string]*owner.Owner)
+	d.mu.Unlock()
+	for cell, o := range owners {
+		event.CellLost.Log(d.log, logrus.Fields{"cell": cell, "reason": "the session lapsed"})
+		go o.Stop()
+	}
+}
+
+func (d *Daemon) stopOwners() {
+	d.mu.Lock()
+	owners := d.owners
+	d.owners = make(map[string]*owner.Owner)
+	d.mu.Unlock()
+	for _, o := range owners {
+		o.Stop()
+	}
+}
+
+// manage takes the cells whose turn it is.
+func (d *Daemon) manage(ctx context.Context) {
+	ticker := time.NewTicker(manageEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-d.wake:
+		}
+		s := d.setup.Load()
+		if s == nil || !d.session.IsValid() {
+			continue
+		}
+		for _, cell := range d.roster.ToTake(cellsOf(s), d.isRunning) {
+			d.take(cell)
+		}
+	}
+}
+
+// cellsOf returns the cells of a configuration: the pools that are on or that a
+// queue sends jobs to.
+func cellsOf(s *setup.Setup) []string {
+	var cells []string
+	for _, pool := range s.Pools {
+		isUsed := !pool.IsStandby
+		for i := range s.Queues {
+			isUsed = isUsed || s.Queues[i].Pool == pool.Name
+		}
+		if isUsed {
+			cells = append(cells, pool.Name)
+		}
+	}
+	return cells
+}
+
+func (d *Daemon) isRunning(cell string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.owners[cell] != nil || d.taking[cell]
+}
+
+func (d *Daemon) take(cell string) {
+	d.mu.Lock()
+	if d.taking[cell] || d.isLeaving {
+		d.mu.Unlock()
+		return
+	}
+	d.taking[cell] = true
+	d.mu.Unlock()
+	d.wait.Go(func() {
+		defer func() {
+			d.mu.Lock()
+			delete(d.taking, cell)
+			d.mu.Unlock()
+		}()
+		condition, err := d.roster.Take(context.Background(), cell, d.session.Lease())
+		if err != nil {
+			event.CallFailed.Log(d.log, logrus.Fields{"call": "take", "cell": cell, "error": err.Error()})
+			return
+		}
+		d.own(cell, condition)
+	})
+}
+
+// own runs a cell in the background.
+func (d *Daemon) own(cell string, condition store.Condition) {
+	event.CellTaken.Log(d.log, logrus.Fields{"cell": cell, "epoch": condition.Revision})
+	o := owner.New(owner.Config{
+		Cell: cell, Store: d.platform.Store, Endpoints: d.platform.Endpoints, Condition: condition,
+		IsValid: d.session.IsValid, Bounds: d.config.Settings.bounds(), Inherited: boot.Now(),
+		Entitled: d.entitled(cell), Advise: d.platform.Advise,
+		Log:   d.log.WithField("cell", cell),
+		Scope: d.config.Scope.Tagged(map[string]string{"cell": cell}),
+	})
+	d.mu.Lock()
+	earlier := d.owners[cell]
+	d.owners[cell] = o
+	entries := d.entriesOf(cell)
+	d.mu.Unlock()
+	if earlier != nil {
+		earlier.Stop()
+	}
+	d.wait.Go(func() {
+		err := o.Run()
+		d.mu.Lock()
+		if d.owners[cell] == o {
+			delete(d.owners, cell)
+		}
+		d.mu.Unlock()
+		if err != nil {
+			event.CellLost.Log(d.log, logrus.Fields{"cell": cell, "epoch": condition.Revision, "reason": err.Error()})
+			d.nudge()
+		}
+	})
+	o.SetEndpoints(entries)
+}
+
+// leave hands over all cells.
+func (d *Daemon) leave() {
+	d.mu.Lock()
+	d.isLeaving = true
+	owners := make(map[string]*owner.Owner, len(d.owners))
+	for cell, o := range d.owners {
+		owners[cell] = o
+	}
+	d.mu.Unlock()
+	event.Leaving.Log(d.log, logrus.Fields{"cells": len(owners)})
+	d.roster.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if lease := d.session.Lease(); lease != 0 {
+		if err := d.roster.Announce(ctx, lease); err != nil {
+			event.CallFailed.Log(d.log, logrus.Fields{"call": "announce", "error": err.Error()})
+		}
+	}
+	var wait conc.WaitGroup
+	for cell, o := range owners {
+		wait.Go(func() {
+			o.Settle(ctx)
+			o.Stop()
+			err := d.roster.GiveUp(ctx, o.Condition())
+			fields := logrus.Fields{"cell": cell, "epoch": o.Condition().Revision}
+			if err != nil {
+				fields["error"] = err.Error()
+			}
+			event.CellLeft.Log(d.log, fields)
+		})
+	}
+	wait.Wait()
+}
+
+// lingering is how long an entry that leaves still answers, until the callers
+// have gone elsewhere: most of the time it has, less what the hand-over took.
+func (d *Daemon) lingering() time.Duration {
+	return time.Duration(d.config.Settings.Stop * lingerShare * float64(time.Second))
+}
+
+// lingerShare leaves room for the hand-over before and the end of requests after.
+const lingerShare = 0.5
--- /dev/null
+++ b/internal/daemon/fleet/settings.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"time"
+
+	"gitlab.com/chicorypin/chicorypin/internal/base/fault"
+	"gitlab.com/chicorypin/chicorypin/jobs"
+)
+
+// ordersOnRequest is the one way of giving orders that is built.
+const ordersOnRequest = "request"
+
+// Settings is what an entry that serves jobs reads at its start.
+type Settings struct {
+	// Name is the name of the instance, Centre its data centre.
+	Name   string `json:"name"`
+	Centre string `json:"centre"`
+	// Submitters, Ready, Peer and Metrics are the addresses to listen on.
+	Submitters netip.AddrPort `json:"submitters"`
+	Ready      netip.AddrPort `json:"ready"`
+	Peer       netip.AddrPort `json:"peer"`
+	Metrics    netip.AddrPort `json:"metrics"`
+	// Store, Cloud and Advice are the platform's addresses; the latter two may be
+	// left out.
+	Store  netip.AddrPort `json:"store"`
+	Cloud  netip.AddrPort `json:"cloud,omitzero"`
+	Advice netip.AddrPort `json:"advice,omitzero"`
+	// Orders says how endpoints get their orders.
+	Orders string `json:"orders"`
+	// Memory is what the process may use, in megabytes; 0 if it is not bounded.
+	Memory int64 `json:"memory,omitempty"`
+	// Stop is how long the process has between SIGTERM and its end, in seconds.
+	Stop float64 `json:"stop"`
+	// Bounds are the installation's figures, in milliseconds where they are times.
+	Bounds struct {
+		Hold       int64   `json:"hold"`
+		StopGrace  int64   `json:"stopgrace"`
+		Early      int64   `json:"early"`
+		Kept       float64 `json:"kept"`
+		Notice     int64   `json:"notice"`
+		Far        float64 `json:"far"`
+		Lease      int64   `json:"lease"`
+		Drain      int64   `json:"drain"`
+		Overcommit float64 `json:"overcommit"`
+	} `json:"bounds"`
+	// Level is the least severity that is logged.
+	Level string `json:"level,omitempty"`
+}
+
+// ReadSettings reads and checks a settings file. A *fault.ListError in the error
+// holds every fault in it.
+func ReadSettings(path string) (settings Settings, err error) {
+	defer fault.Annotate(&err, "settings file %s", path)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return ParseSettings(data)
+}
+
+// ParseSettings checks settings.
+func ParseSettings(data []byte) (settings Settings, err error) {
+	if err := json.Unmarshal(data, &settings); err != nil {
+		return Settings{}, err
+	}
+	return settings, settings.check()
+}
+
+// IsFleet tells whether settings are those of an entry that serves jobs.
+func IsFleet(data []byte) bool {
+	var probe struct {
+		Submitters *json.RawMessage `json:"submitters"`
+	}
+	return json.Unmarshal(data, &probe) == nil && probe.Submitters != nil
+}
+
+func (s *Settings) check() error {
+	list := &fault.ListError{}
+	for _, each := range []struct {
+		path    string
+		address netip.AddrPort
+	}{
+		{"/submitters", s.Submitters}, {"/ready", s.Ready},
+		{"/peer", s.Peer}, {"/metrics", s.Metrics}, {"/store", s.Store},
+	} {
+		if !each.address.IsValid() {
+			list.Add(each.path, "no address is given")
+		}
+	}
+	if s.Name == "" {
+		list.Add("/name", "is empty")
+	}
+	if s.Orders != ordersOnRequest {
+		list.Add("/orders", "%q is not served, only %q is", s.Orders, ordersOnRequest)
+	}
+	if s.Stop <= 0 {
+		list.Add("/stop", "is not positive")
+	}
+	if s.Bounds.Hold < minHold.Milliseconds() {
+		list.Add("/bounds/hold", "is below %s", minHold)
+	}
+	return list.Err()
+}
+
+const (
+	// minHold is the shortest grant that outlasts a takeover.
+	minHold = 2 * time.Second
+	// wantedHold covers a takeover: a lease of 3 s, the turn of the next entry,
+	// reading the state and looking at all endpoints. Longer grants make the
+	// tasks of a lost endpoint wait longer.
+	wantedHold = 6 * time.Second
+)
+
+// bounds returns the figures of the cells.
+func (s *Settings) bounds() jobs.Bounds {
+	b := jobs.DefaultBounds()
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	b.Grant = min(wantedHold, ms(s.Bounds.Hold))
+	b.StopGrace = ms(s.Bounds.StopGrace)
+	b.Early = ms(s.Bounds.Early)
+	if s.Bounds.Kept > 0 {
+		b.Kept = time.Duration(s.Bounds.Kept * float64(time.Second))
+	}
+	b.Notice = ms(s.Bounds.Notice)
+	if s.Bounds.Far > 0 {
+		b.FarFactor = s.Bounds.Far
+	}
+	return b
+}
--- /dev/null
+++ b/internal/daemon/fleet/watch.go
@@ -0,0 +1,143 @@
+package fleet
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gitlab.com/chicorypin/chicorypin/internal/back/endpoint"
+	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/roster"
+	"gitlab.com/chicorypin/chicorypin/jobs"
+)
+
+// watch follows a prefix of the store.
+func (d *Daemon) watch(ctx context.Context, prefix string, gap time.Duration, full, changed func(items []store.Item)) {
+	store.Watch(ctx, store.WatchConfig{
+		Client: d.platform.Store, Prefix: prefix, Gap: gap, Changed: changed,
+		Full: func(items []store.Item) {
+			event.WatchRestart.Log(d.log, logrus.Fields{"prefix": prefix, "keys": len(items)})
+			full(items)
+		},
+		Failed: d.contact.failed, Reached: d.contact.reached,
+	})
+}
+
+func (d *Daemon) watchRoster(ctx context.Context) {
+	d.watch(ctx, roster.Prefix, 0, d.roster.Full, d.roster.Update)
+}
+
+// watchOperators follows the configuration and the waves.
+func (d *Daemon) watchOperators(ctx context.Context) {
+	d.watch(ctx, d.platform.OperatorPrefix, 0, d.takeOperators, d.takeOperators)
+}
+
+func (d *Daemon) takeOperators(items []store.Item) {
+	for _, item := range items {
+		switch {
+		case item.Key == d.platform.ConfigKey && !item.IsRemoved:
+			d.takeConfig(item)
+		case strings.HasPrefix(item.Key, d.platform.WavePrefix):
+			d.mu.Lock()
+			if item.IsRemoved {
+				delete(d.waves, item.Key)
+			} else if d.waves[item.Key].Revision < item.Revision {
+				d.waves[item.Key] = item
+				event.WaveSeen.Log(d.log, logrus.Fields{"wave": item.Key, "revision": item.Revision})
+			}
+			d.mu.Unlock()
+		}
+	}
+}
+
+// takeConfig brings a configuration in force. One that is older or cannot be
+// read changes nothing.
+func (d *Daemon) takeConfig(item store.Item) {
+	current := d.setup.Load()
+	if current != nil && item.Revision <= current.Revision {
+		return
+	}
+	next, err := d.platform.DecodeConfig(item.Value, item.Revision)
+	if err != nil {
+		event.SetupRefused.Log(d.log, logrus.Fields{"revision": item.Revision, "error": err.Error()})
+		return
+	}
+	if current != nil && next.Version < current.Version {
+		event.SetupRefused.Log(d.log, logrus.Fields{"revision": item.Revision, "version": next.Version, "error": "older version"})
+		return
+	}
+	d.setup.Store(next)
+	d.ledger.SetSetup(next)
+	event.SetupInForce.Log(d.log, logrus.Fields{
+		"version": next.Version, "revision": next.Revision, "queues": len(next.Queues), "accounts": len(next.Accounts),
+	})
+	d.nudge()
+}
+
+func (d *Daemon) watchEndpoints(ctx context.Context) {
+	d.watch(ctx, d.platform.EndpointPrefix, registryGap, func(items []store.Item) {
+		d.mu.Lock()
+		clear(d.endpoints)
+		d.takeEndpoints(items)
+		d.mu.Unlock()
+		d.passEndpoints()
+	}, func(items []store.Item) {
+		d.mu.Lock()
+		d.takeEndpoints(items)
+		d.mu.Unlock()
+		d.passEndpoints()
+	})
+}
+
+func (d *Daemon) takeEndpoints(items []store.Item) {
+	for _, item := range items {
+		id := strings.TrimPrefix(item.Key, d.platform.EndpointPrefix)
+		if item.IsRemoved {
+			delete(d.endpoints, id)
+			continue
+		}
+		entry, err := d.platform.DecodeEndpoint(item.Key, item.Value)
+		if err != nil {
+			delete(d.endpoints, id)
+			if d.foreign[id] != item.Created {
+				d.foreign[id] = item.Created
+				event.EntryForeign.Log(d.log, logrus.Fields{"key": item.Key, "revision": item.Revision, "error": err.Error()})
+			}
+			continue
+		}
+		d.endpoints[id] = entry
+	}
+}
+
+// passEndpoints gives each cell its endpoints.
+func (d *Daemon) passEndpoints() {
+	d.mu.Lock()
+	lists := make(map[string][]endpoint.Entry, len(d.owners))
+	for cell := range d.owners {
+		lists[cell] = d.entriesOf(cell)
+	}
+	d.mu.Unlock()
+	for cell, entries := range lists {
+		if o := d.ownerOf(cell); o != nil {
+			o.SetEndpoints(entries)
+		}
+	}
+}
+
+func (d *Daemon) entriesOf(cell string) []endpoint.Entry {
+	var entries []endpoint.Entry
+	for _, entry := range d.endpoints {
+		if entry.Pool == cell {
+			entries = append(entries, entry)
+		}
+	}
+	return entries
+}
+
+// entitled returns what client accounts may use in a cell.
+func (d *Daemon) entitled(cell string) func(account string) (jobs.Size, bool) {
+	return func(account string) (jobs.Size, bool) { return d.ledger.Entitled(cell, account) }
+}
--- /dev/null
+++ b/jobs/learn.go
@@ -0,0 +1,129 @@
+package jobs
+
+import "time"
+
+// Weights of what was learned.
+const (
+	// learnWeight is the weight of a new reading in a moving average: the last
+	// twenty or so count.
+	learnWeight = 0.05
+	// learnFirst is how many readings are averaged plainly at first.
+	learnFirst = 20
+	// widthFactor is by how much the slowest task of a step outlasts their mean,
+	// for tasks of a step that differ by some 30 % and up to a few dozen of them.
+	widthFactor = 1.4
+	// unknownRun is assumed where nothing was measured nor declared.
+	unknownRun = time.Second
+)
+
+// average is a moving average.
+type average struct {
+	mean  float64
+	count int
+}
+
+func (a *average) add(reading float64) {
+	a.count++
+	weight := max(learnWeight, 1/float64(min(a.count, learnFirst)))
+	a.mean += weight * (reading - a.mean)
+}
+
+// kind groups steps whose tasks are alike.
+type kind struct {
+	queue string
+	step  int
+}
+
+// learned is what the cell has measured of run times. What submitters declare
+// is off by up to ten times, so it is scaled by what came of earlier ones.
+type learned struct {
+	runs map[kind]*average
+	// ratio compares what was measured with what was declared, for each queue.
+	ratio map[string]*average
+}
+
+func newLearned() learned {
+	return learned{runs: make(map[kind]*average), ratio: make(map[string]*average)}
+}
+
+// learn takes in how a run ended.
+func (c *Cell) learn(now time.Time, r *run, how How) {
+	switch how {
+	case Failed:
+		r.endpoint.strike(now)
+		return
+	case Done:
+		r.endpoint.trust()
+	default:
+		return
+	}
+	s := r.task.step
+	if r.seen.IsZero() || s.LongRunning || s.Fills || r.task.saved != "" {
+		return
+	}
+	took := now.Sub(r.seen).Seconds()
+	key := kind{s.occurrence.job.Queue, s.number}
+	if c.learned.runs[key] == nil {
+		c.learned.runs[key] = &average{}
+	}
+	c.learned.runs[key].add(took)
+}
+
+// runTime estimates how long a task of a step runs.
+func (c *Cell) runTime(queue string, number int, s *Step) time.Duration {
+	declared := s.Estimate
+	if declared <= 0 {
+		declared = unknownRun
+	}
+	measured := c.learned.runs[kind{queue, number}]
+	if measured == nil {
+		return declared
+	}
+	return time.Duration(measured.mean * float64(time.Second))
+}
+
+// chainLeft estimates how long the unfinished steps of a job still take at
+// least, along the longest chain of steps that wait for each other.
+func (c *Cell) chainLeft(j *job) time.Duration {
+	var first *occurrence
+	for _, o := range j.occurrences {
+		if first == nil || o.number < first.number {
+			first = o
+		}
+	}
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		begin := time.Duration(0)
+		for _, earlier := range s.After {
+			begin = max(begin, ends[earlier])
+		}
+		ends[i] = begin
+		if first == nil || first.steps[i].left > 0 {
+			ends[i] += time.Duration(widthFactor * float64(c.runTime(j.Queue, i, s)))
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// workLeft estimates the processor time, in core-seconds, that the unfinished
+// tasks of a job still take.
+func (c *Cell) workLeft(j *job) float64 {
+	work := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		left := s.Count
+		if o := j.occurrences[0]; o != nil {
+			left = o.steps[i].left
+		}
+		work += float64(left) * float64(s.Reserved().CPU) / 1000 * c.runTime(j.Queue, i, s).Seconds()
+	}
+	return work
+}
+
+// objective returns how long after its arrival a job should have ended.
+func (c *Cell) objective(j *job) time.Duration {
+	return time.Duration(max(j.Stretch, 1)*float64(c.chainLeft(j))/widthFactor) + j.Target
+}
--- /dev/null
+++ b/jobs/listing.go
@@ -0,0 +1,264 @@
+package jobs
+
+import "time"
+
+// stopAgain is how long to wait for the end of a run before its stop is ordered
+// again; a lost order costs that much.
+const stopAgain = 700 * time.Millisecond
+
+// Listed takes in what an endpoint says of its runs. The listing was asked for
+// under the epoch of this owner, so orders of earlier owners are refused there
+// from now on.
+func (c *Cell) Listed(now time.Time, l Listing) (strays []Stop) {
+	e := c.endpoints[l.Endpoint]
+	if e == nil || l.Born < e.born {
+		return nil
+	}
+	if l.Born > e.born {
+		c.reborn(now, e, l.Born)
+	}
+	if l.Clock < e.listed {
+		return nil
+	}
+	isFirst := !e.isReached
+	e.listed, e.isReached = l.Clock, true
+	e.heard(now, l.Clock)
+	present := make(map[string]bool, len(l.Running))
+	for _, row := range l.Running {
+		present[row.Task] = true
+		if !c.listedRun(now, e, l.Clock, row) {
+			strays = append(strays, Stop{Endpoint: e.ID, Task: row.Task, Run: row.Run, Why: "not ordered by this owner"})
+		}
+	}
+	for _, row := range l.Ended {
+		if row.Number <= e.seen {
+			continue
+		}
+		e.seen = row.Number
+		c.ended(now, e, row.End)
+	}
+	for _, r := range sortedRuns(e) {
+		if !present[r.task.name] && r.isAbsent(l.Clock, isFirst) {
+			c.counts.Lost++
+			c.gone(r)
+		}
+	}
+	return strays
+}
+
+// isAbsent tells whether a run that is neither listed as running nor as ended
+// can no longer be there.
+func (r *run) isAbsent(clock int64, isFirst bool) bool {
+	switch r.phase {
+	case running:
+		return clock > r.clock
+	case inherited:
+		return isFirst || clock > r.clock
+	case unsure:
+		return r.stopClock > 0 && clock > r.stopClock
+	default:
+		return false
+	}
+}
+
+// listedRun takes in a run that an endpoint has at work.
+func (c *Cell) listedRun(now time.Time, e *Endpoint, clock int64, row Listed) (isOurs bool) {
+	r := e.runs[row.Task]
+	if r == nil || r.number != row.Run {
+		return false
+	}
+	if r.phase != running {
+		r.phase, r.clock = running, clock
+		if r.seen.IsZero() {
+			r.seen, r.moved = now, now
+		}
+	}
+	if row.Percent != r.percent {
+		r.moved = now
+	}
+	r.percent, r.figure = row.Percent, row.Figure
+	if row.Saved != "" {
+		r.task.saved = row.Saved
+	}
+	if r.task.run != r || r.task.isDone {
+		c.stop(r, "superseded")
+	}
+	if r.task.step.LongRunning && row.Percent >= 100 {
+		r.task.away = now
+	}
+	return true
+}
+
+// ended takes in the end of a run. Only ends that change what may happen next
+// are stored.
+func (c *Cell) ended(now time.Time, e *Endpoint, end End) {
+	t := c.lookup(end.Task)
+	if t == nil {
+		return
+	}
+	r := e.runs[end.Task]
+	if r != nil && r.number == end.Run {
+		c.learn(now, r, end.How)
+		if end.How == Failed {
+			t.avoid = e.ID
+		}
+		defer c.gone(r)
+	}
+	t.number = max(t.number, end.Run)
+	if end.Saved != "" {
+		t.saved = end.Saved
+	}
+	c.settle(now, t, end, true)
+}
+
+// settle applies an end to the task and its job. With isNew the end is put on
+// record where it has to be.
+func (c *Cell) settle(now time.Time, t *task, end End, isNew bool) {
+	j := t.step.occurrence.job
+	if t.isDone || j.isOver() {
+		return
+	}
+	switch {
+	case end.How == Done && !t.step.LongRunning:
+		if isNew {
+			c.records = append(c.records, Record{End: &end})
+			c.counts.Done++
+		}
+		if t.step.Gang {
+			for _, each := range t.step.tasks {
+				c.complete(now, each)
+			}
+			return
+		}
+		c.complete(now, t)
+	case end.How == Failed:
+		if isNew {
+			c.counts.Failed++
+		}
+		if t.step.LongRunning {
+			return
+		}
+		if isNew {
+			c.records = append(c.records, Record{End: &end})
+		}
+		if t.step.Gang {
+			t = t.step.tasks[0]
+		}
+		t.fails++
+		if j.Attempts > 0 && t.fails >= j.Attempts {
+			c.over(now, j, Broke)
+		}
+	}
+}
+
+// complete notes that a task is done.
+func (c *Cell) complete(now time.Time, t *task) {
+	if t.isDone {
+		return
+	}
+	t.isDone = true
+	if t.run != nil {
+		c.stop(t.run, "done elsewhere")
+	}
+	s := t.step
+	s.left--
+	if s.left > 0 {
+		return
+	}
+	o := s.occurrence
+	o.left--
+	o.unlock()
+	if o.left == 0 {
+		j := o.job
+		j.left--
+		if j.Times > 0 {
+			delete(j.occurrences, o.number)
+		}
+		if j.left == 0 {
+			c.over(now, j, Completed)
+		}
+	}
+}
+
+// StartAnswered takes in the answer to a start.
+func (c *Cell) StartAnswered(now time.Time, s Start, answer Answer, clock int64) {
+	e := c.endpoints[s.Endpoint]
+	if e == nil {
+		return
+	}
+	if clock > 0 {
+		e.heard(now, clock)
+	}
+	r := e.runs[s.Task]
+	if r == nil || r.number != s.Run || r.phase != ordered {
+		return
+	}
+	switch answer {
+	case Accepted:
+		r.phase, r.clock, r.seen, r.moved = running, clock, now, now
+	case Unanswered:
+		r.phase = unsure
+		c.stop(r, "start was not answered")
+	default:
+		r.task.notBefore = now.Add(refusedWait)
+		if answer == Unhealthy {
+			e.strike(now)
+		}
+		if answer == BadTicket {
+			delete(r.task.step.tickets, e.ID)
+		}
+		if answer == NoRoom {
+			e.cordon = now.Add(noRoomWait)
+		}
+		c.gone(r)
+	}
+}
+
+// Waits after a refused start.
+const (
+	// refusedWait keeps a task from being sent round in circles.
+	refusedWait = 50 * time.Millisecond
+	// noRoomWait is how long an endpoint that is fuller than known gets no work.
+	noRoomWait = 300 * time.Millisecond
+)
+
+// StopAnswered takes in the answer to a stop.
+func (c *Cell) StopAnswered(now time.Time, s Stop, answer Answer, clock int64) {
+	e := c.endpoints[s.Endpoint]
+	if e == nil {
+		return
+	}
+	if clock > 0 {
+		e.heard(now, clock)
+	}
+	r := e.runs[s.Task]
+	if r == nil || r.number != s.Run {
+		return
+	}
+	if answer == Accepted {
+		r.stopClock = clock
+		if r.phase == running || r.phase == inherited {
+			r.clock = max(r.clock, clock)
+		}
+		return
+	}
+	if answer == OtherLife {
+		c.gone(r)
+	}
+}
+
+// Stops returns the stops to order now: those that were decided since the last
+// call, and those whose runs are still there.
+func (c *Cell) Stops(now time.Time) []Stop {
+	var stops []Stop
+	for _, e := range c.endpoints {
+		for _, r := range e.runs {
+			if !r.isStopping || r.phase == placed || r.phase == ordered || now.Sub(r.stopSent) < stopAgain {
+				continue
+			}
+			r.stopSent = now
+			stops = append(stops, Stop{Endpoint: e.ID, Task: r.task.name, Run: r.number, Why: r.why})
+		}
+	}
+	return stops
+}
--- /dev/null
+++ b/jobs/load.go
@@ -0,0 +1,77 @@
+package jobs
+
+import "time"
+
+// Load is what runs on an endpoint.
+type Load struct {
+	Endpoint string
+	// IsKnown tells whether the cell knows the endpoint.
+	IsKnown bool
+	// Runs counts all runs, Lasting those of long-running tasks.
+	Runs, Lasting int
+}
+
+// Active returns how many jobs are not over.
+func (c *Cell) Active() int {
+	count := 0
+	for _, j := range c.active {
+		if !j.isOver() {
+			count++
+		}
+	}
+	return count
+}
+
+// Finished returns the IDs of the jobs that are over with this batch.
+func (b *Batch) Finished() []string {
+	ids := make([]string, len(b.finish))
+	for i, j := range b.finish {
+		ids[i] = j.ID
+	}
+	return ids
+}
+
+// Evacuate keeps new work off an endpoint until a time and returns what runs
+// there. If it is asked for, long-running tasks are stopped as far as their
+// steps allow, so that they start elsewhere.
+func (c *Cell) Evacuate(now time.Time, id string, until time.Time, evacuate bool) Load {
+	e := c.endpoints[id]
+	if e == nil {
+		return Load{Endpoint: id}
+	}
+	if until.After(e.cordon) {
+		e.cordon = until
+	}
+	load := Load{Endpoint: id, IsKnown: true, Runs: len(e.runs)}
+	for _, r := range sortedRuns(e) {
+		if !r.task.step.LongRunning {
+			continue
+		}
+		load.Lasting++
+		if evacuate && !r.isStopping && r.phase == running && c.maySpare(now, r) {
+			c.stop(r, "evacuation for planned work")
+		}
+	}
+	return load
+}
+
+// maySpare tells whether a long-running task may be away now: the others of its
+// step that are away stay below what the step allows.
+func (c *Cell) maySpare(now time.Time, r *run) bool {
+	s := r.task.step
+	if s.MaxUnavailable == 0 {
+		return true
+	}
+	away := 0
+	for _, t := range s.tasks {
+		if t != r.task && !t.isAtWork(now) {
+			away++
+		}
+	}
+	return away < s.MaxUnavailable
+}
+
+// isAtWork tells whether a long-running task works, as far as is known.
+func (t *task) isAtWork(now time.Time) bool {
+	return t.run != nil && t.run.phase == running && !t.run.isStopping && t.run.percent >= 100 && now.Sub(t.away) < 2*idleLook
+}
--- /dev/null
+++ b/jobs/snapshot.go
@@ -0,0 +1,213 @@
+package jobs
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Snapshot is the durable state of a cell.
+type Snapshot struct {
+	Jobs []JobState `json:"jobs"`
+}
+
+// JobState is the durable state of a job.
+type JobState struct {
+	Job Job `json:"job"`
+	// State is set if the job is over.
+	State State `json:"state,omitempty"`
+	// Next is the first occurrence that has not begun, Left the number of those
+	// that have not ended.
+	Next int `json:"next,omitempty"`
+	Left int `json:"left,omitempty"`
+	// Tasks are those of which something is known.
+	Tasks []TaskState `json:"tasks,omitempty"`
+}
+
+// TaskState is the durable state of a task.
+type TaskState struct {
+	Task     string `json:"t"`
+	Run      int    `json:"r,omitempty"`
+	Fails    int    `json:"f,omitempty"`
+	IsDone   bool   `json:"done,omitempty"`
+	Saved    string `json:"save,omitempty"`
+	Endpoint string `json:"e,omitempty"`
+	Born     int64  `json:"b,omitempty"`
+}
+
+// Snapshot returns the state that all records so far lead to. Decisions that
+// were not taken into a batch yet are part of it.
+func (c *Cell) Snapshot() Snapshot {
+	s := Snapshot{Jobs: make([]JobState, 0, len(c.jobs))}
+	for _, j := range c.jobs {
+		s.Jobs = append(s.Jobs, j.snapshot())
+	}
+	slices.SortFunc(s.Jobs, func(a, b JobState) int { return strings.Compare(a.Job.ID, b.Job.ID) })
+	return s
+}
+
+func (j *job) snapshot() JobState {
+	if j.isOver() {
+		return JobState{Job: Job{ID: j.ID, Queue: j.Queue, Account: j.Account}, State: j.state}
+	}
+	state := JobState{Job: j.Job, Next: j.next, Left: j.left}
+	for k := range j.next {
+		o := j.occurrences[k]
+		if o == nil {
+			continue
+		}
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.number > 0 || t.isDone {
+					state.Tasks = append(state.Tasks, t.snapshot())
+				}
+			}
+		}
+	}
+	return state
+}
+
+func (t *task) snapshot() TaskState {
+	state := TaskState{Task: t.name, Run: t.number, Fails: t.fails, IsDone: t.isDone, Saved: t.saved}
+	if t.run != nil {
+		state.Endpoint, state.Born = t.run.endpoint.ID, t.run.born
+	}
+	return state
+}
+
+// Restore fills an empty cell from a snapshot.
+func (c *Cell) Restore(now time.Time, s Snapshot) {
+	for _, state := range s.Jobs {
+		if state.State != "" {
+			j := &job{Job: state.Job, state: state.State, shown: state.State, arrived: now, ended: now}
+			j.isCancelled = state.State == Cancelled
+			c.jobs[j.ID] = j
+			continue
+		}
+		j := c.newJob(state.Job, now)
+		c.restoreOccurrences(j, state)
+		for _, t := range state.Tasks {
+			c.restoreTask(now, t)
+		}
+	}
+}
+
+func (c *Cell) restoreOccurrences(j *job, state JobState) {
+	if j.Times == 0 {
+		return
+	}
+	j.left = state.Left
+	known := make(map[int]bool)
+	for _, t := range state.Tasks {
+		if name, ok := ParseTaskName(t.Task); ok {
+			known[name.Occurrence] = true
+		}
+	}
+	for k := range known {
+		c.begin(j, k)
+	}
+	// Occurrences that had begun without a trace of a run begin again; those
+	// that ended are the rest.
+	missing := state.Left - (j.Times - state.Next) - len(known)
+	for k := state.Next - 1; k >= 0 && missing > 0; k-- {
+		if j.occurrences[k] == nil {
+			c.begin(j, k)
+			missing--
+		}
+	}
+	j.next = state.Next
+}
+
+func (c *Cell) restoreTask(now time.Time, state TaskState) {
+	t := c.lookup(state.Task)
+	if t == nil {
+		return
+	}
+	t.number, t.fails, t.saved = state.Run, state.Fails, state.Saved
+	if state.IsDone {
+		t.step.waiting = remove(t.step.waiting, t)
+		c.complete(now, t)
+		return
+	}
+	if state.Endpoint != "" {
+		c.inherit(t, state.Endpoint, state.Born)
+	}
+}
+
+// inherit notes a run that an earlier owner may have started.
+func (c *Cell) inherit(t *task, endpoint string, born int64) {
+	t.step.occurrence.job.hasBegun = true
+	t.step.occurrence.job.state = Running
+	e := c.endpoints[endpoint]
+	if e == nil {
+		e = c.newEndpoint(endpoint, born)
+	}
+	if t.run != nil {
+		c.gone(t.run)
+	}
+	t.step.waiting = remove(t.step.waiting, t)
+	r := &run{task: t, number: t.number, endpoint: e, born: born, phase: inherited, reserved: t.step.Reserved(), pace: 100, sentPace: 100}
+	c.attach(r)
+}
+
+// attach counts a run as being on its endpoint.
+func (c *Cell) attach(r *run) {
+	t := r.task
+	t.run = r
+	r.endpoint.runs[t.name] = r
+	r.endpoint.used = r.endpoint.used.Plus(r.reserved)
+	account := t.step.occurrence.job.Account
+	c.used[account] = c.used[account].Plus(t.step.Each)
+}
+
+// Apply brings a stored record in while the cell is being restored.
+func (c *Cell) Apply(now time.Time, record Record) {
+	switch {
+	case record.Job != nil:
+		if c.jobs[record.Job.ID] == nil {
+			c.newJob(*record.Job, now)
+		}
+	case record.Cancel != "":
+		if j := c.jobs[record.Cancel]; j != nil && !j.isOver() {
+			c.cancel(now, j)
+		}
+	case record.Put != nil:
+		if t := c.lookup(record.Put.Task); t != nil && !t.isDone {
+			t.number = max(t.number, record.Put.Run)
+			if !t.step.occurrence.job.isOver() {
+				c.inherit(t, record.Put.Endpoint, record.Put.Born)
+			}
+		}
+	case record.End != nil:
+		c.applyEnd(now, *record.End)
+	}
+}
+
+func (c *Cell) applyEnd(now time.Time, end End) {
+	t := c.lookup(end.Task)
+	if t == nil {
+		return
+	}
+	if end.Saved != "" {
+		t.saved = end.Saved
+	}
+	if r := t.run; r != nil && r.number == end.Run {
+		defer c.gone(r)
+	}
+	c.settle(now, t, end, false)
+}
+
+// Restored ends the restoring: what was read counts as stored.
+func (c *Cell) Restored() {
+	for _, j := range c.jobs {
+		if j.isOver() {
+			j.shown = j.state
+		}
+	}
+	c.records, c.starts, c.finish = nil, nil, nil
+	c.counts = Counts{}
+}
+
+func remove(tasks []*task, t *task) []*task {
+	return slices.DeleteFunc(tasks, func(each *task) bool { return each == t })
+}
