End the grants of lost endpoints although looks go on

Ruled out: no room (the pool was a third full). Grants are now renewed only within 1.2 s of an answer, are 5 s long, and long-running tasks leave endpoints that drain.

--- a/internal/daemon/fleet/settings.go
+++ b/internal/daemon/fleet/settings.go
@@ -111,7 +111,7 @@
 	// wantedHold covers a takeover: a lease of 3 s, the turn of the next entry,
 	// reading the state and looking at all endpoints. Longer grants make the
 	// tasks of a lost endpoint wait longer.
-	wantedHold = 6 * time.Second
+	wantedHold = 5 * time.Second
 )
 
 // bounds returns the figures of the cells.
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -259,12 +259,19 @@
 			look.IsUrgent = look.IsUrgent || r.phase == unsure || r.phase == inherited || r.isStopping
 		}
 	}
-	if look.IsNeeded && e.clock > 0 && e.isReached && len(e.runs) > 0 {
+	// Looks that go on without an answer must not move the end of the grant away,
+	// or the runs of a lost endpoint would never be given up.
+	isAnswering := e.isReached && now.Sub(e.contact) < renewLimit
+	if look.IsNeeded && isAnswering && len(e.runs) > 0 {
 		look.Until = e.grant(now, c.config.Bounds)
 	}
 	return look, true
 }
 
+// renewLimit is how old the last answer of an endpoint may be for its grant to be
+// renewed. It covers a look that waits for an end, and the gap to the next.
+const renewLimit = 1200 * time.Millisecond
+
 // idleLook is how often an endpoint without runs is looked at, so that a cut is
 // known before work is placed there; below contactLimit by the time of a look.
 const idleLook = 2 * time.Second
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -24,6 +24,7 @@
 	c.expire(now)
 	c.beginDue(wall)
 	c.findStalled(now)
+	c.leaveDraining(now)
 	rank := make(map[*job]rankKey, len(c.active))
 	for _, j := range c.active {
 		rank[j] = c.rank(now, j)
@@ -178,6 +179,22 @@
 	}
 }
 
+// leaveDraining moves long-running tasks off endpoints that leave. They end with
+// the endpoint anyway, so it is better to lose them while their steps can spare
+// them.
+func (c *Cell) leaveDraining(now time.Time) {
+	for _, e := range c.endpoints {
+		if !e.IsDraining {
+			continue
+		}
+		for _, r := range sortedRuns(e) {
+			if r.task.step.LongRunning && r.phase == running && !r.isStopping && c.maySpare(now, r) {
+				c.stop(r, "the endpoint leaves")
+			}
+		}
+	}
+}
+
 // placer places tasks in one pass.
 type placer struct {
 	c    *Cell
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -169,7 +169,7 @@
 // DefaultBounds are working figures for a stand-alone installation.
 func DefaultBounds() Bounds {
 	return Bounds{
-		Grant:      6 * time.Second,
+		Grant:      5 * time.Second,
 		ClockSlack: 0.02,
 		StopGrace:  500 * time.Millisecond,
 		Kept:       2 * time.Minute,
