--- a/internal/cell/owner/request.go
+++ b/internal/cell/owner/request.go
@@ -117,3 +117,9 @@
 	})
 	return loads, err
 }
+
+// Survey returns what the cell could use and what runs on each endpoint.
+func (o *Owner) Survey(ctx context.Context) (demand jobs.Demand, loads []jobs.Load, err error) {
+	err = o.ask(ctx, func() { demand, loads = o.cell.Survey(boot.Now()) })
+	return demand, loads, err
+}
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -22,6 +22,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/cell/ledger"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/owner"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/roster"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/steward"
 	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/call"
 	"gitlab.com/chicorypin/chicorypin/internal/model/setup"
@@ -93,7 +94,8 @@
 	// endpoints are those that discovery lists, waves those of the operators.
 	endpoints map[string]endpoint.Entry
 	foreign   map[string]int64
-	waves     map[string]store.Item
+	waves     map[string]knownWave
+	steward   *steward.Steward
 	isLeaving bool
 }
 
@@ -102,7 +104,7 @@
 	d := &Daemon{
 		config: config, platform: config.Platform, log: config.Log,
 		wake: make(chan struct{}, 1), owners: make(map[string]*owner.Owner), taking: make(map[string]bool),
-		endpoints: make(map[string]endpoint.Entry), foreign: make(map[string]int64), waves: make(map[string]store.Item),
+		endpoints: make(map[string]endpoint.Entry), foreign: make(map[string]int64), waves: make(map[string]knownWave),
 	}
 	s := config.Settings
 	d.self = roster.Member{Name: s.Name, Centre: s.Centre, Peer: s.Peer, Life: uuid.NewString()}
@@ -135,7 +137,6 @@
 	d.wait.Go(func() { d.watchEndpoints(background) })
 	d.wait.Go(func() { d.manage(background) })
 	d.wait.Go(func() { d.config.Timer.Every(background, balanceEvery, func(time.Time) { d.balance(background) }) })
-	d.wait.Go(func() { d.steward(background) })
 	<-ctx.Done()
 	d.leave()
 	listeners.close(d.lingering())
@@ -185,6 +186,9 @@
 func (d *Daemon) sessionLost(lease store.Lease) {
 	event.SessionLost.Log(d.log, logrus.Fields{"lease": int64(lease)})
 	d.mu.Lock()
+	if d.steward != nil {
+		d.steward.Stop()
+	}
 	owners := d.owners
 	d.owners = make(map[string]*owner.Owner)
 	d.mu.Unlock()
@@ -196,6 +200,9 @@
 
 func (d *Daemon) stopOwners() {
 	d.mu.Lock()
+	if d.steward != nil {
+		d.steward.Stop()
+	}
 	owners := d.owners
 	d.owners = make(map[string]*owner.Owner)
 	d.mu.Unlock()
@@ -219,7 +226,11 @@
 		if s == nil || !d.session.IsValid() {
 			continue
 		}
-		for _, cell := range d.roster.ToTake(cellsOf(s), d.isRunning) {
+		cells := cellsOf(s)
+		if d.platform.Cloud != nil {
+			cells = append(cells, stewardCell)
+		}
+		for _, cell := range d.roster.ToTake(cells, d.isRunning) {
 			d.take(cell)
 		}
 	}
@@ -244,6 +255,9 @@
 func (d *Daemon) isRunning(cell string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if cell == stewardCell && d.steward != nil {
+		return true
+	}
 	return d.owners[cell] != nil || d.taking[cell]
 }
 
@@ -266,6 +280,10 @@
 			event.CallFailed.Log(d.log, logrus.Fields{"call": "take", "cell": cell, "error": err.Error()})
 			return
 		}
+		if cell == stewardCell {
+			d.runSteward(condition)
+			return
+		}
 		d.own(cell, condition)
 	})
 }
@@ -311,6 +329,7 @@
 	for cell, o := range d.owners {
 		owners[cell] = o
 	}
+	s := d.steward
 	d.mu.Unlock()
 	event.Leaving.Log(d.log, logrus.Fields{"cells": len(owners)})
 	d.roster.Leave()
@@ -322,6 +341,14 @@
 		}
 	}
 	var wait conc.WaitGroup
+	if s != nil {
+		s.Stop()
+		wait.Go(func() {
+			if err := d.roster.GiveUp(ctx, s.Condition()); err != nil {
+				event.CallFailed.Log(d.log, logrus.Fields{"call": "give up stewardship", "error": err.Error()})
+			}
+		})
+	}
 	for cell, o := range owners {
 		wait.Go(func() {
 			o.Settle(ctx)
--- a/internal/daemon/fleet/desk.go
+++ b/internal/daemon/fleet/desk.go
@@ -131,6 +131,8 @@
 		return &wire.Response{Outcome: outcome(true, err), Count: uint32(count)}
 	case *wire.Request_Cordon:
 		return answerCordon(ctx, o, body.Cordon)
+	case *wire.Request_Survey:
+		return answerSurvey(ctx, o)
 	}
 	return &wire.Response{Outcome: call.Late, Reason: "the request is not known"}
 }
@@ -155,13 +157,27 @@
 func answerCordon(ctx context.Context, o *owner.Owner, body *wire.Cordon) *wire.Response {
 	length := time.Duration(body.GetMilliseconds()) * time.Millisecond
 	loads, err := o.Cordon(ctx, body.GetEndpoint(), length, body.GetEvacuate())
-	response := &wire.Response{Outcome: outcome(true, err)}
-	for _, load := range loads {
-		response.Load = append(response.Load, &wire.Load{
-			Endpoint: load.Endpoint, Runs: uint32(load.Runs), Lasting: uint32(load.Lasting), Known: load.IsKnown,
-		})
+	return &wire.Response{Outcome: outcome(true, err), Load: wireLoads(loads)}
+}
+
+func answerSurvey(ctx context.Context, o *owner.Owner) *wire.Response {
+	demand, loads, err := o.Survey(ctx)
+	return &wire.Response{
+		Outcome: outcome(true, err), Load: wireLoads(loads),
+		Demand: &wire.Demand{
+			Present: demand.Present, Arriving: demand.Arriving, Lasting: demand.Lasting, Least: uint32(demand.Least),
+		},
 	}
-	return response
+}
+
+func wireLoads(loads []jobs.Load) []*wire.Load {
+	list := make([]*wire.Load, len(loads))
+	for i, load := range loads {
+		list[i] = &wire.Load{
+			Endpoint: load.Endpoint, Runs: uint32(load.Runs), Lasting: uint32(load.Lasting), Known: load.IsKnown, Cpu: load.CPU,
+		}
+	}
+	return list
 }
 
 func outcome(isKnown bool, err error) uint32 {
--- a/internal/daemon/fleet/steward.go
+++ b/internal/daemon/fleet/steward.go
@@ -1,6 +1,121 @@
 package fleet
 
-import "context"
+import (
+	"context"
+	"errors"
+	"time"
 
-// steward keeps machines in pools and maintains them.
-func (d *Daemon) steward(ctx context.Context) { <-ctx.Done() }
+	"github.com/sirupsen/logrus"
+
+	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
+	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/steward"
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/call"
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
+	"gitlab.com/chicorypin/chicorypin/internal/plan/pools"
+	"gitlab.com/chicorypin/chicorypin/jobs"
+)
+
+// stewardCell stands for the stewardship among the cells; pools have no such
+// name.
+const stewardCell = "~steward"
+
+// runSteward keeps machines in pools until the stewardship ends.
+func (d *Daemon) runSteward(condition store.Condition) {
+	event.StewardTaken.Log(d.log, logrus.Fields{"epoch": condition.Revision})
+	s := steward.New(steward.Config{
+		Store: d.platform.Store, Cloud: d.platform.Cloud,
+		Cells:     steward.Cells{Survey: d.survey, Cordon: d.cordon},
+		Holder:    cloud.Holder{Name: d.self.Name, Epoch: condition.Revision},
+		Condition: condition, IsValid: d.session.IsValid,
+		Quiet: time.Duration(d.config.Settings.Bounds.Lease) * time.Millisecond,
+		Pools: d.pools, Waves: d.currentWaves, EncodeStatus: d.platform.EncodeWaveStatus,
+		CPU: d.cpuOf, Log: d.log,
+	})
+	d.mu.Lock()
+	d.steward = s
+	d.mu.Unlock()
+	d.wait.Go(func() {
+		s.Run()
+		d.mu.Lock()
+		if d.steward == s {
+			d.steward = nil
+		}
+		d.mu.Unlock()
+		event.StewardLost.Log(d.log, logrus.Fields{"epoch": condition.Revision})
+	})
+}
+
+func (d *Daemon) pools() []pools.Pool {
+	s := d.setup.Load()
+	list := make([]pools.Pool, 0, len(s.Pools))
+	for _, p := range s.Pools {
+		list = append(list, pools.Pool{Name: p.Name, IsStandby: p.IsStandby})
+	}
+	return list
+}
+
+func (d *Daemon) cpuOf(id string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.endpoints[id].Profile.Capacity.CPU
+}
+
+// currentWaves returns the waves that can be read.
+func (d *Daemon) currentWaves() []steward.Wave {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	waves := make([]steward.Wave, 0, len(d.waves))
+	for _, w := range d.waves {
+		waves = append(waves, w.wave)
+	}
+	return waves
+}
+
+// knownWave is a wave as the store has it.
+type knownWave struct {
+	revision int64
+	wave     steward.Wave
+}
+
+var errNoAnswer = errors.New("the owner did not answer")
+
+func (d *Daemon) survey(ctx context.Context, pool string) (demand jobs.Demand, loads []jobs.Load, err error) {
+	response, err := d.ask(ctx, &wire.Request{Cell: pool, Body: &wire.Request_Survey{Survey: &wire.Survey{}}})
+	if err != nil {
+		return jobs.Demand{}, nil, err
+	}
+	if response.GetOutcome() != call.Done {
+		return jobs.Demand{}, nil, errNoAnswer
+	}
+	found := response.GetDemand()
+	demand = jobs.Demand{
+		Present: found.GetPresent(), Arriving: found.GetArriving(), Lasting: found.GetLasting(), Least: int(found.GetLeast()),
+	}
+	return demand, loadsOf(response), nil
+}
+
+func (d *Daemon) cordon(ctx context.Context, pool string, ids []string, length time.Duration, evacuate bool) ([]jobs.Load, error) {
+	response, err := d.ask(ctx, &wire.Request{Cell: pool, Body: &wire.Request_Cordon{Cordon: &wire.Cordon{
+		Endpoint: ids, Milliseconds: uint32(length.Milliseconds()), Evacuate: evacuate,
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	if response.GetOutcome() != call.Done {
+		return nil, errNoAnswer
+	}
+	return loadsOf(response), nil
+}
+
+func loadsOf(response *wire.Response) []jobs.Load {
+	loads := make([]jobs.Load, 0, len(response.GetLoad()))
+	for _, load := range response.GetLoad() {
+		loads = append(loads, jobs.Load{
+			Endpoint: load.GetEndpoint(), IsKnown: load.GetKnown(),
+			Runs: int(load.GetRuns()), Lasting: int(load.GetLasting()), CPU: load.GetCpu(),
+		})
+	}
+	return loads
+}
--- a/internal/daemon/fleet/watch.go
+++ b/internal/daemon/fleet/watch.go
@@ -9,8 +9,10 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/endpoint"
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/roster"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/steward"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
 
@@ -41,18 +43,37 @@
 		case item.Key == d.platform.ConfigKey && !item.IsRemoved:
 			d.takeConfig(item)
 		case strings.HasPrefix(item.Key, d.platform.WavePrefix):
-			d.mu.Lock()
-			if item.IsRemoved {
-				delete(d.waves, item.Key)
-			} else if d.waves[item.Key].Revision < item.Revision {
-				d.waves[item.Key] = item
-				event.WaveSeen.Log(d.log, logrus.Fields{"wave": item.Key, "revision": item.Revision})
-			}
-			d.mu.Unlock()
+			d.takeWave(item)
 		}
 	}
 }
 
+func (d *Daemon) takeWave(item store.Item) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if item.IsRemoved {
+		delete(d.waves, item.Key)
+		return
+	}
+	known, isKnown := d.waves[item.Key]
+	if isKnown && known.revision >= item.Revision {
+		return
+	}
+	wave, err := d.platform.DecodeWave(item.Value)
+	if err != nil {
+		event.SetupRefused.Log(d.log, logrus.Fields{"key": item.Key, "revision": item.Revision, "error": err.Error()})
+		return
+	}
+	seen := boot.Now()
+	if isKnown {
+		seen = known.wave.Seen
+	}
+	d.waves[item.Key] = knownWave{revision: item.Revision, wave: steward.Wave{Wave: wave, Seen: seen}}
+	event.WaveSeen.Log(d.log, logrus.Fields{
+		"wave": wave.Number, "revision": item.Revision, "machines": len(wave.Machines), "seconds": wave.Seconds, "most": wave.Most,
+	})
+}
+
 // takeConfig brings a configuration in force. One that is older or cannot be
 // read changes nothing.
 func (d *Daemon) takeConfig(item store.Item) {
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -32,8 +32,9 @@
 	// wanted is what each client account could start if its limit allowed.
 	wanted map[string]Size
 
-	learned learned
-	counts  Counts
+	learned  learned
+	arrivals arrivals
+	counts   Counts
 }
 
 // Counts tells what a cell has done since it was taken over.
--- /dev/null
+++ b/jobs/demand.go
@@ -0,0 +1,90 @@
+package jobs
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Demand is what a cell could use, in thousandths of a core.
+type Demand struct {
+	// Present is short-lived work that runs or could run now.
+	Present int64
+	// Arriving is the rate of accepted and rejected work, as the processors that
+	// would work it off as it comes.
+	Arriving int64
+	// Lasting is long-running work.
+	Lasting int64
+	// Least is the fewest endpoints that the long-running steps can spread over.
+	Least int
+}
+
+// arrivalWindow is over how long arrivals are averaged. Demand changes by five
+// times within a second, so a longer one would lag.
+const arrivalWindow = 1200 * time.Millisecond
+
+// arrivals is the work that was handed in lately.
+type arrivals struct {
+	at   []time.Time
+	work []float64
+}
+
+func (a *arrivals) add(now time.Time, work float64) {
+	a.at, a.work = append(a.at, now), append(a.work, work)
+}
+
+// rate returns core-seconds a second.
+func (a *arrivals) rate(now time.Time) float64 {
+	first, _ := slices.BinarySearchFunc(a.at, now.Add(-arrivalWindow), func(at, limit time.Time) int { return at.Compare(limit) })
+	a.at, a.work = slices.Delete(a.at, 0, first), slices.Delete(a.work, 0, first)
+	sum := 0.0
+	for _, work := range a.work {
+		sum += work
+	}
+	return sum / arrivalWindow.Seconds()
+}
+
+// Survey returns what the cell could use and what runs on each endpoint.
+func (c *Cell) Survey(now time.Time) (demand Demand, loads []Load) {
+	for _, j := range c.active {
+		if j.isOver() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				c.addDemand(&demand, s)
+			}
+		}
+	}
+	demand.Arriving = int64(c.arrivals.rate(now) * 1000)
+	for _, e := range c.endpoints {
+		loads = append(loads, e.load())
+	}
+	slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return demand, loads
+}
+
+func (c *Cell) addDemand(demand *Demand, s *step) {
+	if !s.isReady {
+		return
+	}
+	asked := int64(s.left) * s.Reserved().CPU
+	if !s.LongRunning {
+		demand.Present += asked
+		return
+	}
+	demand.Lasting += asked
+	if s.AntiAffinity > 0 {
+		demand.Least = max(demand.Least, (s.Count+s.AntiAffinity-1)/s.AntiAffinity)
+	}
+}
+
+func (e *Endpoint) load() Load {
+	load := Load{Endpoint: e.ID, IsKnown: true, Runs: len(e.runs), CPU: e.used.CPU}
+	for _, r := range e.runs {
+		if r.task.step.LongRunning {
+			load.Lasting++
+		}
+	}
+	return load
+}
--- a/jobs/load.go
+++ b/jobs/load.go
@@ -9,6 +9,8 @@
 	IsKnown bool
 	// Runs counts all runs, Lasting those of long-running tasks.
 	Runs, Lasting int
+	// CPU is what the runs take, in thousandths of a core.
+	CPU int64
 }
 
 // Active returns how many jobs are not over.
@@ -42,17 +44,12 @@
 	if until.After(e.cordon) {
 		e.cordon = until
 	}
-	load := Load{Endpoint: id, IsKnown: true, Runs: len(e.runs)}
 	for _, r := range sortedRuns(e) {
-		if !r.task.step.LongRunning {
-			continue
-		}
-		load.Lasting++
-		if evacuate && !r.isStopping && r.phase == running && c.maySpare(now, r) {
+		if evacuate && r.task.step.LongRunning && !r.isStopping && r.phase == running && c.maySpare(now, r) {
 			c.stop(r, "evacuation for planned work")
 		}
 	}
-	return load
+	return e.load()
 }
 
 // maySpare tells whether a long-running task may be away now: the others of its
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -367,18 +367,22 @@
 	costFar = 1 << 30
 	// costAvoid is for the endpoint of the last failure, worse than being far.
 	costAvoid = 1 << 31
+	// costFull is for endpoints that have their share of long-running tasks.
+	costFull = 1 << 24
 	// costProbe keeps suspects for tasks that fit nowhere else or come first.
 	costProbe = 1 << 20
 )
 
+// lastingShare is the share of an endpoint that long-running tasks take before
+// another endpoint is begun.
+const lastingShare = 0.6
+
 func (p *placer) cost(t *task, e *Endpoint, reserved Size) int64 {
 	s := t.step
 	free := e.Capacity.CPU - e.used.CPU - reserved.CPU
 	cost := free
-	if s.LongRunning || s.Fills {
-		// Long-running tasks are spread, so that the loss of one endpoint takes
-		// few of them and their load is shared.
-		cost = -free + int64(e.lasting())<<12
+	if s.LongRunning {
+		cost = e.costLasting(reserved)
 	}
 	if s.Affinity != "" && s.Affinity != e.Rack {
 		cost += costFar
@@ -395,15 +399,19 @@
 	return cost
 }
 
-// lasting counts the long-running tasks on an endpoint.
-func (e *Endpoint) lasting() int {
-	count := 0
+// costLasting gathers long-running tasks on few endpoints, so that the others
+// can be switched off, up to a share that leaves room for their bursts.
+func (e *Endpoint) costLasting(reserved Size) int64 {
+	taken := reserved.CPU
 	for _, r := range e.runs {
 		if r.task.step.LongRunning {
-			count++
+			taken += r.reserved.CPU
 		}
 	}
-	return count
+	if float64(taken) > lastingShare*float64(e.Capacity.CPU) {
+		return costFull + taken
+	}
+	return e.Capacity.CPU - taken
 }
 
 // hold keeps an endpoint free for a task that has found no room for a while.
