--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -101,7 +101,10 @@
 
 func (o *Owner) orderStops(now time.Time) {
 	for _, stop := range o.cell.Stops(now) {
-		o.orderStop(stop)
+		// Without an address there is nowhere to send it; the run's grant ends it.
+		if o.lookers[stop.Endpoint] != nil {
+			o.orderStop(stop)
+		}
 	}
 }
 
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -116,9 +116,11 @@
 	name  string
 	step  *step
 	index int
-	// number is that of the last run, fails counts those that failed.
-	number, fails int
-	isDone        bool
+	// number is that of the last run, failed lists those that failed. An end can
+	// be listed again to the next owner, so each run counts once.
+	number int
+	failed []int
+	isDone bool
 	// run is the run that is or may be there, nil if there is none.
 	run   *run
 	saved string
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -1,6 +1,9 @@
 package jobs
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // stopAgain is how long to wait for the end of a run before its stop is ordered
 // again; a lost order costs that much.
@@ -131,21 +134,20 @@
 			return
 		}
 		c.complete(now, t)
-	case end.How == Failed:
-		if isNew {
-			c.counts.Failed++
+	case end.How == Failed && !t.step.LongRunning:
+		if t.step.Gang {
+			// A gang fails as one.
+			t = t.step.tasks[0]
 		}
-		if t.step.LongRunning {
+		if slices.Contains(t.failed, end.Run) {
 			return
 		}
+		t.failed = append(t.failed, end.Run)
 		if isNew {
+			c.counts.Failed++
 			c.records = append(c.records, Record{End: &end})
 		}
-		if t.step.Gang {
-			t = t.step.tasks[0]
-		}
-		t.fails++
-		if j.Attempts > 0 && t.fails >= j.Attempts {
+		if j.Attempts > 0 && len(t.failed) >= j.Attempts {
 			c.over(now, j, Broke)
 		}
 	}
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -28,7 +28,7 @@
 type TaskState struct {
 	Task     string `json:"t"`
 	Run      int    `json:"r,omitempty"`
-	Fails    int    `json:"f,omitempty"`
+	Failed   []int  `json:"f,omitempty"`
 	IsDone   bool   `json:"done,omitempty"`
 	Saved    string `json:"save,omitempty"`
 	Endpoint string `json:"e,omitempty"`
@@ -68,7 +68,7 @@
 }
 
 func (t *task) snapshot() TaskState {
-	state := TaskState{Task: t.name, Run: t.number, Fails: t.fails, IsDone: t.isDone, Saved: t.saved}
+	state := TaskState{Task: t.name, Run: t.number, Failed: t.failed, IsDone: t.isDone, Saved: t.saved}
 	if t.run != nil {
 		state.Endpoint, state.Born = t.run.endpoint.ID, t.run.born
 	}
@@ -123,7 +123,7 @@
 	if t == nil {
 		return
 	}
-	t.number, t.fails, t.saved = state.Run, state.Fails, state.Saved
+	t.number, t.failed, t.saved = state.Run, state.Failed, state.Saved
 	if state.IsDone {
 		t.step.waiting = remove(t.step.waiting, t)
 		c.complete(now, t)
