--- a/cmd/chicorypind/fleet.go
+++ b/cmd/chicorypind/fleet.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -35,7 +38,7 @@
 )
 
 // runFleet serves jobs on the platform until the context ends.
-func runFleet(ctx context.Context, settings fleet.Settings, logs io.Writer) error {
+func runFleet(ctx context.Context, path string, settings fleet.Settings, logs io.Writer) error {
 	debug.SetGCPercent(heapGrowth)
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Memory*megabyte) * memoryShare))
@@ -64,9 +67,46 @@
 	}()
 	defer metrics.Close()
 	go reportDropped(ctx, queue, log)
+	go reload(ctx, path, daemon, log)
 	return daemon.Run(ctx)
 }
 
+// settingsInterval is how often the settings file is looked at, since it may
+// change without a signal.
+const settingsInterval = 2 * time.Second
+
+// reload reads the settings again at each SIGHUP and when the file has changed.
+// Settings that cannot be read change nothing.
+func reload(ctx context.Context, path string, daemon *fleet.Daemon, log *logrus.Entry) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	known := mustRead(path)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		isAsked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			isAsked = true
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(path)
+		if err != nil || !isAsked && bytes.Equal(data, known) {
+			continue
+		}
+		known = data
+		settings, err := fleet.ParseSettings(data)
+		if err != nil {
+			event.SettingsRead.Log(log, logrus.Fields{"error": err.Error(), "asked": isAsked})
+			continue
+		}
+		daemon.Reload(settings)
+		event.SettingsRead.Log(log, logrus.Fields{"asked": isAsked})
+	}
+}
+
 func newPlatform(settings fleet.Settings) fleet.Platform {
 	p := fleet.Platform{
 		Store: platform.NewStore(settings.Store), Endpoints: platform.NewEndpoints(), Codec: platform.NewCodec(),
--- a/cmd/chicorypind/main.go
+++ b/cmd/chicorypind/main.go
@@ -79,7 +79,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := runFleet(ctx, settings, os.Stdout); err != nil {
+	if err := runFleet(ctx, args.Settings, settings, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -33,8 +33,9 @@
 	stuckAfter = 600 * time.Millisecond
 	// inboxLength is how many events wait for the loop.
 	inboxLength = 512
-	// startTimeout bounds an order; endpoints answer in milliseconds.
-	startTimeout = 1200 * time.Millisecond
+	// startTimeout bounds an order. Endpoints answer in milliseconds; a task whose
+	// start is open cannot run elsewhere meanwhile.
+	startTimeout = 450 * time.Millisecond
 	// ordersAtOnce bounds the orders to one endpoint at a time.
 	ordersAtOnce = 4
 )
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -26,6 +26,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/call"
 	"gitlab.com/chicorypin/chicorypin/internal/model/setup"
+	"gitlab.com/chicorypin/chicorypin/jobs"
 )
 
 const (
@@ -148,6 +149,24 @@
 	return nil
 }
 
+// Reload brings changed settings in force, as far as a running entry can change:
+// the level of the log and the figures of cells that are taken from now on.
+func (d *Daemon) Reload(settings Settings) {
+	if level, err := logrus.ParseLevel(settings.Level); err == nil {
+		d.log.Logger.SetLevel(level)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.config.Settings.Bounds, d.config.Settings.Level = settings.Bounds, settings.Level
+}
+
+// bounds returns the figures for a cell that is taken now.
+func (d *Daemon) bounds() jobs.Bounds {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.config.Settings.bounds()
+}
+
 // nudge makes manage look at ownership at once.
 func (d *Daemon) nudge() {
 	select {
@@ -293,7 +312,7 @@
 	event.CellTaken.Log(d.log, logrus.Fields{"cell": cell, "epoch": condition.Revision})
 	o := owner.New(owner.Config{
 		Cell: cell, Store: d.platform.Store, Endpoints: d.platform.Endpoints, Condition: condition,
-		IsValid: d.session.IsValid, Bounds: d.config.Settings.bounds(), Inherited: boot.Now(),
+		IsValid: d.session.IsValid, Bounds: d.bounds(), Inherited: boot.Now(),
 		Entitled: d.entitled(cell), Advise: d.platform.Advise,
 		Log:   d.log.WithField("cell", cell),
 		Scope: d.config.Scope.Tagged(map[string]string{"cell": cell}),
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -7,7 +7,7 @@
 
 // stopAgain is how long to wait for the end of a run before its stop is ordered
 // again; a lost order costs that much.
-const stopAgain = 700 * time.Millisecond
+const stopAgain = 450 * time.Millisecond
 
 // Listed takes in what an endpoint says of its runs. The listing was asked for
 // under the epoch of this owner, so orders of earlier owners are refused there
@@ -41,9 +41,13 @@
 		c.ended(now, e, row.End)
 	}
 	for _, r := range sortedRuns(e) {
-		if !present[r.task.name] && r.isAbsent(l.Clock, isFirst) {
+		switch {
+		case present[r.task.name]:
+		case r.isAbsent(l.Clock, isFirst):
 			c.counts.Lost++
 			c.gone(r)
+		case r.phase == unsure && l.Clock > r.clock:
+			c.stop(r, "start was not answered and has not been carried out")
 		}
 	}
 	return strays
@@ -199,8 +203,8 @@
 	case Accepted:
 		r.phase, r.clock, r.seen, r.moved = running, clock, now, now
 	case Unanswered:
-		r.phase = unsure
-		c.stop(r, "start was not answered")
+		// The answer alone may be lost, so the next look decides.
+		r.phase, r.clock = unsure, e.clock
 	default:
 		r.task.notBefore = now.Add(refusedWait)
 		if answer == Unhealthy {
