Count arrivals once, see rises within 0.5 s, switch machines off after 2 s

Cause: a job turned away and handed in again counted as new demand each time, and a rise showed only as the 1.2 s window filled, so pools grew late and then too far.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -89,6 +89,7 @@
 	DutyOpen      = define(665, logrus.WarnLevel, "order for a machine not answered")
 	CloudLost     = define(666, logrus.WarnLevel, "list of machines out of reach")
 	CloudBack     = define(667, logrus.InfoLevel, "list of machines reached again")
+	PoolsSized    = define(668, logrus.InfoLevel, "machines planned to move")
 	SettingsRead  = define(670, logrus.InfoLevel, "settings read again")
 	LinesDropped  = define(671, logrus.WarnLevel, "log lines dropped")
 	CallFailed    = define(672, logrus.WarnLevel, "call to another entry failed")
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -335,11 +336,30 @@
 	for i := range v.Machines {
 		v.Machines[i].IsEngaged = s.duties[v.Machines[i].ID] != nil
 	}
-	for _, m := range pools.Moves(v) {
+	moves := pools.Moves(v)
+	if len(moves) > 0 {
+		s.logSizes(v, len(moves))
+	}
+	for _, m := range moves {
 		s.take(now, &duty{machine: m.Machine.ID, endpoint: m.Machine.Endpoint, from: m.Machine.Pool, pool: m.Pool})
 	}
 }
 
+// logSizes logs what a plan went by: for each pool the machines it has and
+// needs, and the demand behind that.
+func (s *Steward) logSizes(v pools.View, moves int) {
+	fields := logrus.Fields{"moves": moves, "listed": boot.Now().Sub(s.listed).Milliseconds()}
+	for _, size := range pools.Sizes(v) {
+		fields[size.Pool] = fmt.Sprintf("have %d need %d", size.Have, size.Need)
+	}
+	for _, p := range v.Pools {
+		if !p.IsStandby {
+			fields[p.Name+".demand"] = fmt.Sprintf("present %d arriving %d lasting %d", p.Present, p.Arriving, p.Lasting)
+		}
+	}
+	event.PoolsSized.Log(s.config.Log, fields)
+}
+
 func (s *Steward) take(now time.Time, d *duty) {
 	if s.duties[d.machine] == nil {
 		d.since = now
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -39,7 +39,7 @@
 	balanceEvery = 300 * time.Millisecond
 	// registryGap is the least time between two answers of the watch on
 	// endpoints, which write about once a second each.
-	registryGap = 400 * time.Millisecond
+	registryGap = 200 * time.Millisecond
 	// settleTimeout bounds the end of a cell's work before it is handed over.
 	settleTimeout = 1500 * time.Millisecond
 )
--- a/internal/plan/pools/pools.go
+++ b/internal/plan/pools/pools.go
@@ -49,6 +49,24 @@
 	Waves    []Wave
 }
 
+// Size is what a pool has and needs, in machines.
+type Size struct {
+	Pool       string
+	Have, Need int
+}
+
+// Sizes returns what each pool that is on has and needs.
+func Sizes(v View) []Size {
+	var list []Size
+	for _, s := range measure(v) {
+		if !s.IsStandby {
+			list = append(list, Size{Pool: s.Name, Have: s.have, Need: s.need})
+		}
+	}
+	slices.SortFunc(list, func(a, b Size) int { return cmp.Compare(a.Pool, b.Pool) })
+	return list
+}
+
 // Move asks that a machine goes to another pool.
 type Move struct {
 	Machine Machine
@@ -64,9 +82,9 @@
 	// spares is how many machines a pool keeps beyond its need, for the loss of
 	// one.
 	spares = 1
-	// idleBefore is how long a machine is idle before it is switched off. A
-	// machine costs as much in this time as the move back.
-	idleBefore = 1200 * time.Millisecond
+	// idleBefore is how long a machine is idle before it is switched off. It costs
+	// as much in this time as the moves away and back.
+	idleBefore = 2 * time.Second
 )
 
 // need returns how many machines a pool should have.
--- a/jobs/demand.go
+++ b/jobs/demand.go
@@ -19,29 +19,66 @@
 	Least int
 }
 
-// arrivalWindow is over how long arrivals are averaged. Demand changes by five
-// times within a second, so a longer one would lag.
-const arrivalWindow = 1200 * time.Millisecond
+// Windows over which arrivals are averaged. Demand changes by five times within
+// a second: the short window sees a rise early, the long one keeps a few small
+// jobs from hiding it.
+const (
+	arrivalWindow = 1200 * time.Millisecond
+	risingWindow  = 500 * time.Millisecond
+	// risingJobs is how many jobs the short window must hold to count.
+	risingJobs = 4
+	// sameWindow is how long a job that was turned away and comes again is not
+	// counted again.
+	sameWindow = 6 * time.Second
+)
 
 // arrivals is the work that was handed in lately.
 type arrivals struct {
 	at   []time.Time
 	work []float64
+	seen map[string]time.Time
 }
 
-func (a *arrivals) add(now time.Time, work float64) {
+// add notes a job with its work in core-seconds, unless it comes again.
+func (a *arrivals) add(now time.Time, id string, work float64) {
+	if a.seen == nil {
+		a.seen = make(map[string]time.Time)
+	}
+	if at, isSeen := a.seen[id]; isSeen && now.Sub(at) < sameWindow {
+		return
+	}
+	a.seen[id] = now
 	a.at, a.work = append(a.at, now), append(a.work, work)
 }
 
 // rate returns core-seconds a second.
 func (a *arrivals) rate(now time.Time) float64 {
-	first, _ := slices.BinarySearchFunc(a.at, now.Add(-arrivalWindow), func(at, limit time.Time) int { return at.Compare(limit) })
+	first := a.firstWithin(now, arrivalWindow)
 	a.at, a.work = slices.Delete(a.at, 0, first), slices.Delete(a.work, 0, first)
-	sum := 0.0
-	for _, work := range a.work {
-		sum += work
+	for id, at := range a.seen {
+		if now.Sub(at) >= sameWindow {
+			delete(a.seen, id)
+		}
+	}
+	rate := sum(a.work) / arrivalWindow.Seconds()
+	rising := a.work[a.firstWithin(now, risingWindow):]
+	if len(rising) >= risingJobs {
+		rate = max(rate, sum(rising)/risingWindow.Seconds())
+	}
+	return rate
+}
+
+// firstWithin returns the position of the first arrival within a window.
+func (a *arrivals) firstWithin(now time.Time, window time.Duration) int {
+	first, _ := slices.BinarySearchFunc(a.at, now.Add(-window), time.Time.Compare)
+	return first
+}
+
+func sum(list []float64) (total float64) {
+	for _, each := range list {
+		total += each
 	}
-	return sum / arrivalWindow.Seconds()
+	return total
 }
 
 // Survey returns what the cell could use and what runs on each endpoint.
