--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -22,8 +22,17 @@
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
 
-// doneKey is where the machines that waves have maintained are noted.
-const doneKey = "steward/done"
+// stateKey is where a holder notes what the next one has to know.
+const stateKey = "steward/state"
+
+// state is what outlasts a holder.
+type state struct {
+	// Done are the machines that each wave has maintained.
+	Done map[int][]string `json:"done,omitempty"`
+	// Ordered are the machines for which orders were given lately. It is written
+	// before they are given.
+	Ordered []string `json:"ordered,omitempty"`
+}
 
 const (
 	// stepEvery is how often the steward looks at demand.
@@ -41,6 +50,9 @@
 	// progress is stopped, forceAfter before the rest is given up.
 	saveAfter  = 2500 * time.Millisecond
 	forceAfter = 7 * time.Second
+	// noteFor is how long a machine that was ordered is noted for the next holder.
+	// It is longer than an order is repeated and the next holder's wait together.
+	noteFor = 6 * time.Second
 	// giveUpAfter is how long a machine may be kept free for a move.
 	giveUpAfter = 1500 * time.Millisecond
 	// settleLimit is how long a machine may take to come back.
@@ -98,6 +110,10 @@
 	done    map[int][]string
 	told    map[int]bool
 	changed bool
+	// ordered is when each machine was ordered last, quiet until when a machine
+	// that the last holder has ordered gets no orders.
+	ordered map[string]time.Time
+	quiet   map[string]time.Time
 	idle    map[string]time.Time
 	cpu     int64
 	fenced  bool
@@ -136,6 +152,7 @@
 	s := &Steward{
 		config: config, duties: make(map[string]*duty), done: make(map[int][]string),
 		told: make(map[int]bool), idle: make(map[string]time.Time),
+		ordered: make(map[string]time.Time), quiet: make(map[string]time.Time),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
@@ -148,7 +165,6 @@
 func (s *Steward) Run() {
 	defer s.wait.Wait()
 	defer s.cancel()
-	began := boot.Now()
 	for !s.load() {
 		if !s.pause(stepEvery) {
 			return
@@ -156,7 +172,7 @@
 	}
 	for {
 		if s.config.IsValid() {
-			s.step(boot.Now().Sub(began) >= s.config.Quiet)
+			s.step()
 		}
 		if s.isFenced() || !s.pause(stepEvery) {
 			return
@@ -186,31 +202,73 @@
 func (s *Steward) load() bool {
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	item, err := s.config.Store.Get(ctx, doneKey)
+	item, err := s.config.Store.Get(ctx, stateKey)
 	if errors.Is(err, store.ErrAbsent) {
 		return true
 	}
+	var last state
 	if err == nil {
-		err = json.Unmarshal(item.Value, &s.done)
+		err = json.Unmarshal(item.Value, &last)
 	}
 	if err != nil {
 		event.CallFailed.Log(s.config.Log, logrus.Fields{"call": "steward state", "error": err.Error()})
 		return false
 	}
+	if last.Done != nil {
+		s.done = last.Done
+	}
+	now := boot.Now()
+	for _, machine := range last.Ordered {
+		s.quiet[machine] = now.Add(s.config.Quiet)
+		s.ordered[machine] = now
+	}
 	return true
 }
 
-func (s *Steward) step(mayOrder bool) {
+// note stores what the next holder has to know, with the machines that are to
+// be ordered now. Nothing may be ordered before it has succeeded.
+func (s *Steward) note(now time.Time, next []*duty) bool {
+	s.mu.Lock()
+	for _, d := range next {
+		s.ordered[d.machine] = now
+	}
+	current := state{Done: s.done}
+	for machine, at := range s.ordered {
+		if now.Sub(at) < noteFor {
+			current.Ordered = append(current.Ordered, machine)
+		} else {
+			delete(s.ordered, machine)
+		}
+	}
+	slices.Sort(current.Ordered)
+	value, err := json.Marshal(current)
+	s.changed = false
+	s.mu.Unlock()
+	if err == nil {
+		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+		defer cancel()
+		_, err = s.config.Store.Commit(ctx, store.Change{
+			If: []store.Condition{s.config.Condition}, Puts: []store.Put{{Key: stateKey, Value: value}},
+		})
+	}
+	if err != nil {
+		s.mu.Lock()
+		s.changed = true
+		s.mu.Unlock()
+		event.CallFailed.Log(s.config.Log, logrus.Fields{"call": "steward state", "error": err.Error()})
+	}
+	return err == nil
+}
+
+func (s *Steward) step() {
 	now := boot.Now()
 	if !s.list(now) {
 		return
 	}
 	view := s.view(now)
 	s.advance(now)
-	if mayOrder {
-		s.plan(now, view)
-	}
-	s.cordon(now, mayOrder)
+	s.plan(now, view)
+	s.cordon(now)
 	s.tell()
 }
 
@@ -404,7 +462,7 @@
 
 // cordon keeps work off the machines with duties and gives the orders for those
 // that are free.
-func (s *Steward) cordon(now time.Time, mayOrder bool) {
+func (s *Steward) cordon(now time.Time) {
 	s.mu.Lock()
 	byPool := make(map[string][]*duty)
 	standby := make(map[string]bool)
@@ -433,7 +491,8 @@
 		})
 	}
 	wait.Wait()
-	if !mayOrder || !s.config.IsValid() {
+	free = slices.DeleteFunc(free, func(d *duty) bool { return !s.mayOrder(now, d) })
+	if len(free) == 0 || !s.note(now, free) || !s.config.IsValid() {
 		return
 	}
 	for _, d := range free {
@@ -467,15 +526,21 @@
 	return free
 }
 
+// mayOrder tells whether it is time to give the order of a duty.
+func (s *Steward) mayOrder(now time.Time, d *duty) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.quiet[d.machine]) {
+		return false
+	}
+	return d.phase == freeing || d.phase == open && now.Sub(d.tried) >= callTimeout
+}
+
 // order gives the order of a duty in the background.
 func (s *Steward) order(d *duty) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := boot.Now()
-	if d.phase != freeing && (d.phase != open || now.Sub(d.tried) < callTimeout) {
-		return
-	}
-	d.phase, d.tried = ordered, now
+	d.phase, d.tried = ordered, boot.Now()
 	machine, pool, wave := d.machine, d.pool, d.wave
 	s.wait.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -520,15 +585,13 @@
 // tell writes the state of waves.
 func (s *Steward) tell() {
 	s.mu.Lock()
-	change := store.Change{If: []store.Condition{s.config.Condition}}
-	if s.changed {
-		value, err := json.Marshal(s.done)
-		if err != nil {
-			s.mu.Unlock()
-			return
-		}
-		change.Puts = append(change.Puts, store.Put{Key: doneKey, Value: value})
+	isChanged := s.changed
+	s.mu.Unlock()
+	if isChanged && !s.note(boot.Now(), nil) {
+		return
 	}
+	s.mu.Lock()
+	change := store.Change{If: []store.Condition{s.config.Condition}}
 	told := make(map[int]bool)
 	present := make(map[string]bool, len(s.machines))
 	for _, m := range s.machines {
@@ -558,7 +621,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.changed = false
 	for number, isCompleted := range told {
 		s.told[number] = isCompleted
 		if isCompleted {
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -274,6 +274,10 @@
 func (d *Daemon) isRunning(cell string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.isRunningLocked(cell)
+}
+
+func (d *Daemon) isRunningLocked(cell string) bool {
 	if cell == stewardCell && d.steward != nil {
 		return true
 	}
@@ -282,7 +286,9 @@
 
 func (d *Daemon) take(cell string) {
 	d.mu.Lock()
-	if d.taking[cell] || d.isLeaving {
+	// The view may be older than the last take, and a second one would find its
+	// own key and run the cell twice.
+	if d.isRunningLocked(cell) || d.isLeaving {
 		d.mu.Unlock()
 		return
 	}
