Keep learned run times over owners; lease of 2 s; bound the steward's questions

Cause: each new owner fell back on declared run times, off by up to ten times, so admission and pool sizes jumped after a takeover; a cut-off owner held the steward up for 1.2 s a step; a dead owner was replaced after 3 s.

--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -87,6 +87,8 @@
 	isWriting bool
 	isDirty   bool
 	isLeaving bool
+	// isSaved says that the state was stored whole since the owner began to leave.
+	isSaved   bool
 	planned   time.Time
 	forgotten time.Time
 
@@ -183,8 +185,8 @@
 	o.orderPaces(now)
 	o.askAdvice(now)
 	batch := o.cell.Take()
-	if len(batch.Records) == 0 {
-		o.stored(batch, nil)
+	if len(batch.Records) == 0 && (!o.isLeaving || o.isSaved) {
+		o.stored(batch)
 		return 0
 	}
 	o.write(now, batch)
@@ -197,7 +199,7 @@
 	waiters := o.waiters
 	o.waiters = nil
 	var state *jobs.Snapshot
-	if o.journal.WantsSnapshot() {
+	if o.journal.WantsSnapshot() || o.isLeaving {
 		s := o.cell.Snapshot()
 		state = &s
 	}
@@ -222,13 +224,14 @@
 			for _, waiter := range waiters {
 				waiter(nil)
 			}
-			o.stored(batch, nil)
+			o.isSaved = o.isLeaving && state != nil
+			o.stored(batch)
 		})
 	})
 }
 
 // stored carries out what had to wait for a batch to be stored.
-func (o *Owner) stored(batch jobs.Batch, _ error) {
+func (o *Owner) stored(batch jobs.Batch) {
 	now := boot.Now()
 	if !o.isWriting && len(batch.Records) == 0 {
 		waiters := o.waiters
@@ -311,7 +314,7 @@
 	o.post(func() { o.isLeaving = true })
 	for ctx.Err() == nil && o.ctx.Err() == nil {
 		isIdle := false
-		if o.ask(ctx, func() { isIdle = !o.isWriting && len(o.waiters) == 0 }) != nil || isIdle {
+		if o.ask(ctx, func() { isIdle = !o.isWriting && len(o.waiters) == 0 && o.isSaved }) != nil || isIdle {
 			return
 		}
 		select {
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -41,6 +41,9 @@
 	// listSoon with one.
 	listEvery = 1500 * time.Millisecond
 	listSoon  = 400 * time.Millisecond
+	// askTimeout bounds a question to the owner of a pool. One that is cut off
+	// must not hold up the others.
+	askTimeout = 350 * time.Millisecond
 	// callTimeout bounds a call to the cloud or the store.
 	callTimeout = 1200 * time.Millisecond
 	// cordonLength is how long an owner keeps work off a machine without hearing
@@ -316,7 +319,7 @@
 			continue
 		}
 		wait.Go(func() {
-			ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+			ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
 			defer cancel()
 			demand, found, err := s.config.Cells.Survey(ctx, p.Name)
 			if err != nil {
@@ -506,7 +509,7 @@
 	for i, d := range duties {
 		ids[i] = d.endpoint
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
 	defer cancel()
 	loads, err := s.config.Cells.Cordon(ctx, pool, ids, cordonLength, true)
 	if err != nil {
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -31,8 +31,9 @@
 
 const (
 	// sessionTTL is how long the store keeps an entry's keys without a renewal.
-	// A dead owner is replaced after it; a shorter one loses cells to short cuts.
-	sessionTTL = 3 * time.Second
+	// A dead owner is replaced after it. Renewals come four times in it, so two may
+	// fail; a cell that is lost for nothing is served elsewhere within 0.1 s.
+	sessionTTL = 2 * time.Second
 	// manageEvery is how often ownership is looked at without a change.
 	manageEvery = 100 * time.Millisecond
 	// balanceEvery is how often limits are divided anew.
--- a/jobs/learn.go
+++ b/jobs/learn.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Weights of what was learned.
 const (
@@ -34,16 +38,39 @@
 	step  int
 }
 
-// learned is what the cell has measured of run times. What submitters declare
-// is off by up to ten times, so it is scaled by what came of earlier ones.
+// learned is what the cell has measured of run times. It goes before what
+// submitters declare, which is off by up to ten times.
 type learned struct {
 	runs map[kind]*average
-	// ratio compares what was measured with what was declared, for each queue.
-	ratio map[string]*average
 }
 
-func newLearned() learned {
-	return learned{runs: make(map[kind]*average), ratio: make(map[string]*average)}
+func newLearned() learned { return learned{runs: make(map[kind]*average)} }
+
+// Habit is what was measured of the run times of like tasks. It is stored with
+// the snapshot, so that the next owner need not learn it again.
+type Habit struct {
+	Queue string `json:"queue"`
+	Step  int    `json:"step,omitempty"`
+	// Seconds is the mean run time, Count how many runs it stands for.
+	Seconds float64 `json:"s"`
+	Count   int     `json:"n"`
+}
+
+func (l *learned) habits() []Habit {
+	list := make([]Habit, 0, len(l.runs))
+	for key, measured := range l.runs {
+		list = append(list, Habit{Queue: key.queue, Step: key.step, Seconds: measured.mean, Count: measured.count})
+	}
+	slices.SortFunc(list, func(a, b Habit) int {
+		return cmp.Or(cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Step, b.Step))
+	})
+	return list
+}
+
+func (l *learned) restore(habits []Habit) {
+	for _, h := range habits {
+		l.runs[kind{h.Queue, h.Step}] = &average{mean: h.Seconds, count: h.Count}
+	}
 }
 
 // learn takes in how a run ended.
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -9,6 +9,8 @@
 // Snapshot is the durable state of a cell.
 type Snapshot struct {
 	Jobs []JobState `json:"jobs"`
+	// Habits need not be stored with each record: they only guide decisions.
+	Habits []Habit `json:"habits,omitempty"`
 }
 
 // JobState is the durable state of a job.
@@ -38,7 +40,7 @@
 // Snapshot returns the state that all records so far lead to. Decisions that
 // were not taken into a batch yet are part of it.
 func (c *Cell) Snapshot() Snapshot {
-	s := Snapshot{Jobs: make([]JobState, 0, len(c.jobs))}
+	s := Snapshot{Jobs: make([]JobState, 0, len(c.jobs)), Habits: c.learned.habits()}
 	for _, j := range c.jobs {
 		s.Jobs = append(s.Jobs, j.snapshot())
 	}
@@ -77,6 +79,7 @@
 
 // Restore fills an empty cell from a snapshot.
 func (c *Cell) Restore(now time.Time, s Snapshot) {
+	c.learned.restore(s.Habits)
 	for _, state := range s.Jobs {
 		if state.State != "" {
 			j := &job{Job: state.Job, state: state.State, shown: state.State, arrived: now, ended: now}
