--- a/cmd/chicorypind/fleet.go
+++ b/cmd/chicorypind/fleet.go
@@ -65,7 +65,10 @@
 			event.CallFailed.Log(log, logrus.Fields{"call": "metrics", "error": err.Error()})
 		}
 	}()
-	defer metrics.Close()
+	defer func() {
+		// The process ends, and its connections with it.
+		_ = metrics.Close()
+	}()
 	go reportDropped(ctx, queue, log)
 	go reload(ctx, path, daemon, log)
 	return daemon.Run(ctx)
--- a/cmd/chicorypind/main.go
+++ b/cmd/chicorypind/main.go
@@ -78,8 +78,9 @@
 		return
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := runFleet(ctx, args.Settings, settings, os.Stdout); err != nil {
+	err = runFleet(ctx, args.Settings, settings, os.Stdout)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -94,7 +93,6 @@
 
 	metrics metrics
 	failure error
-	once    sync.Once
 	done    chan struct{}
 }
 
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -437,23 +437,30 @@
 		known[m.ID] = m
 	}
 	for id, d := range s.duties {
-		m, ok := known[id]
+		m, isListed := known[id]
+		isFresh := s.listed.After(d.tried)
 		switch {
-		case !ok || m.State == cloud.Down:
+		case !isListed || m.State == cloud.Down || d.isOver(now, m, isFresh):
 			delete(s.duties, id)
-		case d.phase == freeing && m.Endpoint != d.endpoint:
-			delete(s.duties, id)
-		case d.phase == freeing && d.pool != "" && now.Sub(d.since) > giveUpAfter:
-			delete(s.duties, id)
-		case d.phase == settling && s.listed.After(d.tried) && m.State == cloud.Up && m.Endpoint != d.endpoint,
-			d.phase == settling && now.Sub(d.tried) > settleLimit:
-			delete(s.duties, id)
-		case d.phase == open && (m.State == cloud.Upkeep || m.State == cloud.Moving) && s.listed.After(d.tried):
+		case d.phase == open && isFresh && (m.State == cloud.Upkeep || m.State == cloud.Moving):
 			s.began(d)
 		}
 	}
 }
 
+// isOver tells whether a duty is done or to be given up.
+func (d *duty) isOver(now time.Time, m cloud.Machine, isFresh bool) bool {
+	switch d.phase {
+	case freeing:
+		return m.Endpoint != d.endpoint || d.pool != "" && now.Sub(d.since) > giveUpAfter
+	case settling:
+		isBack := isFresh && m.State == cloud.Up && m.Endpoint != d.endpoint
+		return isBack || now.Sub(d.tried) > settleLimit
+	default:
+		return false
+	}
+}
+
 // began notes that a machine has been taken down for its duty.
 func (s *Steward) began(d *duty) {
 	d.phase = settling
--- a/internal/daemon/fleet/settings.go
+++ b/internal/daemon/fleet/settings.go
@@ -83,8 +83,11 @@
 		path    string
 		address netip.AddrPort
 	}{
-		{"/submitters", s.Submitters}, {"/ready", s.Ready},
-		{"/peer", s.Peer}, {"/metrics", s.Metrics}, {"/store", s.Store},
+		{"/submitters", s.Submitters},
+		{"/ready", s.Ready},
+		{"/peer", s.Peer},
+		{"/metrics", s.Metrics},
+		{"/store", s.Store},
 	} {
 		if !each.address.IsValid() {
 			list.Add(each.path, "no address is given")
--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -106,10 +106,11 @@
 // Close ends all sessions.
 func (m *Mesh) Close() {
 	m.cancel()
-	m.listener.Close()
+	// What cannot be closed ends with the process.
+	_ = m.listener.Close()
 	m.mu.Lock()
 	for conn := range m.taken {
-		conn.Close()
+		_ = conn.Close()
 	}
 	for _, p := range m.peers {
 		p.drop(nil)
@@ -149,7 +150,7 @@
 
 func (m *Mesh) serve(conn net.Conn) {
 	defer func() {
-		conn.Close()
+		_ = conn.Close()
 		m.mu.Lock()
 		delete(m.taken, conn)
 		m.mu.Unlock()
@@ -169,7 +170,7 @@
 }
 
 func (m *Mesh) answer(stream *yamux.Stream) {
-	defer stream.Close()
+	defer func() { _ = stream.Close() }()
 	request := &wire.Request{}
 	options := protodelim.UnmarshalOptions{MaxSize: maxFrame}
 	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, 512), request); err != nil {
@@ -198,7 +199,7 @@
 		p.drop(session)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	defer stream.Close()
+	defer func() { _ = stream.Close() }()
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = stream.SetDeadline(deadline)
 	}
@@ -244,7 +245,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.session != nil && (session == nil || p.session == session) {
-		p.session.Close()
+		_ = p.session.Close()
 		p.session = nil
 	}
 }
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -155,6 +155,8 @@
 	endpoint *Endpoint
 	born     int64
 	phase    phase
+	// isListed says that the endpoint has listed the run.
+	isListed bool
 	// ordered and seen are when the start was ordered and first confirmed.
 	ordered, seen time.Time
 	// clock is the endpoint's clock when it confirmed the start.
--- /dev/null
+++ b/jobs/emulator/world_test.go
@@ -0,0 +1,158 @@
+package emulator
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gitlab.com/chicorypin/chicorypin/jobs"
+)
+
+func TestMain(m *testing.M) {
+	// Fixed seeds make runs repeat; -rapid.seed plays another.
+	_ = flag.Set("rapid.seed", "20261204")
+	m.Run()
+}
+
+// drawStep draws a step of a job.
+func drawStep(t *rapid.T, number int) jobs.Step {
+	step := jobs.Step{
+		Count:    rapid.IntRange(1, 6).Draw(t, "count"),
+		Each:     jobs.Size{CPU: int64(rapid.IntRange(1, 30).Draw(t, "cpu")) * 100, Memory: int64(rapid.IntRange(1, 20).Draw(t, "memory")) * 100},
+		Estimate: time.Duration(rapid.IntRange(100, 5000).Draw(t, "estimate")) * time.Millisecond,
+	}
+	if number > 0 && rapid.Bool().Draw(t, "chained") {
+		step.After = []int{number - 1}
+	}
+	switch rapid.IntRange(0, 9).Draw(t, "feature") {
+	case 0:
+		step.AntiAffinity = 1
+	case 1:
+		step.Speculative = true
+	case 2:
+		step.Requires = "r1"
+	case 3:
+		step.Affinity = "r0"
+	case 4:
+		step.Gang = true
+		step.Count = min(step.Count, 3)
+	case 5:
+		step.Fills = true
+	}
+	return step
+}
+
+func drawJob(t *rapid.T, number int) jobs.Job {
+	job := jobs.Job{
+		ID: fmt.Sprintf("%016x", number+1), Queue: "q", Account: rapid.SampledFrom([]string{"", "red", "blue"}).Draw(t, "account"),
+		Attempts: rapid.IntRange(2, 4).Draw(t, "attempts"), Stretch: 1.6, Target: 600 * time.Millisecond, Spec: "s",
+	}
+	if rapid.IntRange(0, 7).Draw(t, "lasting") == 0 {
+		step := drawStep(t, 0)
+		step.LongRunning, step.Gang, step.Fills, step.Speculative = true, false, false, false
+		step.MaxUnavailable = 1
+		// Small enough and without a limit, so that all of them always have room.
+		step.Each = jobs.Size{CPU: 200, Memory: 100}
+		job.Account = "blue"
+		job.Steps = []jobs.Step{step}
+		return job
+	}
+	for i := range rapid.IntRange(1, 3).Draw(t, "steps") {
+		job.Steps = append(job.Steps, drawStep(t, i))
+	}
+	if rapid.IntRange(0, 9).Draw(t, "timed") == 0 {
+		job.First, job.Interval, job.Times = time.Unix(1002, 0), 700*time.Millisecond, 3
+	}
+	return job
+}
+
+// play draws a run and returns what did not hold.
+func play(t *rapid.T) (w *World) {
+	w = New(Config{
+		Seed: rapid.Uint64().Draw(t, "seed"), Endpoints: 6, PerRack: 2,
+		Capacity: jobs.Size{CPU: 8000, Memory: 8000},
+		Limits:   map[string]jobs.Size{"red": {CPU: 12000, Memory: 20000}},
+		Work: func(w *World, task string) (time.Duration, bool) {
+			name, _ := jobs.ParseTaskName(task)
+			if job, ok := w.oracle.job(name.Job); ok && job.Steps[name.Step].LongRunning {
+				return 0, false
+			}
+			return time.Duration(50+w.Random().IntN(1500)) * time.Millisecond, w.chance(0.05)
+		},
+	})
+	w.Advance(500 * time.Millisecond)
+	sent := 0
+	pick := func() *Endpoint { return w.endpoints[rapid.IntRange(0, len(w.endpoints)-1).Draw(t, "endpoint")] }
+	length := func(most int) time.Duration {
+		return time.Duration(rapid.IntRange(1, most).Draw(t, "length")) * 100 * time.Millisecond
+	}
+	actions := map[string]func(*rapid.T){
+		"submit": func(t *rapid.T) {
+			w.Submit(drawJob(t, sent))
+			sent++
+		},
+		"cancel": func(t *rapid.T) {
+			if sent > 0 {
+				w.Cancel(fmt.Sprintf("%016x", rapid.IntRange(1, sent).Draw(t, "job")))
+			}
+		},
+		"advance": func(*rapid.T) { w.Advance(length(15)) },
+		"wait":    func(*rapid.T) { w.Advance(length(3)) },
+		"kill":    func(*rapid.T) { w.Kill() },
+		"crash":   func(*rapid.T) { pick().Crash(length(40)) },
+		"cut":     func(*rapid.T) { pick().Cut(length(90)) },
+		"drain":   func(*rapid.T) { pick().Drain() },
+		"grey":    func(*rapid.T) { pick().Grey(length(30)) },
+		"hang":    func(*rapid.T) { pick().Hang(length(30)) },
+		"slow":    func(*rapid.T) { pick().Slow(5, length(30)) },
+		"faults": func(t *rapid.T) {
+			share := func(name string) float64 { return float64(rapid.IntRange(0, 4).Draw(t, name)) / 10 }
+			w.SetFaults(Faults{LostAnswers: share("answers"), LateOrders: share("orders"), LostCommits: share("commits")})
+		},
+		"calm": func(*rapid.T) { w.SetFaults(Faults{}) },
+	}
+	t.Repeat(actions)
+	w.SetFaults(Faults{})
+	for _, e := range w.endpoints {
+		if e.isDraining {
+			e.Crash(time.Second)
+		}
+	}
+	w.Advance(60 * time.Second)
+	return w
+}
+
+// TestWhatMustAlwaysHold plays random troubles against the oracle, and then
+// calm until all that was accepted has to be over.
+func TestWhatMustAlwaysHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := play(t)
+		if len(w.Violations()) > 0 {
+			t.Fatalf("%s", strings.Join(w.Violations(), "\n"))
+		}
+		for id, job := range w.Accepted() {
+			state, isKnown := w.Status(id)
+			switch {
+			case !isKnown:
+				continue // Ended jobs are forgotten after their time.
+			case job.IsLasting() && state == jobs.Running:
+				checkLasting(t, w, job)
+			case state == jobs.Queued || state == jobs.Running:
+				t.Fatalf("job %s is %s a minute after all trouble: %+v", id, state, job)
+			}
+		}
+	})
+}
+
+func checkLasting(t *rapid.T, w *World, job jobs.Job) {
+	for k := range job.Steps[0].Count {
+		task := jobs.TaskName{Job: job.ID, Index: k}.String()
+		if len(w.oracle.running[task]) != 1 {
+			t.Fatalf("long-running task %s runs %d times", task, len(w.oracle.running[task]))
+		}
+	}
+}
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -91,7 +91,7 @@
 		e.Machine, e.Rack, e.Centre, e.Labels = p.Machine, p.Rack, p.Centre, p.Labels
 		e.Capacity, e.IsDraining, e.isListed = p.Capacity, p.IsDraining, true
 		if p.Born > e.born {
-			c.reborn(now, e, p.Born)
+			c.reborn(e, p.Born)
 		}
 	}
 	for id, e := range c.endpoints {
@@ -115,26 +115,26 @@
 	return e
 }
 
-// reborn notes a new life of an endpoint. Runs that were confirmed in an
-// earlier one are gone; a start that may still arrive is not.
-func (c *Cell) reborn(now time.Time, e *Endpoint, born int64) {
+// reborn notes a new life of an endpoint. Runs that an earlier one has listed are
+// gone. A start may have met the new life already, also one that was accepted,
+// since its answer does not tell the lives apart: the next listing decides.
+func (c *Cell) reborn(e *Endpoint, born int64) {
 	e.born, e.clock, e.listed, e.seen, e.until = born, 0, 0, 0, 0
 	e.isReached = false
 	e.strikes, e.probes, e.suspect = 0, 0, time.Time{}
 	for _, r := range sortedRuns(e) {
-		if r.phase == ordered || r.phase == unsure {
-			r.phase = unsure
-			r.clock, r.stopClock, r.stopSent = 0, 0, time.Time{}
-			r.isStopping = false
-			c.stop(r, "endpoint restarted before it answered the start")
-			continue
-		}
-		if r.phase != placed {
+		switch {
+		case r.phase == placed || r.born >= born:
+		case !r.isListed:
+			if r.phase == running {
+				r.phase = unsure
+			}
+			r.born, r.clock, r.stopClock, r.stopSent = born, 0, 0, time.Time{}
+		default:
 			c.counts.Lost++
 			c.gone(r)
 		}
 	}
-	_ = now
 }
 
 func (c *Cell) dropRuns(e *Endpoint) {
@@ -198,7 +198,18 @@
 	if e.suspect.IsZero() {
 		return true
 	}
-	return !now.Before(e.suspect) && len(e.runs) == 0
+	return !now.Before(e.suspect) && e.isProbeFree()
+}
+
+// isProbeFree tells whether no short-lived run is there that will tell more of
+// the endpoint. Long-running tasks may stay for good and tell nothing.
+func (e *Endpoint) isProbeFree() bool {
+	for _, r := range e.runs {
+		if !r.task.step.LongRunning {
+			return false
+		}
+	}
+	return true
 }
 
 // strike notes a run that failed or stalled there.
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -18,7 +18,7 @@
 		return nil
 	}
 	if l.Born > e.born {
-		c.reborn(now, e, l.Born)
+		c.reborn(e, l.Born)
 	}
 	if l.Clock < e.listed {
 		return nil
@@ -74,6 +74,7 @@
 	if r == nil || r.number != row.Run {
 		return false
 	}
+	r.isListed = true
 	if r.phase != running {
 		r.phase, r.clock = running, clock
 		if r.seen.IsZero() {
@@ -163,10 +164,12 @@
 		return
 	}
 	t.isDone = true
+	s := t.step
 	if t.run != nil {
 		c.stop(t.run, "done elsewhere")
+	} else {
+		s.waiting = remove(s.waiting, t)
 	}
-	s := t.step
 	s.left--
 	if s.left > 0 {
 		return
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -149,14 +149,21 @@
 const (
 	// stallAfter is how long the progress of a run may stand still.
 	stallAfter = 1500 * time.Millisecond
-	// stallRuns is how many of the run times expected a run may take until it
-	// is looked at for standing still.
-	stallRuns = 0.5
-	// stallPercent is below which progress a task of the longest kind that is
-	// expected would have moved within stallAfter.
+	// stallSlow is the limit for tasks that may have to wait: those that fill, for
+	// processors, and members of a gang, for each other.
+	stallSlow = 5 * time.Second
+	// longestRun is the longest kind of task that is watched: within stallAfter it
+	// moves by whole percents.
 	longestRun = 60 * time.Second
 )
 
+func (s *step) stallLimit() time.Duration {
+	if s.Fills || s.Gang {
+		return stallSlow
+	}
+	return stallAfter
+}
+
 // findStalled stops runs that make no progress on an endpoint, so that they run
 // elsewhere.
 func (c *Cell) findStalled(now time.Time) {
@@ -165,11 +172,11 @@
 			continue
 		}
 		for _, r := range e.runs {
-			if r.phase != running || r.isStopping || r.task.step.LongRunning || r.task.step.Fills || r.task.step.Gang {
+			s := r.task.step
+			if r.phase != running || r.isStopping || s.LongRunning || now.Sub(r.moved) < s.stallLimit() {
 				continue
 			}
-			s := r.task.step
-			if now.Sub(r.moved) < stallAfter || c.runTime(s.occurrence.job.Queue, s.number, s.Step) > longestRun {
+			if c.runTime(s.occurrence.job.Queue, s.number, s.Step) > longestRun {
 				continue
 			}
 			r.task.avoid = e.ID
@@ -334,7 +341,7 @@
 	if e.held != nil && e.held != t && !s.LongRunning {
 		return false
 	}
-	if e.runs[t.name] != nil || !e.suspect.IsZero() && len(e.runs) > 0 {
+	if e.runs[t.name] != nil || !e.suspect.IsZero() && !e.isProbeFree() {
 		return false
 	}
 	if s.Requires != "" && !slices.Contains(e.Labels, s.Requires) {
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -22,6 +22,8 @@
 	// that have not ended.
 	Next int `json:"next,omitempty"`
 	Left int `json:"left,omitempty"`
+	// Open are the occurrences of a timed job that have begun and not ended.
+	Open []int `json:"open,omitempty"`
 	// Tasks are those of which something is known.
 	Tasks []TaskState `json:"tasks,omitempty"`
 }
@@ -58,6 +60,9 @@
 		if o == nil {
 			continue
 		}
+		if j.Times > 0 {
+			state.Open = append(state.Open, k)
+		}
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				if t.number > 0 || t.isDone {
@@ -100,24 +105,9 @@
 		return
 	}
 	j.left = state.Left
-	known := make(map[int]bool)
-	for _, t := range state.Tasks {
-		if name, ok := ParseTaskName(t.Task); ok {
-			known[name.Occurrence] = true
-		}
-	}
-	for k := range known {
+	for _, k := range state.Open {
 		c.begin(j, k)
 	}
-	// Occurrences that had begun without a trace of a run begin again; those
-	// that ended are the rest.
-	missing := state.Left - (j.Times - state.Next) - len(known)
-	for k := state.Next - 1; k >= 0 && missing > 0; k-- {
-		if j.occurrences[k] == nil {
-			c.begin(j, k)
-			missing--
-		}
-	}
 	j.next = state.Next
 }
 
@@ -145,6 +135,10 @@
 	if e == nil {
 		e = c.newEndpoint(endpoint, born)
 	}
+	if born > e.born {
+		// The record tells of a later life than those before it.
+		c.reborn(e, born)
+	}
 	if t.run != nil {
 		c.gone(t.run)
 	}
