--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -400,13 +400,13 @@
 // Forget drops jobs that ended longer ago than they are kept.
 func (c *Cell) Forget(now time.Time) {
 	for id, j := range c.jobs {
-		if j.isOver() && now.Sub(j.ended) > c.config.Bounds.Kept && !c.hasRuns(j) {
+		if j.isOver() && now.Sub(j.ended) > c.config.Bounds.Kept && !j.hasRuns() {
 			delete(c.jobs, id)
 		}
 	}
 }
 
-func (c *Cell) hasRuns(j *job) bool {
+func (j *job) hasRuns() bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.run != nil }) {
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -37,6 +37,8 @@
 	born     int64
 	runs     map[string]*run
 	used     Size
+	// strays is what runs take there that this owner does not know.
+	strays Size
 	// isReached says that the endpoint has seen the epoch of this owner.
 	isReached bool
 	// contact is when the endpoint last answered, clock what its clock was then.
@@ -120,7 +122,7 @@
 // since its answer does not tell the lives apart: the next listing decides.
 func (c *Cell) reborn(e *Endpoint, born int64) {
 	e.born, e.clock, e.listed, e.seen, e.until = born, 0, 0, 0, 0
-	e.isReached = false
+	e.isReached, e.strays = false, Size{}
 	e.strikes, e.probes, e.suspect = 0, 0, time.Time{}
 	for _, r := range sortedRuns(e) {
 		switch {
@@ -160,6 +162,9 @@
 	return runs
 }
 
+// room returns what is free.
+func (e *Endpoint) room() Size { return e.Capacity.Minus(e.used).Minus(e.strays) }
+
 // clockNow returns a time that the endpoint's clock has certainly reached.
 func (e *Endpoint) clockNow(now time.Time, slack float64) int64 {
 	passed := float64(now.Sub(e.contact).Milliseconds()) * (1 - slack)
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -27,9 +27,11 @@
 	e.listed, e.isReached = l.Clock, true
 	e.heard(now, l.Clock)
 	present := make(map[string]bool, len(l.Running))
+	e.strays = Size{}
 	for _, row := range l.Running {
 		present[row.Task] = true
 		if !c.listedRun(now, e, l.Clock, row) {
+			e.strays = e.strays.Plus(c.strayRoom(e, row.Task))
 			strays = append(strays, Stop{Endpoint: e.ID, Task: row.Task, Run: row.Run, Why: "not ordered by this owner"})
 		}
 	}
@@ -68,6 +70,15 @@
 	}
 }
 
+// strayRoom returns what an unknown run takes: the size of its task, or all of
+// the endpoint if the task is not known either.
+func (c *Cell) strayRoom(e *Endpoint, task string) Size {
+	if t := c.lookup(task); t != nil {
+		return t.step.Reserved()
+	}
+	return e.Capacity
+}
+
 // listedRun takes in a run that an endpoint has at work.
 func (c *Cell) listedRun(now time.Time, e *Endpoint, clock int64, row Listed) (isOurs bool) {
 	r := e.runs[row.Task]
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -229,7 +229,7 @@
 func (p *placer) measure() {
 	p.most = 0
 	for _, e := range p.free {
-		p.most = max(p.most, e.Capacity.CPU-e.used.CPU)
+		p.most = max(p.most, e.room().CPU)
 	}
 }
 
@@ -325,7 +325,7 @@
 	var best *Endpoint
 	var bestCost int64
 	for _, e := range p.free {
-		if !reserved.Fits(e.Capacity.Minus(e.used)) || !p.suits(t, e) {
+		if !reserved.Fits(e.room()) || !p.suits(t, e) {
 			continue
 		}
 		if cost := p.cost(t, e, reserved); best == nil || cost < bestCost {
@@ -386,7 +386,7 @@
 
 func (p *placer) cost(t *task, e *Endpoint, reserved Size) int64 {
 	s := t.step
-	free := e.Capacity.CPU - e.used.CPU - reserved.CPU
+	free := e.room().CPU - reserved.CPU
 	cost := free
 	if s.LongRunning {
 		cost = e.costLasting(reserved)
@@ -463,7 +463,7 @@
 	}
 	p.c.starts = append(p.c.starts, r)
 	p.c.records = append(p.c.records, Record{Put: &Placement{Task: t.name, Run: number, Endpoint: e.ID, Born: e.born}})
-	if e.Capacity.CPU-e.used.CPU+r.reserved.CPU >= p.most {
+	if e.room().CPU+r.reserved.CPU >= p.most {
 		p.measure()
 	}
 }
@@ -517,7 +517,7 @@
 		members := make(map[*Endpoint]int)
 		for _, t := range s.tasks {
 			for _, e := range p.free {
-				room := e.Capacity.Minus(e.used).Minus(taken[e])
+				room := e.room().Minus(taken[e])
 				isApart := s.AntiAffinity > 0 && e.countOf(s)+members[e] >= s.AntiAffinity
 				if rack != "" && e.Rack != rack || isApart || !s.Reserved().Fits(room) || !p.suits(t, e) {
 					continue
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -51,10 +51,14 @@
 }
 
 func (j *job) snapshot() JobState {
-	if j.isOver() {
-		return JobState{Job: Job{ID: j.ID, Queue: j.Queue, Account: j.Account}, State: j.state}
+	state := JobState{Job: j.Job, State: j.state, Next: j.next, Left: j.left}
+	if j.isOver() && !j.hasRuns() {
+		state.Job = Job{ID: j.ID, Queue: j.Queue, Account: j.Account}
+		return state
+	}
+	if !j.isOver() {
+		state.State = ""
 	}
-	state := JobState{Job: j.Job, Next: j.next, Left: j.left}
 	for k := range j.next {
 		o := j.occurrences[k]
 		if o == nil {
@@ -86,7 +90,7 @@
 func (c *Cell) Restore(now time.Time, s Snapshot) {
 	c.learned.restore(s.Habits)
 	for _, state := range s.Jobs {
-		if state.State != "" {
+		if state.State != "" && len(state.Tasks) == 0 {
 			j := &job{Job: state.Job, state: state.State, shown: state.State, arrived: now, ended: now}
 			j.isCancelled = state.State == Cancelled
 			c.jobs[j.ID] = j
@@ -97,6 +101,10 @@
 		for _, t := range state.Tasks {
 			c.restoreTask(now, t)
 		}
+		if state.State != "" {
+			// What still runs of a job that is over has to be stopped.
+			c.over(now, j, state.State)
+		}
 	}
 }
 
@@ -129,8 +137,9 @@
 
 // inherit notes a run that an earlier owner may have started.
 func (c *Cell) inherit(t *task, endpoint string, born int64) {
-	t.step.occurrence.job.hasBegun = true
-	t.step.occurrence.job.state = Running
+	if j := t.step.occurrence.job; !j.isOver() {
+		j.hasBegun, j.state = true, Running
+	}
 	e := c.endpoints[endpoint]
 	if e == nil {
 		e = c.newEndpoint(endpoint, born)
@@ -139,7 +148,12 @@
 		// The record tells of a later life than those before it.
 		c.reborn(e, born)
 	}
-	if t.run != nil {
+	switch {
+	case t.run == nil:
+	case t.step.Speculative && t.run.endpoint != e:
+		// The copy before may still run; it counts until its endpoint is asked.
+		t.run = nil
+	default:
 		c.gone(t.run)
 	}
 	t.step.waiting = remove(t.step.waiting, t)
@@ -171,8 +185,9 @@
 	case record.Put != nil:
 		if t := c.lookup(record.Put.Task); t != nil && !t.isDone {
 			t.number = max(t.number, record.Put.Run)
-			if !t.step.occurrence.job.isOver() {
-				c.inherit(t, record.Put.Endpoint, record.Put.Born)
+			c.inherit(t, record.Put.Endpoint, record.Put.Born)
+			if t.step.occurrence.job.isOver() {
+				c.stop(t.run, "the job is over")
 			}
 		}
 	case record.End != nil:
