--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -55,7 +55,9 @@
 	Condition store.Condition
 	// IsValid tells whether the ownership is surely held now.
 	IsValid func() bool
-	Bounds  jobs.Bounds
+	// IsStoreUp tells whether the store has answered lately.
+	IsStoreUp func() bool
+	Bounds    jobs.Bounds
 	// Inherited is when the ownership began.
 	Inherited time.Time
 	// Entitled returns what a client account may run in this cell.
--- a/internal/cell/owner/request.go
+++ b/internal/cell/owner/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,9 +22,10 @@
 	arrived := boot.Now()
 	err = o.ask(ctx, func() {
 		now := boot.Now()
-		if o.isLeaving || o.isWriting && now.Sub(o.writing) > stuckAfter {
-			verdict = jobs.Verdict{Retry: busyRetry, Reason: "the cell is busy"}
-			stored <- nil
+		isStuck := o.isWriting && now.Sub(o.writing) > stuckAfter
+		if o.isLeaving || isStuck || !o.config.IsStoreUp() {
+			verdict = jobs.Verdict{Retry: busyRetry, Reason: "the cell cannot store jobs now"}
+			stored <- ErrNotDone
 			return
 		}
 		verdict = o.cell.Admit(now, &job)
@@ -53,6 +55,8 @@
 		"took": boot.Now().Sub(arrived).Milliseconds(),
 	}
 	switch {
+	case errors.Is(err, ErrNotDone):
+		event.JobRejected.Log(o.config.Log, fields)
 	case err != nil:
 		event.JobOpen.Log(o.config.Log, fields)
 	case verdict.IsAccepted:
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -319,7 +319,7 @@
 	event.CellTaken.Log(d.log, logrus.Fields{"cell": cell, "epoch": condition.Revision})
 	o := owner.New(owner.Config{
 		Cell: cell, Store: d.platform.Store, Endpoints: d.platform.Endpoints, Condition: condition,
-		IsValid: d.session.IsValid, Bounds: d.bounds(), Inherited: boot.Now(),
+		IsValid: d.session.IsValid, IsStoreUp: d.isStoreUp, Bounds: d.bounds(), Inherited: boot.Now(),
 		Entitled: d.entitled(cell), Advise: d.platform.Advise,
 		Log:   d.log.WithField("cell", cell),
 		Scope: d.config.Scope.Tagged(map[string]string{"cell": cell}),
@@ -347,6 +347,14 @@
 	o.SetEndpoints(entries)
 }
 
+// isStoreUp tells whether the last renewal of the session is as recent as it is
+// while the store answers.
+func (d *Daemon) isStoreUp() bool { return boot.Now().Sub(d.session.Reached()) < renewalLate }
+
+// renewalLate is how old the last renewal may be: renewals come every half
+// second.
+const renewalLate = 900 * time.Millisecond
+
 // leave hands over all cells.
 func (d *Daemon) leave() {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/daemon/fleet/daemon_test.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/model/setup"
+)
+
+func digest(key string) setup.Digest { return sha256.Sum256([]byte(key)) }
+
+func path(queue string, number uint64) string { return fmt.Sprintf("/%s/%016x", queue, number) }
+
+func TestJobsOverEntries(t *testing.T) {
+	Convey("Jobs handed in at any entry run once and are shown as completed at any entry", t, func() {
+		s := newSite(t, 3)
+		for i := range 6 {
+			So(s.submit(i%3, path("quick", uint64(i+1))), ShouldBeTrue)
+		}
+		for i := range 6 {
+			So(s.completes((i+1)%3, path("quick", uint64(i+1)), 8*time.Second), ShouldBeTrue)
+		}
+		starts := s.workers.Starts()
+		So(starts, ShouldHaveLength, 36)
+		for _, count := range starts {
+			So(count, ShouldEqual, 1)
+		}
+		status, pending := s.call(0, http.MethodGet, "/quick/", "")
+		So(status, ShouldEqual, 200)
+		So(pending, ShouldEqual, "0")
+	})
+}
+
+func TestRequestsThatAreRefused(t *testing.T) {
+	Convey("Requests that cannot be served get one clear answer", t, func() {
+		s := newSite(t, 1)
+		So(s.submit(0, path("quick", 1)), ShouldBeTrue)
+		for name, each := range map[string]struct {
+			method, path, body string
+			status             int
+		}{
+			"no queue":      {http.MethodPost, "/none/0000000000000002", twoSteps, 404},
+			"no ID":         {http.MethodPost, "/quick/xyz", twoSteps, 404},
+			"no job":        {http.MethodPost, path("quick", 2), `[]`, 400},
+			"no steps":      {http.MethodPost, path("quick", 2), `{}`, 400},
+			"needs itself":  {http.MethodPost, path("quick", 2), `{"steps":[{"n":1,"after":[0]}]}`, 400},
+			"no endpoint":   {http.MethodPost, path("quick", 2), `{"steps":[{"n":1,"each":{"cpu":99000}}]}`, 429},
+			"unknown job":   {http.MethodGet, path("quick", 3), "", 410},
+			"cancel none":   {http.MethodDelete, path("quick", 3), "", 410},
+			"cancel":        {http.MethodDelete, path("quick", 1), "", 200},
+			"accepted once": {http.MethodPost, path("quick", 1), twoSteps, 200},
+		} {
+			status, answer := s.call(0, each.method, each.path, each.body)
+			SoMsg(name+": "+answer, status, ShouldEqual, each.status)
+		}
+	})
+}
+
+func TestHandOver(t *testing.T) {
+	Convey("An entry that stops hands its cells over; what runs goes on and is not started again", t, func() {
+		s := newSite(t, 3)
+		So(s.submit(0, path("open", 0xf<<60)), ShouldBeTrue)
+		So(s.eventually(8*time.Second, func() bool { return s.workers.Running() >= 3 }), ShouldBeTrue)
+		number := s.owner("blue")
+		So(number, ShouldBeGreaterThanOrEqualTo, 0)
+		go s.entries[number].stop()
+		So(s.eventually(3*time.Second, func() bool {
+			next := s.owner("blue")
+			return next >= 0 && next != number
+		}), ShouldBeTrue)
+		other := (number + 1) % 3
+		So(s.submit(other, path("open", 2)), ShouldBeTrue)
+		So(s.completes(other, path("open", 2), 8*time.Second), ShouldBeTrue)
+		for task, count := range s.workers.Starts() {
+			SoMsg(task, count, ShouldEqual, 1)
+		}
+	})
+}
+
+func TestLostOwner(t *testing.T) {
+	Convey("Cells of an entry that is cut off from the store are taken over, and no task runs twice", t, func() {
+		s := newSite(t, 3)
+		for i := range 4 {
+			So(s.submit(i%3, path("quick", uint64(i+1))), ShouldBeTrue)
+		}
+		number := s.owner("red")
+		So(number, ShouldBeGreaterThanOrEqualTo, 0)
+		s.entries[number].cut(true)
+		So(s.eventually(8*time.Second, func() bool {
+			next := s.owner("red")
+			return next >= 0 && next != number
+		}), ShouldBeTrue)
+		other := (number + 1) % 3
+		for i := range 4 {
+			So(s.completes(other, path("quick", uint64(i+1)), 8*time.Second), ShouldBeTrue)
+		}
+		for task, count := range s.workers.Starts() {
+			SoMsg(task, count, ShouldEqual, 1)
+		}
+		So(s.entries[number].daemon.IsReady(), ShouldBeFalse)
+	})
+}
+
+func TestStoreOutage(t *testing.T) {
+	Convey("Without the store nothing is accepted, and that is said at once; after it all is as before", t, func() {
+		s := newSite(t, 2)
+		So(s.submit(0, path("quick", 1)), ShouldBeTrue)
+		So(s.completes(0, path("quick", 1), 8*time.Second), ShouldBeTrue)
+		s.store.SetDown(true)
+		So(s.eventually(6*time.Second, func() bool { return !s.entries[0].daemon.IsReady() }), ShouldBeTrue)
+		began := time.Now()
+		status, _ := s.call(0, http.MethodPost, path("quick", 2), twoSteps)
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+		So(time.Since(began), ShouldBeLessThan, time.Second)
+		s.store.Expire()
+		s.store.SetDown(false)
+		So(s.submit(1, path("quick", 2)), ShouldBeTrue)
+		So(s.completes(0, path("quick", 2), 8*time.Second), ShouldBeTrue)
+		_, state := s.call(0, http.MethodGet, path("quick", 1), "")
+		So(state, ShouldEqual, "completed")
+	})
+}
+
+func TestLostAnswersOfTheStore(t *testing.T) {
+	Convey("Writes whose answers are lost count once", t, func() {
+		s := newSite(t, 2)
+		lost := 0
+		s.store.Lose(func(store.Change) bool {
+			lost++
+			return lost%3 == 0
+		})
+		for i := range 4 {
+			So(s.submit(i%2, path("quick", uint64(i+1))), ShouldBeTrue)
+		}
+		for i := range 4 {
+			So(s.completes(0, path("quick", uint64(i+1)), 10*time.Second), ShouldBeTrue)
+		}
+		for task, count := range s.workers.Starts() {
+			SoMsg(task, count, ShouldEqual, 1)
+		}
+	})
+}
+
+func TestCompactedHistory(t *testing.T) {
+	Convey("A watch whose history is gone reads anew", t, func() {
+		s := newSite(t, 1)
+		So(s.submit(0, path("quick", 1)), ShouldBeTrue)
+		s.store.Compact()
+		s.addWorker("i-9", "red")
+		s.store.Compact()
+		So(s.eventually(5*time.Second, func() bool {
+			s.entries[0].daemon.mu.Lock()
+			defer s.entries[0].daemon.mu.Unlock()
+			_, isKnown := s.entries[0].daemon.endpoints["i-9"]
+			return isKnown
+		}), ShouldBeTrue)
+	})
+}
