--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -86,8 +86,36 @@
 	}
 }
 
+// isSampled tells whether all lines of a task's job are logged. It goes by the
+// job's ID alone, so that every owner chooses the same jobs.
+func isSampled(task string) bool {
+	if len(task) < jobs.IDLength {
+		return true
+	}
+	last := task[jobs.IDLength-1]
+	return last == '0' || last == '8'
+}
+
+// logEnds logs the ends of runs: all that failed, and those of sampled jobs.
+func (o *Owner) logEnds(ends []jobs.RunEnd) {
+	for _, end := range ends {
+		if end.How != jobs.Failed && !isSampled(end.Task) {
+			continue
+		}
+		event.RunEnded.Log(o.config.Log, logrus.Fields{
+			"task": end.Task, "run": end.Run, "endpoint": end.Endpoint, "how": string(end.How),
+			"took": end.Took.Milliseconds(), "epoch": int64(o.epoch),
+		})
+	}
+}
+
 func (o *Owner) orderStart(start jobs.Start) {
 	began := boot.Now()
+	if isSampled(start.Task) {
+		event.RunOrdered.Log(o.config.Log, logrus.Fields{
+			"task": start.Task, "run": start.Run, "endpoint": start.Endpoint, "until": start.Until, "epoch": int64(o.epoch),
+		})
+	}
 	o.metrics.starts.Inc(1)
 	o.order(start.Endpoint, func(ctx context.Context, target endpoint.Target) endpoint.Receipt {
 		return o.config.Endpoints.Start(ctx, target, o.epoch, start)
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -87,6 +87,8 @@
 	writing   time.Time
 	isWriting bool
 	isDirty   bool
+	// isPaused says that the ownership is not certain.
+	isPaused  bool
 	isLeaving bool
 	// isSaved says that the state was stored whole since the owner began to leave.
 	isSaved   bool
@@ -167,7 +169,8 @@
 // cycle plans and writes if it is time to, and returns when to come again.
 func (o *Owner) cycle() (again time.Duration) {
 	now := boot.Now()
-	if !o.isDirty || o.isWriting || !o.config.IsValid() {
+	o.noteValidity()
+	if !o.isDirty || o.isWriting || o.isPaused {
 		return 0
 	}
 	if wait := cycleGap - now.Sub(o.planned); wait > 0 {
@@ -185,6 +188,7 @@
 	o.orderPaces(now)
 	o.askAdvice(now)
 	batch := o.cell.Take()
+	o.logEnds(batch.Ends)
 	if len(batch.Records) == 0 && (!o.isLeaving || o.isSaved) {
 		o.stored(batch)
 		return 0
@@ -193,6 +197,20 @@
 	return 0
 }
 
+// noteValidity logs when the ownership becomes uncertain and certain again.
+func (o *Owner) noteValidity() {
+	isPaused := !o.config.IsValid()
+	if isPaused == o.isPaused {
+		return
+	}
+	o.isPaused = isPaused
+	if isPaused {
+		event.CellPaused.Log(o.config.Log, logrus.Fields{"epoch": int64(o.epoch)})
+	} else {
+		event.CellResumed.Log(o.config.Log, logrus.Fields{"epoch": int64(o.epoch)})
+	}
+}
+
 // write stores a batch in the background.
 func (o *Owner) write(now time.Time, batch jobs.Batch) {
 	o.isWriting, o.writing = true, now
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -29,6 +29,7 @@
 	records []Record
 	starts  []*run
 	finish  []*job
+	ends    []RunEnd
 	// wanted is what each client account could start if its limit allowed.
 	wanted map[string]Size
 
@@ -338,11 +339,21 @@
 	}
 }
 
+// RunEnd is the end of a run with where it was.
+type RunEnd struct {
+	End
+	Endpoint string
+	// Took is how long the run was there, 0 if it was not seen at work.
+	Took time.Duration
+}
+
 // Batch is what has to be stored, and what may be done and shown after that.
 type Batch struct {
 	Records []Record
-	starts  []*run
-	finish  []*job
+	// Ends are the runs that were found to have ended.
+	Ends   []RunEnd
+	starts []*run
+	finish []*job
 }
 
 // IsEmpty tells whether there is nothing to store and nothing to do.
@@ -352,8 +363,8 @@
 
 // Take returns what was decided since the last call.
 func (c *Cell) Take() Batch {
-	b := Batch{Records: c.records, starts: c.starts, finish: c.finish}
-	c.records, c.starts, c.finish = nil, nil, nil
+	b := Batch{Records: c.records, Ends: c.ends, starts: c.starts, finish: c.finish}
+	c.records, c.ends, c.starts, c.finish = nil, nil, nil, nil
 	return b
 }
 
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -117,6 +117,11 @@
 	}
 	r := e.runs[end.Task]
 	if r != nil && r.number == end.Run {
+		told := RunEnd{End: end, Endpoint: e.ID}
+		if !r.seen.IsZero() {
+			told.Took = now.Sub(r.seen)
+		}
+		c.ends = append(c.ends, told)
 		c.learn(now, r, end.How)
 		if end.How == Failed {
 			t.avoid = e.ID
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -216,7 +216,7 @@
 			j.shown = j.state
 		}
 	}
-	c.records, c.starts, c.finish = nil, nil, nil
+	c.records, c.ends, c.starts, c.finish = nil, nil, nil, nil
 	c.counts = Counts{}
 }
 
