--- a/internal/cell/roster/roster.go
+++ b/internal/cell/roster/roster.go
@@ -31,6 +31,8 @@
 	// rankWait is how long the second entry in line lets the first one take a
 	// cell, and each further one as long more.
 	rankWait = 350 * time.Millisecond
+	// gatherTime is within how long all entries of an installation start.
+	gatherTime = 500 * time.Millisecond
 	// commitTimeout bounds a try to take or give up a cell.
 	commitTimeout = 700 * time.Millisecond
 )
@@ -42,10 +44,21 @@
 	Peer   netip.AddrPort `json:"peer"`
 	// Life is unique for each start of the process.
 	Life string `json:"life"`
+	// Power is the processor time of the instance in cores; cells go to entries in
+	// proportion to it.
+	Power float64 `json:"power,omitempty"`
 	// IsLeaving says that the entry takes no cells.
 	IsLeaving bool `json:"leaving,omitempty"`
 }
 
+// load is how loaded the entry would be with some cells.
+func (m *Member) load(cells int) float64 {
+	if m.Power <= 0 {
+		return float64(cells)
+	}
+	return float64(cells) / m.Power
+}
+
 // Ownership says who owns a cell.
 type Ownership struct {
 	Name string         `json:"name"`
@@ -74,12 +87,13 @@
 	// free is since when a cell is seen without a living owner.
 	free     map[string]time.Time
 	isLoaded bool
+	began    time.Time
 }
 
 // New returns an empty roster.
 func New(config Config) *Roster {
 	return &Roster{
-		config: config, self: config.Self,
+		config: config, self: config.Self, began: boot.Now(),
 		members: make(map[string]Member), owners: make(map[string]Ownership), free: make(map[string]time.Time),
 	}
 }
@@ -150,7 +164,7 @@
 }
 
 // ToTake returns which of some cells this entry should try to take now. Cells
-// without an owner go to the living entry that owns the fewest; the others wait
+// without an owner go to the living entry that owns the fewest for its power; the others wait
 // their turn in case it fails. A cell owned by an earlier life of this machine
 // is taken at once, as that process is dead, and so is one that this process won
 // without learning of it.
@@ -179,14 +193,20 @@
 			r.free[cell] = now
 		}
 		slices.SortFunc(members, func(a, b Member) int {
-			return cmp.Or(cmp.Compare(owned[a.Name], owned[b.Name]), cmp.Compare(weight(a.Name, cell), weight(b.Name, cell)))
+			return cmp.Or(cmp.Compare(a.load(owned[a.Name]+1), b.load(owned[b.Name]+1)),
+				cmp.Compare(weight(a.Name, cell), weight(b.Name, cell)))
 		})
 		rank := slices.IndexFunc(members, func(m Member) bool { return m.Name == r.self.Name })
 		if rank < 0 {
 			continue
 		}
 		owned[members[0].Name]++
-		if now.Sub(r.free[cell]) >= time.Duration(rank)*rankWait {
+		wait := time.Duration(rank) * rankWait
+		if now.Sub(r.began) < gatherTime {
+			// The others start at the same time and may suit better.
+			wait += gatherTime
+		}
+		if now.Sub(r.free[cell]) >= wait {
 			take = append(take, cell)
 		}
 	}
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -89,6 +89,8 @@
 
 	wait conc.WaitGroup
 	wake chan struct{}
+	// owning is told when this entry begins to own something.
+	owning chan struct{}
 
 	mu     sync.Mutex
 	owners map[string]*owner.Owner
@@ -105,11 +107,11 @@
 func New(config Config) (daemon *Daemon, err error) {
 	d := &Daemon{
 		config: config, platform: config.Platform, log: config.Log,
-		wake: make(chan struct{}, 1), owners: make(map[string]*owner.Owner), taking: make(map[string]bool),
+		wake: make(chan struct{}, 1), owning: make(chan struct{}, 1), owners: make(map[string]*owner.Owner), taking: make(map[string]bool),
 		endpoints: make(map[string]endpoint.Entry), foreign: make(map[string]int64), waves: make(map[string]knownWave),
 	}
 	s := config.Settings
-	d.self = roster.Member{Name: s.Name, Centre: s.Centre, Peer: s.Peer, Life: uuid.NewString()}
+	d.self = roster.Member{Name: s.Name, Centre: s.Centre, Peer: s.Peer, Power: s.Power, Life: uuid.NewString()}
 	d.mesh, err = call.New(call.Config{Listen: s.Peer, Serve: d.serve})
 	if err != nil {
 		return nil, err
@@ -327,8 +329,11 @@
 	d.mu.Lock()
 	earlier := d.owners[cell]
 	d.owners[cell] = o
-	entries := d.entriesOf(cell)
 	d.mu.Unlock()
+	select {
+	case d.owning <- struct{}{}:
+	default:
+	}
 	if earlier != nil {
 		earlier.Stop()
 	}
@@ -344,7 +349,7 @@
 			d.nudge()
 		}
 	})
-	o.SetEndpoints(entries)
+	d.passEndpoints()
 }
 
 // isStoreUp tells whether the last renewal of the session is as recent as it is
--- a/internal/daemon/fleet/settings.go
+++ b/internal/daemon/fleet/settings.go
@@ -32,6 +32,8 @@
 	Orders string `json:"orders"`
 	// Memory is what the process may use, in megabytes; 0 if it is not bounded.
 	Memory int64 `json:"memory,omitempty"`
+	// Power is the processor time of the instance, in cores; 0 if it is not known.
+	Power float64 `json:"power,omitempty"`
 	// Stop is how long the process has between SIGTERM and its end, in seconds.
 	Stop float64 `json:"stop"`
 	// Bounds are the installation's figures, in milliseconds where they are times.
--- a/internal/daemon/fleet/watch.go
+++ b/internal/daemon/fleet/watch.go
@@ -98,7 +98,42 @@
 	d.nudge()
 }
 
+// watchEndpoints follows the endpoints while this entry owns anything: endpoints
+// write often, and entries without a cell need not know.
 func (d *Daemon) watchEndpoints(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !d.ownsAny() {
+			select {
+			case <-ctx.Done():
+			case <-d.owning:
+			case <-time.After(manageEvery):
+			}
+			continue
+		}
+		watch, cancel := context.WithCancel(ctx)
+		go func() {
+			for watch.Err() == nil && d.ownsAny() {
+				time.Sleep(manageEvery)
+			}
+			cancel()
+		}()
+		d.followEndpoints(watch)
+		cancel()
+		// What is no longer followed must not be taken for the present.
+		d.mu.Lock()
+		clear(d.endpoints)
+		d.mu.Unlock()
+	}
+}
+
+// ownsAny tells whether this entry owns a cell or is the steward.
+func (d *Daemon) ownsAny() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.owners) > 0 || d.steward != nil
+}
+
+func (d *Daemon) followEndpoints(ctx context.Context) {
 	d.watch(ctx, d.platform.EndpointPrefix, registryGap, func(items []store.Item) {
 		d.mu.Lock()
 		clear(d.endpoints)
