--- a/internal/plan/pools/wave.go
+++ b/internal/plan/pools/wave.go
@@ -31,7 +31,7 @@
 	roundTime = 4500 * time.Millisecond
 	// finishShare is the share of a wave's time in which it should be done; the
 	// rest is left for failures.
-	finishShare = 0.7
+	finishShare = 0.6
 	// rushShare is the share of a wave's time after which full pools are no
 	// longer spared.
 	rushShare = 0.45
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -232,8 +232,8 @@
 		if answer == BadTicket {
 			delete(r.task.step.tickets, e.ID)
 		}
-		if answer == NoRoom {
-			e.cordon = now.Add(noRoomWait)
+		if answer == NoRoom || answer == Refused {
+			e.cordon = later(e.cordon, now.Add(noRoomWait))
 		}
 		c.gone(r)
 	}
@@ -243,10 +243,18 @@
 const (
 	// refusedWait keeps a task from being sent round in circles.
 	refusedWait = 50 * time.Millisecond
-	// noRoomWait is how long an endpoint that is fuller than known gets no work.
+	// noRoomWait is how long an endpoint that is fuller than known, or cannot be
+	// reached, gets no work.
 	noRoomWait = 300 * time.Millisecond
 )
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // StopAnswered takes in the answer to a stop.
 func (c *Cell) StopAnswered(now time.Time, s Stop, answer Answer, clock int64) {
 	e := c.endpoints[s.Endpoint]
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -384,12 +384,19 @@
 // another endpoint is begun.
 const lastingShare = 0.6
 
+// sameStep is how many tasks of a long-running step share an endpoint where
+// others have room: they leave it one after the other, a second each.
+const sameStep = 2
+
 func (p *placer) cost(t *task, e *Endpoint, reserved Size) int64 {
 	s := t.step
 	free := e.room().CPU - reserved.CPU
 	cost := free
 	if s.LongRunning {
 		cost = e.costLasting(reserved)
+		if e.countOf(s) >= sameStep {
+			cost += costFull
+		}
 	}
 	if s.Affinity != "" && s.Affinity != e.Rack {
 		cost += costFar
