--- a/jobs/admit.go
+++ b/jobs/admit.go
@@ -29,7 +29,7 @@
 		return Verdict{IsAccepted: true}
 	}
 	j := &job{Job: *spec, arrived: now}
-	c.arrivals.add(now, spec.ID, c.workLeft(j), c.chainLeft(j))
+	c.arrivals.add(now, spec.ID, c.workLeft(j))
 	if !c.fitsAnywhere(j) {
 		return Verdict{Retry: maxRetry, Reason: "no endpoint is large enough"}
 	}
--- a/jobs/demand.go
+++ b/jobs/demand.go
@@ -19,38 +19,28 @@
 	Least int
 }
 
-// Windows over which arrivals count. Demand changes by five times within a
-// second: a short window sees a rise of short jobs early.
+// Windows over which arrivals are averaged. Demand changes by five times within
+// a second: the short window sees a rise early, the long one keeps a few small
+// jobs from hiding it.
 const (
-	risingWindow = 500 * time.Millisecond
-	// risingJobs is how many jobs the short window must hold to count, so that a
-	// few large ones are not taken for a rise.
+	arrivalWindow = 1200 * time.Millisecond
+	risingWindow  = 500 * time.Millisecond
+	// risingJobs is how many jobs the short window must hold to count.
 	risingJobs = 4
-	// leastSpan is the shortest time over which the work of a job is spread.
-	leastSpan = 1200 * time.Millisecond
-	// longSpan is from where on the short window says nothing of a job.
-	longSpan = 2 * time.Second
 	// sameWindow is how long a job that was turned away and comes again is not
 	// counted again.
 	sameWindow = 6 * time.Second
 )
 
-// arrival is a job that was handed in, with its work in core-seconds and the
-// time over which its steps spread it.
-type arrival struct {
-	at   time.Time
-	work float64
-	span time.Duration
-}
-
 // arrivals is the work that was handed in lately.
 type arrivals struct {
-	list []arrival
+	at   []time.Time
+	work []float64
 	seen map[string]time.Time
 }
 
-// add notes a job, unless it comes again.
-func (a *arrivals) add(now time.Time, id string, work float64, chain time.Duration) {
+// add notes a job with its work in core-seconds, unless it comes again.
+func (a *arrivals) add(now time.Time, id string, work float64) {
 	if a.seen == nil {
 		a.seen = make(map[string]time.Time)
 	}
@@ -58,29 +48,37 @@
 		return
 	}
 	a.seen[id] = now
-	a.list = append(a.list, arrival{at: now, work: work, span: max(chain, leastSpan)})
+	a.at, a.work = append(a.at, now), append(a.work, work)
 }
 
-// cores returns the processors that would work off what arrives as it comes.
-func (a *arrivals) cores(now time.Time) float64 {
-	a.list = slices.DeleteFunc(a.list, func(each arrival) bool { return now.Sub(each.at) >= each.span })
+// rate returns core-seconds a second.
+func (a *arrivals) rate(now time.Time) float64 {
+	first := a.firstWithin(now, arrivalWindow)
+	a.at, a.work = slices.Delete(a.at, 0, first), slices.Delete(a.work, 0, first)
 	for id, at := range a.seen {
 		if now.Sub(at) >= sameWindow {
 			delete(a.seen, id)
 		}
 	}
-	steady, rising, count := 0.0, 0.0, 0
-	for _, each := range a.list {
-		steady += each.work / each.span.Seconds()
-		if each.span <= longSpan && now.Sub(each.at) < risingWindow {
-			rising += each.work / risingWindow.Seconds()
-			count++
-		}
+	rate := sum(a.work) / arrivalWindow.Seconds()
+	rising := a.work[a.firstWithin(now, risingWindow):]
+	if len(rising) >= risingJobs {
+		rate = max(rate, sum(rising)/risingWindow.Seconds())
 	}
-	if count < risingJobs {
-		return steady
+	return rate
+}
+
+// firstWithin returns the position of the first arrival within a window.
+func (a *arrivals) firstWithin(now time.Time, window time.Duration) int {
+	first, _ := slices.BinarySearchFunc(a.at, now.Add(-window), time.Time.Compare)
+	return first
+}
+
+func sum(list []float64) (total float64) {
+	for _, each := range list {
+		total += each
 	}
-	return max(steady, rising)
+	return total
 }
 
 // Survey returns what the cell could use and what runs on each endpoint.
@@ -95,7 +93,7 @@
 			}
 		}
 	}
-	demand.Arriving = int64(c.arrivals.cores(now) * 1000)
+	demand.Arriving = int64(c.arrivals.rate(now) * 1000)
 	for _, e := range c.endpoints {
 		loads = append(loads, e.load())
 	}
