--- a/internal/plan/pools/pools.go
+++ b/internal/plan/pools/pools.go
@@ -78,7 +78,7 @@
 const (
 	// headroom is kept over the demand for short-lived work, for tasks that do
 	// not pack and for what arrives while a machine moves.
-	headroom = 1.2
+	headroom = 1.6
 	// spares is how many machines a pool keeps beyond its need, for the loss of
 	// one.
 	spares = 1
