--- a/internal/plan/pools/pools.go
+++ b/internal/plan/pools/pools.go
@@ -78,10 +78,10 @@
 const (
 	// headroom is kept over the demand for short-lived work, for tasks that do
 	// not pack and for what arrives while a machine moves.
-	headroom = 1.6
+	headroom = 1.8
 	// spares is how many machines a pool keeps beyond its need, for the loss of
 	// one.
-	spares = 1
+	spares = 2
 	// idleBefore is how long a machine is idle before it is switched off. It costs
 	// as much in this time as the moves away and back.
 	idleBefore = 2 * time.Second
