Share machines fairly when all pools together ask for more than there are

Needs are cut down to fair shares, and busy machines without long-running tasks leave pools beyond theirs.

--- a/internal/cell/roster/roster.go
+++ b/internal/cell/roster/roster.go
@@ -33,6 +33,8 @@
 	rankWait = 350 * time.Millisecond
 	// gatherTime is within how long all entries of an installation start.
 	gatherTime = 500 * time.Millisecond
+	// shrunkFor is how long entries that lapsed together are expected back.
+	shrunkFor = 2 * time.Second
 	// commitTimeout bounds a try to take or give up a cell.
 	commitTimeout = 700 * time.Millisecond
 )
@@ -88,6 +90,10 @@
 	free     map[string]time.Time
 	isLoaded bool
 	began    time.Time
+	// most is how many entries lived before some of them lapsed together, shrunk
+	// when that was seen.
+	most   int
+	shrunk time.Time
 }
 
 // New returns an empty roster.
@@ -137,6 +143,24 @@
 			r.owners[cell] = o
 		}
 	}
+	r.watchSize()
+}
+
+// watchSize notes when half of the entries or more have lapsed together, as they
+// do in an outage of the store. Most of them are back within moments.
+func (r *Roster) watchSize() {
+	now := boot.Now()
+	count := len(r.members)
+	isSmall := count*2 <= r.most
+	if isSmall && r.shrunk.IsZero() {
+		r.shrunk = now
+	}
+	if !isSmall || now.Sub(r.shrunk) > shrunkFor {
+		r.most, r.shrunk = max(count, r.most), time.Time{}
+		if isSmall {
+			r.most = count
+		}
+	}
 }
 
 // Owner returns who owns a cell.
@@ -202,7 +226,7 @@
 		}
 		owned[members[0].Name]++
 		wait := time.Duration(rank) * rankWait
-		if now.Sub(r.began) < gatherTime {
+		if now.Sub(r.began) < gatherTime || now.Sub(r.shrunk) < gatherTime {
 			// The others start at the same time and may suit better.
 			wait += gatherTime
 		}
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -57,7 +57,7 @@
 	// It is longer than an order is repeated and the next holder's wait together.
 	noteFor = 6 * time.Second
 	// giveUpAfter is how long a machine may be kept free for a move.
-	giveUpAfter = 1500 * time.Millisecond
+	giveUpAfter = 4 * time.Second
 	// settleLimit is how long a machine may take to come back.
 	settleLimit = 12 * time.Second
 )
--- a/internal/plan/pools/pools.go
+++ b/internal/plan/pools/pools.go
@@ -116,6 +116,7 @@
 			s.have++
 		}
 	}
+	moves = append(moves, rebalance(v, sizes)...)
 	standby := standbyPool(v)
 	if standby == "" {
 		return moves
@@ -131,6 +132,75 @@
 	return moves
 }
 
+// Sharing constants, for demand beyond all machines.
+const (
+	// fairSlack is how many machines a pool may have over its fair share before
+	// busy ones are taken from it.
+	fairSlack = 2
+	// takenAtOnce is the share of a pool's machines that may be on their way out.
+	takenAtOnce = 4
+)
+
+// rebalance answers turns of two pools that overlap and ask for more than all
+// machines: the one that came first must not keep them all. Machines without
+// long-running tasks leave the pools that have more than their fair share, as
+// soon as their short-lived work has ended.
+func rebalance(v View, sizes map[string]*size) (moves []Move) {
+	leaving := make(map[string]int)
+	for _, m := range v.Machines {
+		if m.IsEngaged {
+			leaving[m.Pool]++
+		}
+	}
+	busy := slices.DeleteFunc(slices.Clone(v.Machines), func(m Machine) bool {
+		return m.State != cloud.Up || m.IsEngaged || !m.IsSurveyed || m.Lasting > 0 || m.Runs == 0
+	})
+	slices.SortFunc(busy, func(a, b Machine) int {
+		return cmp.Or(cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.ID, b.ID))
+	})
+	for _, s := range byShortage(sizes) {
+		for _, m := range busy {
+			from := sizes[m.Pool]
+			if s.lacks() <= 0 {
+				break
+			}
+			isFair := from.have <= from.need+fairSlack
+			if from == s || from.IsStandby || isFair || leaving[m.Pool]*takenAtOnce >= from.have {
+				continue
+			}
+			moves = append(moves, Move{Machine: m, Pool: s.Name, Reason: "the pool has more than its share"})
+			leaving[m.Pool]++
+			from.have--
+			s.have++
+			busy = slices.DeleteFunc(slices.Clone(busy), func(each Machine) bool { return each.ID == m.ID })
+		}
+	}
+	return moves
+}
+
+// share cuts the needs down to the machines there are: each pool gets what its
+// long-running tasks need, and a part of the rest in proportion to what it asks.
+func share(sizes map[string]*size, machines int) {
+	asked, least := 0, 0
+	for _, s := range sizes {
+		if !s.IsStandby {
+			asked += s.need
+			least += min(s.need, s.Least+spares)
+		}
+	}
+	if asked <= machines || asked <= least || machines <= least {
+		return
+	}
+	part := float64(machines-least) / float64(asked-least)
+	for _, s := range sizes {
+		if s.IsStandby {
+			continue
+		}
+		base := min(s.need, s.Least+spares)
+		s.need = base + int(part*float64(s.need-base))
+	}
+}
+
 // size is a pool with what it has and needs.
 type size struct {
 	Pool
@@ -168,6 +238,7 @@
 			s.need = s.Pool.need(cpu / count)
 		}
 	}
+	share(sizes, int(count))
 	return sizes
 }
 
