--- /dev/null
+++ b/internal/back/store/store_test.go
@@ -0,0 +1,100 @@
+package store_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
+)
+
+// eventually waits until a condition holds.
+func eventually(isMet func() bool) bool {
+	for range 400 {
+		if isMet() {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+func TestSession(t *testing.T) {
+	Convey("A session is certain while it is renewed, not after, and is made anew when it has lapsed", t, func() {
+		s := keyvalue.New()
+		var mu sync.Mutex
+		made, lost := 0, 0
+		session := store.NewSession(store.SessionConfig{
+			Client: s.Client(nil), TTL: time.Second,
+			Made:    func(store.Lease) { mu.Lock(); made++; mu.Unlock() },
+			Lost:    func(store.Lease) { mu.Lock(); lost++; mu.Unlock() },
+			Failed:  func(error) {},
+			Reached: func() {},
+		})
+		So(session.IsValid(), ShouldBeFalse)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go session.Run(ctx)
+		So(eventually(session.IsValid), ShouldBeTrue)
+		time.Sleep(1500 * time.Millisecond)
+		So(session.IsValid(), ShouldBeTrue)
+		s.SetDown(true)
+		began := time.Now()
+		So(eventually(func() bool { return !session.IsValid() }), ShouldBeTrue)
+		So(time.Since(began), ShouldBeLessThan, time.Second)
+		s.Expire()
+		s.SetDown(false)
+		So(eventually(session.IsValid), ShouldBeTrue)
+		mu.Lock()
+		defer mu.Unlock()
+		So(made, ShouldEqual, 2)
+		So(lost, ShouldEqual, 1)
+	})
+}
+
+func TestWatch(t *testing.T) {
+	Convey("A watch sees every change, through outages and dropped history", t, func() {
+		s := keyvalue.New()
+		s.Put("a/1", []byte("one"))
+		var mu sync.Mutex
+		view := make(map[string]string)
+		apply := func(items []store.Item) {
+			for _, item := range items {
+				if item.IsRemoved {
+					delete(view, item.Key)
+				} else {
+					view[item.Key] = string(item.Value)
+				}
+			}
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go store.Watch(ctx, store.WatchConfig{
+			Client: s.Client(nil), Prefix: "a/",
+			Full:    func(items []store.Item) { mu.Lock(); clear(view); apply(items); mu.Unlock() },
+			Changed: func(items []store.Item) { mu.Lock(); apply(items); mu.Unlock() },
+			Failed:  func(error) {}, Reached: func() {},
+		})
+		has := func(key, value string) func() bool {
+			return func() bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return view[key] == value
+			}
+		}
+		So(eventually(has("a/1", "one")), ShouldBeTrue)
+		s.Put("a/2", []byte("two"))
+		So(eventually(has("a/2", "two")), ShouldBeTrue)
+		s.SetDown(true)
+		s.Remove("a/1")
+		s.Put("a/3", []byte("three"))
+		s.Compact()
+		s.SetDown(false)
+		So(eventually(has("a/3", "three")), ShouldBeTrue)
+		So(eventually(has("a/1", "")), ShouldBeTrue)
+	})
+}
--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -159,6 +159,12 @@
 			return err
 		}
 	}
+	if next, isChanged := l.propose(cells); !isChanged && l.isShort(cells, next) {
+		// Another cell may have given back what this one lacks.
+		if err := l.reload(ctx, owned); err != nil {
+			return err
+		}
+	}
 	for range balanceTries {
 		next, isChanged := l.propose(cells)
 		if !isChanged {
@@ -178,6 +184,22 @@
 	return err
 }
 
+// isShort tells whether a cell wants more than its part.
+func (l *Ledger) isShort(cells []Cell, current parts) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, cell := range cells {
+		for name, need := range cell.Needs {
+			account, isKnown := l.accounts[name]
+			wanted := need.Used.Plus(need.Wanted)
+			if isKnown && !need.Wanted.IsZero() && !wanted.Fits(withLimit(current[name][cell.Name], account.Limit, jobs.Size{})) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // balanceTries is how often a change is proposed again when another entry was
 // faster.
 const balanceTries = 4
