--- a/cmd/chicorypin/main.go
+++ b/cmd/chicorypin/main.go
@@ -67,6 +67,8 @@
 	Return *instanceCommand `arg:"subcommand:return" help:"put an instance back into service"`
 	Wave   *waveCommand     `arg:"subcommand:wave" help:"start, pause or resume maintenance"`
 	Dump   *emptyCommand    `arg:"subcommand:dump" help:"print the whole state of the entry"`
+	Job    *jobCommands     `arg:"subcommand:job" help:"hand in, show and cancel jobs; --server is the submitters' address"`
+	Cells  *cellsCommand    `arg:"subcommand:cells" help:"show cells, owners, queues and endpoints that are out"`
 }
 
 // Description implements arg.Described.
@@ -133,6 +135,10 @@
 		return c.changeFleet(ctx, "/instances/"+args.Return.Instance+"/return")
 	case args.Wave != nil:
 		return c.changeFleet(ctx, "/wave?do="+args.Wave.Do)
+	case args.Job != nil:
+		return runJob(ctx, c, args.Job)
+	case args.Cells != nil:
+		return c.cells(ctx, args.Cells.Addresses)
 	}
 	return c.dump(ctx)
 }
--- a/cmd/chicorypind/fleet.go
+++ b/cmd/chicorypind/fleet.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/julienschmidt/httprouter"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -59,7 +60,10 @@
 	if err != nil {
 		return err
 	}
-	metrics := &http.Server{Addr: settings.Metrics.String(), Handler: reporter.HTTPHandler(), ReadHeaderTimeout: time.Second}
+	pages := httprouter.New()
+	pages.Handler(http.MethodGet, "/metrics", reporter.HTTPHandler())
+	pages.HandlerFunc(http.MethodGet, fleet.DumpPath, daemon.ServeDump)
+	metrics := &http.Server{Addr: settings.Metrics.String(), Handler: pages, ReadHeaderTimeout: time.Second}
 	go func() {
 		if err := metrics.ListenAndServe(); err != http.ErrServerClosed {
 			event.CallFailed.Log(log, logrus.Fields{"call": "metrics", "error": err.Error()})
@@ -70,10 +74,25 @@
 		_ = metrics.Close()
 	}()
 	go reportDropped(ctx, queue, log)
+	go dumpFleet(ctx, daemon, log)
 	go reload(ctx, path, daemon, log)
 	return daemon.Run(ctx)
 }
 
+// dumpFleet logs the whole state at each SIGUSR1.
+func dumpFleet(ctx context.Context, daemon *fleet.Daemon, log *logrus.Entry) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			event.Dumped.Log(log, logrus.Fields{"state": daemon.Dump(ctx)})
+		}
+	}
+}
+
 // settingsInterval is how often the settings file is looked at, since it may
 // change without a signal.
 const settingsInterval = 2 * time.Second
--- a/internal/cell/owner/request.go
+++ b/internal/cell/owner/request.go
@@ -127,3 +127,9 @@
 	err = o.ask(ctx, func() { demand, loads = o.cell.Survey(boot.Now()) })
 	return demand, loads, err
 }
+
+// Dump returns the state of the cell.
+func (o *Owner) Dump(ctx context.Context) (dump jobs.Dump, err error) {
+	err = o.ask(ctx, func() { dump = o.cell.Dump(boot.Now()) })
+	return dump, err
+}
--- a/internal/daemon/fleet/daemon_test.go
+++ b/internal/daemon/fleet/daemon_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"crypto/sha256"
 	"fmt"
 	"net/http"
@@ -33,7 +34,7 @@
 		}
 		status, pending := s.call(0, http.MethodGet, "/quick/", "")
 		So(status, ShouldEqual, 200)
-		So(pending, ShouldEqual, "0")
+		So(pending, ShouldEqual, `{"pending":0}`)
 	})
 }
 
@@ -48,6 +49,7 @@
 			"no queue":      {http.MethodPost, "/none/0000000000000002", twoSteps, 404},
 			"no ID":         {http.MethodPost, "/quick/xyz", twoSteps, 404},
 			"no job":        {http.MethodPost, path("quick", 2), `[]`, 400},
+			"unknown field": {http.MethodPost, path("quick", 2), `{"stepz":[]}`, 400},
 			"no steps":      {http.MethodPost, path("quick", 2), `{}`, 400},
 			"needs itself":  {http.MethodPost, path("quick", 2), `{"steps":[{"n":1,"after":[0]}]}`, 400},
 			"no endpoint":   {http.MethodPost, path("quick", 2), `{"steps":[{"n":1,"each":{"cpu":99000}}]}`, 429},
@@ -123,7 +125,7 @@
 		So(s.submit(1, path("quick", 2)), ShouldBeTrue)
 		So(s.completes(0, path("quick", 2), 8*time.Second), ShouldBeTrue)
 		_, state := s.call(0, http.MethodGet, path("quick", 1), "")
-		So(state, ShouldEqual, "completed")
+		So(state, ShouldEqual, `{"state":"completed"}`)
 	})
 }
 
@@ -162,3 +164,16 @@
 		}), ShouldBeTrue)
 	})
 }
+
+func TestDump(t *testing.T) {
+	Convey("The state of an entry names its cells with owners, epochs, queues, accounts and endpoints", t, func() {
+		s := newSite(t, 1)
+		So(s.submit(0, path("quick", 1)), ShouldBeTrue)
+		dump := s.entries[0].daemon.Dump(context.Background())
+		So(dump.Cells, ShouldContainKey, "red")
+		So(dump.Owners["red"].Epoch, ShouldBeGreaterThan, 0)
+		So(dump.Cells["red"].Endpoints, ShouldHaveLength, 2)
+		So(dump.Cells["red"].Counts.Accepted, ShouldEqual, 1)
+		So(dump.Members, ShouldHaveLength, 1)
+	})
+}
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -127,7 +127,7 @@
 	daemon, err := New(Config{
 		Settings: settings, Timer: timer.New(), Log: logrus.NewEntry(logger), Scope: tally.NoopScope,
 		Platform: Platform{
-			Store: s.store.Client(reach), Endpoints: s.workers.Client(), Codec: testCodec(), ReadyPath: "/ready",
+			Store: s.store.Client(reach), Endpoints: s.workers.Client(), Codec: submitter.NewCodec(), ReadyPath: "/ready",
 			OperatorPrefix: "op/", ConfigKey: "op/config", WavePrefix: "op/wave/", EndpointPrefix: "servers/",
 			DecodeConfig: testConfig, DecodeEndpoint: testEndpoint,
 			DecodeWave: func([]byte) (cloud.Wave, error) { return cloud.Wave{}, nil },
@@ -181,24 +181,6 @@
 	return s, nil
 }
 
-func testCodec() submitter.Codec {
-	text := func(value any) []byte {
-		data, _ := json.Marshal(value)
-		return data
-	}
-	return submitter.Codec{
-		Job: func(body []byte) (job jobs.Job, err error) {
-			err = json.Unmarshal(body, &job)
-			return job, err
-		},
-		State:   func(state jobs.State) []byte { return []byte(state) },
-		Pending: func(count int) []byte { return text(count) },
-		Error:   func(reason string) []byte { return []byte(reason) },
-		Key:     func(r *http.Request) string { return r.Header.Get("Key") },
-		Wait:    func(*http.Request) time.Duration { return 0 },
-	}
-}
-
 // call makes a request at an entry.
 func (s *site) call(number int, method, path, body string) (status int, answer string) {
 	request, err := http.NewRequest(method, s.entries[number].url+path, strings.NewReader(body))
@@ -206,7 +188,7 @@
 		s.t.Fatal(err)
 	}
 	request.Host = "h"
-	request.Header.Set("Key", "secret")
+	request.Header.Set("Authorization", "Bearer secret")
 	client := &http.Client{Timeout: 5 * time.Second}
 	response, err := client.Do(request)
 	if err != nil {
@@ -243,7 +225,7 @@
 func (s *site) completes(number int, path string, limit time.Duration) bool {
 	return s.eventually(limit, func() bool {
 		_, state := s.call(number, http.MethodGet, path, "")
-		return state == string(jobs.Completed)
+		return state == `{"state":"completed"}`
 	})
 }
 
