--- a/cmd/chicorypin-demo/main.go
+++ b/cmd/chicorypin-demo/main.go
@@ -62,6 +62,7 @@
 		{"draining minion worker-1", d.drain},
 		{"sending 30 more requests", d.send},
 		{"stopping all entries gracefully", d.stop},
+		{"running a job of two steps through an entry for jobs, 2 endpoints", d.runJob},
 	}
 	for _, step := range steps {
 		fmt.Println("-", step.title)
--- a/internal/cell/owner/look.go
+++ b/internal/cell/owner/look.go
@@ -67,7 +67,7 @@
 			}
 			o.startLooker(entry)
 		}
-		o.cell.SetEndpoints(now, profiles)
+		o.cell.SetEndpoints(profiles)
 		for id, l := range o.lookers {
 			if _, isKnown := o.cell.LookAt(now, id); !isKnown {
 				event.EndpointLeft.Log(o.config.Log, logrus.Fields{"endpoint": id})
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -43,7 +43,7 @@
 			IsDraining: isDraining && i == 0, Born: b.born,
 		})
 	}
-	b.cell.SetEndpoints(b.now, profiles)
+	b.cell.SetEndpoints(profiles)
 }
 
 // pass lets time pass.
--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -49,8 +49,7 @@
 
 type endedRun struct {
 	jobs.ListedEnd
-	at      time.Time
-	isNoted bool
+	at time.Time
 }
 
 // ID returns the endpoint's ID.
--- a/jobs/emulator/oracle.go
+++ b/jobs/emulator/oracle.go
@@ -52,18 +52,7 @@
 		return jobs.Size{}
 	}
 	step := &job.Steps[name.Step]
-	if !e.used().Plus(step.Reserved()).Fits(e.capacity) {
-		o.fail("LIMIT", "%s does not fit on %s", order.Task, e.id)
-	}
-	if !step.Speculative && len(o.running[order.Task]) > 0 {
-		o.fail("TWICE", "%s run %d on %s runs already on %s", order.Task, order.Run, e.id, o.places(order.Task))
-	}
-	if !step.Speculative && o.acknowledged[order.Task] {
-		o.fail("TWICE", "%s is done", order.Task)
-	}
-	if step.Requires != "" && step.Requires != "a" && step.Requires != e.rack {
-		o.fail("ROUTE", "%s needs label %s", order.Task, step.Requires)
-	}
+	o.checkPlace(order, step, e)
 	o.checkSteps(name, job, e)
 	if job.Attempts > 0 && !step.LongRunning && o.failed[order.Task] >= job.Attempts {
 		o.fail("BUDGET", "%s has failed %d times", order.Task, o.failed[order.Task])
@@ -79,6 +68,22 @@
 	return step.Reserved()
 }
 
+// checkPlace checks room, labels and that the task runs once.
+func (o *oracle) checkPlace(order jobs.Start, step *jobs.Step, e *Endpoint) {
+	if !e.used().Plus(step.Reserved()).Fits(e.capacity) {
+		o.fail("LIMIT", "%s does not fit on %s", order.Task, e.id)
+	}
+	if !step.Speculative && len(o.running[order.Task]) > 0 {
+		o.fail("TWICE", "%s run %d on %s runs already on %s", order.Task, order.Run, e.id, o.places(order.Task))
+	}
+	if !step.Speculative && o.acknowledged[order.Task] {
+		o.fail("TWICE", "%s is done", order.Task)
+	}
+	if step.Requires != "" && step.Requires != "a" && step.Requires != e.rack {
+		o.fail("ROUTE", "%s needs label %s", order.Task, step.Requires)
+	}
+}
+
 // places names where a task runs.
 func (o *oracle) places(task string) (ids []string) {
 	for e := range o.running[task] {
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -101,7 +101,7 @@
 			profiles = append(profiles, e.profile())
 		}
 	}
-	o.cell.SetEndpoints(o.world.now, profiles)
+	o.cell.SetEndpoints(profiles)
 	o.world.after(lookGap*4, o.discover)
 }
 
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -78,7 +78,7 @@
 // SetEndpoints takes the list of all endpoints of the cell as discovery has it.
 // Endpoints that are no longer listed get no new work and are dropped when
 // nothing can run there any more.
-func (c *Cell) SetEndpoints(now time.Time, profiles []Profile) {
+func (c *Cell) SetEndpoints(profiles []Profile) {
 	listed := make(map[string]bool, len(profiles))
 	machines := make(map[string]Profile, len(profiles))
 	for _, p := range profiles {
