--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -58,6 +58,9 @@
 	noteFor = 6 * time.Second
 	// giveUpAfter is how long a machine may be kept free for a move.
 	giveUpAfter = 4 * time.Second
+	// refusedWait is how long a machine is left alone after a refusal: it is on its
+	// way somewhere, which takes seconds.
+	refusedWait = 2 * time.Second
 	// settleLimit is how long a machine may take to come back.
 	settleLimit = 12 * time.Second
 )
@@ -347,7 +350,7 @@
 }
 
 func (s *Steward) describe(now time.Time, m cloud.Machine, loads map[string]jobs.Load) pools.Machine {
-	described := pools.Machine{Machine: m, CPU: s.config.CPU(m.Endpoint), IsEngaged: s.duties[m.ID] != nil}
+	described := pools.Machine{Machine: m, CPU: s.config.CPU(m.Endpoint), IsEngaged: s.isEngaged(now, m.ID)}
 	if described.CPU == 0 {
 		described.CPU = s.cpu
 	}
@@ -371,6 +374,11 @@
 	return described
 }
 
+// isEngaged tells whether a machine has a duty or is left alone for now.
+func (s *Steward) isEngaged(now time.Time, machine string) bool {
+	return s.duties[machine] != nil || now.Before(s.quiet[machine])
+}
+
 func (s *Steward) describeWave(now time.Time, w Wave, machines []pools.Machine) pools.Wave {
 	described := pools.Wave{
 		Number: w.Number, Most: w.Most, Passed: now.Sub(w.Seen), Length: time.Duration(w.Seconds * float64(time.Second)),
@@ -395,7 +403,7 @@
 		s.take(now, &duty{machine: u.Machine.ID, endpoint: u.Machine.Endpoint, from: u.Machine.Pool, wave: u.Wave})
 	}
 	for i := range v.Machines {
-		v.Machines[i].IsEngaged = s.duties[v.Machines[i].ID] != nil
+		v.Machines[i].IsEngaged = s.isEngaged(now, v.Machines[i].ID)
 	}
 	moves := pools.Moves(v)
 	if len(moves) > 0 {
@@ -587,6 +595,7 @@
 		d.phase = open
 	default:
 		event.DutyRefused.Log(s.config.Log, fields)
+		s.quiet[d.machine] = boot.Now().Add(refusedWait)
 		s.fenced = s.fenced || errors.Is(err, cloud.ErrFenced)
 		delete(s.duties, d.machine)
 	}
