--- a/internal/cell/roster/roster.go
+++ b/internal/cell/roster/roster.go
@@ -126,6 +126,7 @@
 func (r *Roster) take(items []store.Item) {
 	for _, item := range items {
 		if name, ok := strings.CutPrefix(item.Key, memberPrefix); ok {
+			// What cannot be read names nobody.
 			var m Member
 			if item.IsRemoved || json.Unmarshal(item.Value, &m) != nil {
 				delete(r.members, name)
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -326,6 +326,8 @@
 			defer cancel()
 			demand, found, err := s.config.Cells.Survey(ctx, p.Name)
 			if err != nil {
+				// The pool stays without a survey, and so keeps its machines.
+				event.CallFailed.Log(s.config.Log, logrus.Fields{"call": "survey", "cell": p.Name, "error": err.Error()})
 				return
 			}
 			mu.Lock()
@@ -528,6 +530,8 @@
 	defer cancel()
 	loads, err := s.config.Cells.Cordon(ctx, pool, ids, cordonLength, true)
 	if err != nil {
+		// The machines are not known to be free, so they wait.
+		event.CallFailed.Log(s.config.Log, logrus.Fields{"call": "cordon", "cell": pool, "error": err.Error()})
 		return nil
 	}
 	for _, load := range loads {
--- a/internal/daemon/fleet/desk.go
+++ b/internal/daemon/fleet/desk.go
@@ -210,6 +210,7 @@
 		}
 		needs, err := o.Needs(ctx)
 		if err != nil {
+			// The owner has just ended; the next one asks for itself.
 			continue
 		}
 		cells = append(cells, ledger.Cell{Name: cell, Condition: o.Condition(), Needs: needs})
--- a/internal/daemon/fleet/dump.go
+++ b/internal/daemon/fleet/dump.go
@@ -66,6 +66,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
 	defer cancel()
 	for cell, o := range owners {
+		// A cell whose owner has just ended is left out.
 		if state, err := o.Dump(ctx); err == nil {
 			dump.Cells[cell] = state
 		}
--- a/internal/daemon/fleet/settings.go
+++ b/internal/daemon/fleet/settings.go
@@ -38,15 +38,12 @@
 	Stop float64 `json:"stop"`
 	// Bounds are the installation's figures, in milliseconds where they are times.
 	Bounds struct {
-		Hold       int64   `json:"hold"`
-		StopGrace  int64   `json:"stopgrace"`
-		Early      int64   `json:"early"`
-		Kept       float64 `json:"kept"`
-		Notice     int64   `json:"notice"`
-		Far        float64 `json:"far"`
-		Lease      int64   `json:"lease"`
-		Drain      int64   `json:"drain"`
-		Overcommit float64 `json:"overcommit"`
+		// Hold is the longest grant that endpoints take, Lease how long a holder of
+		// machines must have been silent before the next one orders them.
+		Hold  int64 `json:"hold"`
+		Lease int64 `json:"lease"`
+		// Kept is how long an ended job stays known, in seconds.
+		Kept float64 `json:"kept"`
 	} `json:"bounds"`
 	// Level is the least severity that is logged.
 	Level string `json:"level,omitempty"`
@@ -122,16 +119,9 @@
 // bounds returns the figures of the cells.
 func (s *Settings) bounds() jobs.Bounds {
 	b := jobs.DefaultBounds()
-	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-	b.Grant = min(wantedHold, ms(s.Bounds.Hold))
-	b.StopGrace = ms(s.Bounds.StopGrace)
-	b.Early = ms(s.Bounds.Early)
+	b.Grant = min(wantedHold, time.Duration(s.Bounds.Hold)*time.Millisecond)
 	if s.Bounds.Kept > 0 {
 		b.Kept = time.Duration(s.Bounds.Kept * float64(time.Second))
 	}
-	b.Notice = ms(s.Bounds.Notice)
-	if s.Bounds.Far > 0 {
-		b.FarFactor = s.Bounds.Far
-	}
 	return b
 }
--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -30,13 +30,18 @@
 
 const (
 	// maxFrame bounds a message: a page of the store's keys is about a megabyte.
-	maxFrame    = 8 << 20
+	maxFrame = 8 << 20
+	// dialTimeout is above the time in which a lost opening packet shows between
+	// data centres of one region.
 	dialTimeout = 400 * time.Millisecond
 	// redialWait keeps calls from waiting for a peer that was just out of reach.
 	redialWait = 200 * time.Millisecond
 	// streamWindow is yamux's least window.
 	streamWindow = 256 << 10
-	backlog      = 256
+	// backlog is how many calls of one peer may wait to be taken.
+	backlog = 256
+	// readBuffer holds most messages whole.
+	readBuffer = 512
 )
 
 // Outcomes of requests, as numbers on the wire.
@@ -173,7 +178,8 @@
 	defer func() { _ = stream.Close() }()
 	request := &wire.Request{}
 	options := protodelim.UnmarshalOptions{MaxSize: maxFrame}
-	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, 512), request); err != nil {
+	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, readBuffer), request); err != nil {
+		// The caller is gone, and learns by itself that there is no answer.
 		return
 	}
 	response := m.config.Serve(m.ctx, request)
@@ -209,7 +215,7 @@
 	_, err = protodelim.MarshalTo(stream, request)
 	if err == nil {
 		options := protodelim.UnmarshalOptions{MaxSize: maxFrame}
-		err = options.UnmarshalFrom(bufio.NewReaderSize(stream, 512), response)
+		err = options.UnmarshalFrom(bufio.NewReaderSize(stream, readBuffer), response)
 	}
 	if err != nil {
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -349,7 +349,7 @@
 	})
 	Convey("Nothing is placed on a cordoned or draining endpoint", t, func() {
 		b := newBench(1)
-		b.cell.Cordon(name(0), b.now.Add(time.Second))
+		b.cell.Evacuate(b.now, name(0), b.now.Add(time.Second), false)
 		b.submit(first, batch(1, 100))
 		So(b.cycle(), ShouldBeEmpty)
 		b.pass(1100 * time.Millisecond)
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -26,7 +26,7 @@
 	}
 	w.epoch++
 	o := &owner{world: w, epoch: w.epoch}
-	o.cell = jobs.New(jobs.Config{Bounds: bounds(), Inherited: w.now, Entitled: func(account string) (jobs.Size, bool) {
+	o.cell = jobs.New(jobs.Config{Bounds: jobs.DefaultBounds(), Inherited: w.now, Entitled: func(account string) (jobs.Size, bool) {
 		limit, ok := w.config.Limits[account]
 		return limit, ok
 	}})
@@ -53,17 +53,11 @@
 	})
 }
 
-func bounds() jobs.Bounds {
-	b := jobs.DefaultBounds()
-	b.StopGrace = stopGrace
-	return b
-}
-
 // restore reads the journal, one time in two by way of a snapshot.
 func (o *owner) restore(now time.Time) {
 	log := o.world.log
 	if len(log) > 0 && o.world.chance(0.5) {
-		half := jobs.New(jobs.Config{Bounds: bounds()})
+		half := jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()})
 		cut := o.world.random.IntN(len(log) + 1)
 		for _, record := range log[:cut] {
 			half.Apply(now, record)
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -233,13 +233,6 @@
 	e.strikes, e.probes, e.suspect = 0, 0, time.Time{}
 }
 
-// Cordon keeps new work off endpoints until a time, for planned work.
-func (c *Cell) Cordon(id string, until time.Time) {
-	if e := c.endpoints[id]; e != nil {
-		e.cordon = until
-	}
-}
-
 // Look says what the owner should ask an endpoint for.
 type Look struct {
 	// IsNeeded says that the endpoint has something to say or has to be kept
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -38,17 +38,16 @@
 }
 
 // rankKey orders jobs: long-running ones first, then those that can still reach
-// their objective by the time left to begin, then late ones, then the rest.
+// their objective, then late ones, then the rest; within these by priority, 0
+// first, and by the time left to begin.
 type rankKey struct {
-	class int
-	slack time.Duration
+	class    int
+	priority int
+	slack    time.Duration
 }
 
 func (k rankKey) compare(o rankKey) int {
-	if n := cmp.Compare(k.class, o.class); n != 0 {
-		return n
-	}
-	return cmp.Compare(k.slack, o.slack)
+	return cmp.Or(cmp.Compare(k.class, o.class), cmp.Compare(k.priority, o.priority), cmp.Compare(k.slack, o.slack))
 }
 
 // lateFactor is how many times its objective a job may take until it is worth
@@ -57,17 +56,17 @@
 
 func (c *Cell) rank(now time.Time, j *job) rankKey {
 	if j.IsLasting() {
-		return rankKey{class: 0}
+		return rankKey{class: 0, priority: j.Priority}
 	}
 	chain := time.Duration(float64(c.chainLeft(j)) / widthFactor)
 	slack := j.due.Sub(now) - chain
 	switch {
 	case slack >= 0:
-		return rankKey{class: 1, slack: slack}
+		return rankKey{class: 1, priority: j.Priority, slack: slack}
 	case now.Add(chain).Sub(j.arrived) < lateFactor*j.due.Sub(j.arrived):
-		return rankKey{class: 2, slack: -slack}
+		return rankKey{class: 2, priority: j.Priority, slack: -slack}
 	default:
-		return rankKey{class: 3, slack: -slack}
+		return rankKey{class: 3, priority: j.Priority, slack: -slack}
 	}
 }
 
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -153,17 +153,8 @@
 	Grant time.Duration
 	// ClockSlack is the share by which an endpoint's clock may be slow.
 	ClockSlack float64
-	// StopGrace is how long a stop takes at most.
-	StopGrace time.Duration
 	// Kept is how long an ended job stays known.
 	Kept time.Duration
-	// Notice is how long a long-running task is away before it counts as
-	// unavailable for any cause.
-	Notice time.Duration
-	// FarFactor is how many times longer a task runs far from its data.
-	FarFactor float64
-	// Early is how long before its time an occurrence may start.
-	Early time.Duration
 }
 
 // DefaultBounds are working figures for a stand-alone installation.
@@ -171,9 +162,6 @@
 	return Bounds{
 		Grant:      5 * time.Second,
 		ClockSlack: 0.02,
-		StopGrace:  500 * time.Millisecond,
 		Kept:       2 * time.Minute,
-		Notice:     4500 * time.Millisecond,
-		FarFactor:  2,
 	}
 }
--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -106,8 +106,6 @@
 	// work, and Target more.
 	Stretch float64       `json:"stretch,omitempty"`
 	Target  time.Duration `json:"goal,omitempty"`
-	// Submitted is the wall clock of the acceptance.
-	Submitted time.Time `json:"at,omitzero"`
 	// Advised says that the queue's policy allows only some endpoints.
 	Advised bool `json:"advised,omitempty"`
 }
