--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -141,7 +141,9 @@
 	e.cancel = cancel
 	go func() {
 		defer close(e.done)
-		_ = daemon.Run(ctx)
+		if err := daemon.Run(ctx); err != nil {
+			fmt.Fprintln(e.logs, "the daemon ended:", err)
+		}
 	}()
 	s.entries = append(s.entries, e)
 	return e
@@ -214,12 +216,19 @@
 	return false
 }
 
-// submit hands a job in until it is accepted.
+// submit hands a job in until it is accepted. If it is not, the log of the entry
+// tells why.
 func (s *site) submit(number int, path string) bool {
-	return s.eventually(8*time.Second, func() bool {
-		status, _ := s.call(number, http.MethodPost, path, twoSteps)
+	last := ""
+	isAccepted := s.eventually(8*time.Second, func() bool {
+		status, answer := s.call(number, http.MethodPost, path, twoSteps)
+		last = fmt.Sprintf("%d %s", status, answer)
 		return status == http.StatusOK
 	})
+	if !isAccepted {
+		s.t.Logf("%s at entry %d: %s\n%s", path, number, last, s.entries[number].logs)
+	}
+	return isAccepted
 }
 
 func (s *site) completes(number int, path string, limit time.Duration) bool {
