Take out what nothing calls; read waves once a view; wait for stored answers in one place

No behaviour changes. Gone: accessors and a flag that nothing used. The steward read and copied all waves once for each machine, every 0.2 s; Submit and Cancel waited for the store in two copies of one select.

--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -314,9 +314,6 @@
 	return o.isReady.Load() && o.ctx.Err() == nil && o.config.IsValid()
 }
 
-// Epoch returns the epoch of the ownership.
-func (o *Owner) Epoch() endpoint.Epoch { return o.epoch }
-
 // Condition returns the condition under which the cell is owned.
 func (o *Owner) Condition() store.Condition { return o.config.Condition }
 
--- a/internal/cell/owner/request.go
+++ b/internal/cell/owner/request.go
@@ -43,13 +43,7 @@
 	if err != nil {
 		return jobs.Verdict{Retry: busyRetry}, err
 	}
-	select {
-	case err = <-stored:
-	case <-ctx.Done():
-		err = ErrOpen
-	case <-o.done:
-		err = ErrOpen
-	}
+	err = o.await(ctx, stored)
 	fields := logrus.Fields{
 		"job": job.ID, "queue": job.Queue, "account": job.Account, "reason": verdict.Reason,
 		"took": boot.Now().Sub(arrived).Milliseconds(),
@@ -68,6 +62,19 @@
 	return verdict, err
 }
 
+// await waits until what a request has changed is stored. ErrOpen says that it
+// is not known whether it was.
+func (o *Owner) await(ctx context.Context, stored <-chan error) error {
+	select {
+	case err := <-stored:
+		return err
+	case <-ctx.Done():
+		return ErrOpen
+	case <-o.done:
+		return ErrOpen
+	}
+}
+
 // Status returns the state of a job.
 func (o *Owner) Status(ctx context.Context, id string) (state jobs.State, isKnown bool, err error) {
 	err = o.ask(ctx, func() { state, isKnown = o.cell.Status(id) })
@@ -94,13 +101,7 @@
 	if err != nil {
 		return false, err
 	}
-	select {
-	case err = <-stored:
-	case <-ctx.Done():
-		err = ErrOpen
-	case <-o.done:
-		err = ErrOpen
-	}
+	err = o.await(ctx, stored)
 	event.JobCancelled.Log(o.config.Log, logrus.Fields{"job": id, "known": isKnown, "open": err != nil})
 	return isKnown, err
 }
--- a/internal/cell/steward/view.go
+++ b/internal/cell/steward/view.go
@@ -81,16 +81,17 @@
 	wait.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	waves := s.config.Waves()
 	for _, m := range s.machines {
-		v.Machines = append(v.Machines, s.describe(now, m, loads))
+		v.Machines = append(v.Machines, s.describe(now, m, loads, waves))
 	}
-	for _, w := range s.config.Waves() {
+	for _, w := range waves {
 		v.Waves = append(v.Waves, s.describeWave(now, w, v.Machines))
 	}
 	return v
 }
 
-func (s *Steward) describe(now time.Time, m cloud.Machine, loads map[string]jobs.Load) pools.Machine {
+func (s *Steward) describe(now time.Time, m cloud.Machine, loads map[string]jobs.Load, waves []Wave) pools.Machine {
 	described := pools.Machine{Machine: m, CPU: s.config.CPU(m.Endpoint), IsEngaged: s.isEngaged(now, m.ID)}
 	if described.CPU == 0 {
 		described.CPU = s.cpu
@@ -107,7 +108,7 @@
 	} else {
 		delete(s.idle, m.ID)
 	}
-	for _, w := range s.config.Waves() {
+	for _, w := range waves {
 		if slices.Contains(w.Machines, m.ID) && !slices.Contains(s.done[w.Number], m.ID) {
 			described.Wave = w.Number
 		}
--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -103,11 +103,6 @@
 	return m, nil
 }
 
-// Address returns the address that is listened on.
-func (m *Mesh) Address() netip.AddrPort {
-	return m.listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
 // Close ends all sessions.
 func (m *Mesh) Close() {
 	m.cancel()
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -71,13 +71,6 @@
 	}
 }
 
-// Calls returns how many calls were made.
-func (s *Store) Calls() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls
-}
-
 // Put writes a key as an operator or an endpoint would.
 func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -60,13 +60,6 @@
 	}
 }
 
-// Remove ends an endpoint without notice.
-func (f *Fleet) Remove(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.workers, id)
-}
-
 // Starts returns how often each task was started anywhere.
 func (f *Fleet) Starts() map[string]int {
 	f.mu.Lock()
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -40,7 +40,7 @@
 
 // Counts tells what a cell has done since it was taken over.
 type Counts struct {
-	Accepted, Rejected, Started, Done, Failed, Lost, Stopped, Completed int64
+	Accepted, Started, Done, Failed, Lost, Stopped, Completed int64
 }
 
 // New returns an empty cell.
@@ -58,9 +58,6 @@
 	}
 }
 
-// Counts returns what the cell has done.
-func (c *Cell) Counts() Counts { return c.counts }
-
 // Submit takes a job in. It is accepted once the records of the next batch are
 // stored. A job that is known already is not changed.
 func (c *Cell) Submit(now time.Time, spec Job) (isNew bool) {
@@ -90,7 +87,6 @@
 }
 
 func (c *Cell) cancel(now time.Time, j *job) {
-	j.isCancelled = true
 	c.over(now, j, Cancelled)
 }
 
@@ -161,11 +157,6 @@
 	finish []*job
 }
 
-// IsEmpty tells whether there is nothing to store and nothing to do.
-func (b *Batch) IsEmpty() bool {
-	return len(b.Records) == 0 && len(b.starts) == 0 && len(b.finish) == 0
-}
-
 // Take returns what was decided since the last call.
 func (c *Cell) Take() Batch {
 	b := Batch{Records: c.records, Ends: c.ends, starts: c.starts, finish: c.finish}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -14,9 +14,8 @@
 	next, left int
 	state      State
 	// shown is the state whose records are stored.
-	shown       State
-	isCancelled bool
-	hasBegun    bool
+	shown    State
+	hasBegun bool
 	// arrived is when this owner first knew the job, ended when it ended.
 	arrived, ended time.Time
 	// due is the latest time for its end at which it earns its full worth.
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -92,7 +92,6 @@
 	for _, state := range s.Jobs {
 		if state.State != "" && len(state.Tasks) == 0 {
 			j := &job{Job: state.Job, state: state.State, shown: state.State, arrived: now, ended: now}
-			j.isCancelled = state.State == Cancelled
 			c.jobs[j.ID] = j
 			continue
 		}
