Pass lists of endpoints in their order; give test daemons ports of their own

Cause of TestDump (KNOWN-RED): the owner of a cell that has just been taken is given the list of endpoints by the goroutine that took it, while the watch of the store passes its first full read. The first may have copied the list before the read and hand it on after it, so an empty list replaced the whole one and the cell had no endpoint until the next change of any endpoint's entry. With endpoints that write once a second it cost a takeover up to a second; in the test they never write. Seen in its log: 'endpoint known' four times, then 'draining or gone' four times, then 'no endpoint is up' for 8 s. Second cause, seen in the same runs (TestJobsOverEntries, 'address already in use'): test processes that run beside each other chose the same free port. Ruled out: lapsed sessions, the view of the roster, and limits: the logs show the cell taken and ready at once. Change: a directory of its own copies and passes the list under one lock, and passes nothing that was not read whole. Tests take a loopback address of their process. TestDirectory fails without the lock and without the guard.

--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -86,6 +86,8 @@
 	ledger   *ledger.Ledger
 	setup    atomic.Pointer[setup.Setup]
 	contact  contact
+	// directory holds the endpoints that discovery lists.
+	directory *directory
 
 	wait conc.WaitGroup
 	wake chan struct{}
@@ -95,9 +97,7 @@
 	mu     sync.Mutex
 	owners map[string]*owner.Owner
 	taking map[string]bool
-	// endpoints are those that discovery lists, waves those of the operators.
-	endpoints map[string]endpoint.Entry
-	foreign   map[string]int64
+	// waves are those of the operators.
 	waves     map[string]knownWave
 	steward   *steward.Steward
 	isLeaving bool
@@ -108,7 +108,7 @@
 	d := &Daemon{
 		config: config, platform: config.Platform, log: config.Log,
 		wake: make(chan struct{}, 1), owning: make(chan struct{}, 1), owners: make(map[string]*owner.Owner), taking: make(map[string]bool),
-		endpoints: make(map[string]endpoint.Entry), foreign: make(map[string]int64), waves: make(map[string]knownWave),
+		waves: make(map[string]knownWave),
 	}
 	s := config.Settings
 	d.self = roster.Member{Name: s.Name, Centre: s.Centre, Peer: s.Peer, Power: s.Power, Life: uuid.NewString()}
@@ -117,6 +117,9 @@
 		return nil, err
 	}
 	d.contact = contact{log: d.log}
+	d.directory = newDirectory(directoryConfig{
+		Prefix: d.platform.EndpointPrefix, Decode: d.platform.DecodeEndpoint, Pass: d.passEntries, Log: d.log,
+	})
 	d.roster = roster.New(roster.Config{Client: d.platform.Store, Self: d.self, Changed: d.nudge})
 	d.ledger = ledger.New(d.platform.Store, d.log)
 	d.session = store.NewSession(store.SessionConfig{
@@ -349,7 +352,7 @@
 			d.nudge()
 		}
 	})
-	d.passEndpoints()
+	d.directory.pass()
 }
 
 // isStoreUp tells whether the last renewal of the session is as recent as it is
--- a/internal/daemon/fleet/daemon_test.go
+++ b/internal/daemon/fleet/daemon_test.go
@@ -157,9 +157,7 @@
 		s.addWorker("i-9", "red")
 		s.store.Compact()
 		So(s.eventually(5*time.Second, func() bool {
-			s.entries[0].daemon.mu.Lock()
-			defer s.entries[0].daemon.mu.Unlock()
-			_, isKnown := s.entries[0].daemon.endpoints["i-9"]
+			_, isKnown := s.entries[0].daemon.directory.entry("i-9")
 			return isKnown
 		}), ShouldBeTrue)
 	})
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -101,13 +102,29 @@
 	s.store.Put("servers/"+id, value)
 }
 
+// loopback is an address of this process alone, so that no other one takes a
+// port between its choice and its use.
+var loopback = func() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid>>16), byte(pid >> 8), byte(pid)})
+}()
+
+// chosen are the addresses that were given out.
+var chosen sync.Map
+
+// freeAddress returns an address that is free and was not given out before.
 func freeAddress(t *testing.T) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		listener, err := net.Listen("tcp", netip.AddrPortFrom(loopback, 0).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().(*net.TCPAddr).AddrPort()
+		listener.Close()
+		if _, isTaken := chosen.LoadOrStore(address, true); !isTaken {
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 func (s *site) start(name string) *entry {
--- a/internal/daemon/fleet/steward.go
+++ b/internal/daemon/fleet/steward.go
@@ -57,9 +57,8 @@
 }
 
 func (d *Daemon) cpuOf(id string) int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.endpoints[id].Profile.Capacity.CPU
+	entry, _ := d.directory.entry(id)
+	return entry.Profile.Capacity.CPU
 }
 
 // currentWaves returns the waves that can be read.
--- a/internal/daemon/fleet/watch.go
+++ b/internal/daemon/fleet/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"time"
 
@@ -119,10 +120,7 @@
 		}()
 		d.followEndpoints(watch)
 		cancel()
-		// What is no longer followed must not be taken for the present.
-		d.mu.Lock()
-		clear(d.endpoints)
-		d.mu.Unlock()
+		d.directory.forget()
 	}
 }
 
@@ -134,63 +132,23 @@
 }
 
 func (d *Daemon) followEndpoints(ctx context.Context) {
-	d.watch(ctx, d.platform.EndpointPrefix, registryGap, func(items []store.Item) {
-		d.mu.Lock()
-		clear(d.endpoints)
-		d.takeEndpoints(items)
-		d.mu.Unlock()
-		d.passEndpoints()
-	}, func(items []store.Item) {
-		d.mu.Lock()
-		d.takeEndpoints(items)
-		d.mu.Unlock()
-		d.passEndpoints()
-	})
-}
-
-func (d *Daemon) takeEndpoints(items []store.Item) {
-	for _, item := range items {
-		id := strings.TrimPrefix(item.Key, d.platform.EndpointPrefix)
-		if item.IsRemoved {
-			delete(d.endpoints, id)
-			continue
-		}
-		entry, err := d.platform.DecodeEndpoint(item.Key, item.Value)
-		if err != nil {
-			delete(d.endpoints, id)
-			if d.foreign[id] != item.Created {
-				d.foreign[id] = item.Created
-				event.EntryForeign.Log(d.log, logrus.Fields{"key": item.Key, "revision": item.Revision, "error": err.Error()})
-			}
-			continue
-		}
-		d.endpoints[id] = entry
-	}
+	d.watch(ctx, d.platform.EndpointPrefix, registryGap, d.directory.full, d.directory.update)
 }
 
-// passEndpoints gives each cell its endpoints.
-func (d *Daemon) passEndpoints() {
+// passEntries gives each cell that this entry owns its endpoints.
+func (d *Daemon) passEntries(entries map[string]endpoint.Entry) {
 	d.mu.Lock()
-	lists := make(map[string][]endpoint.Entry, len(d.owners))
-	for cell := range d.owners {
-		lists[cell] = d.entriesOf(cell)
-	}
+	owners := maps.Clone(d.owners)
 	d.mu.Unlock()
-	for cell, entries := range lists {
-		if o := d.ownerOf(cell); o != nil {
-			o.SetEndpoints(entries)
-		}
-	}
-}
-
-func (d *Daemon) entriesOf(cell string) []endpoint.Entry {
-	var entries []endpoint.Entry
-	for _, entry := range d.endpoints {
-		if entry.Pool == cell {
-			entries = append(entries, entry)
+	for cell, o := range owners {
+		var own []endpoint.Entry
+		for _, entry := range entries {
+			if entry.Pool == cell {
+				own = append(own, entry)
+			}
 		}
+		o.SetEndpoints(own)
 	}
-	return entries
 }
 
 // entitled returns what client accounts may use in a cell.
