See that machines without an endpoint are back from their upkeep

Cause: a duty ended when the machine was up with another endpoint than before. Ruled out: the pace of the wave, and tasks that do not end (orders at 14 s waited 0.1 to 4 s). Change: such a machine is back when a listing made after the answer to its order has it up. The new case of TestWaves fails before (12 s and more).

--- a/internal/cell/steward/duty.go
+++ b/internal/cell/steward/duty.go
@@ -40,8 +40,9 @@
 	wave  int
 	phase phase
 	since time.Time
-	// tried is when the order was last given.
-	tried time.Time
+	// tried is when the order was last given, began when it was known to be
+	// carried out.
+	tried, began time.Time
 }
 
 // plan takes on new duties.
@@ -80,24 +81,25 @@
 	}
 	for id, d := range s.duties {
 		m, isListed := known[id]
-		isFresh := s.listed.After(d.tried)
 		switch {
-		case !isListed || m.State == cloud.Down || d.isOver(now, m, isFresh):
+		case !isListed || m.State == cloud.Down || d.isOver(now, m, s.listed):
 			delete(s.duties, id)
-		case d.phase == open && isFresh && (m.State == cloud.Upkeep || m.State == cloud.Moving):
+		case d.phase == open && s.listed.After(d.tried) && (m.State == cloud.Upkeep || m.State == cloud.Moving):
 			s.began(d)
 		}
 	}
 }
 
-// isOver tells whether a duty is done or to be given up.
-func (d *duty) isOver(now time.Time, m cloud.Machine, isFresh bool) bool {
+// isOver tells whether a duty is done or to be given up, by a machine as it was
+// listed at a time.
+func (d *duty) isOver(now time.Time, m cloud.Machine, listed time.Time) bool {
 	switch d.phase {
 	case freeing:
 		return m.Endpoint != d.endpoint || d.pool != "" && now.Sub(d.since) > giveUpAfter
 	case settling:
-		isBack := isFresh && m.State == cloud.Up && m.Endpoint != d.endpoint
-		return isBack || now.Sub(d.tried) > settleLimit
+		// A machine that is off has no endpoint, before and after.
+		isOther := m.Endpoint != d.endpoint || d.endpoint == ""
+		return listed.After(d.began) && m.State == cloud.Up && isOther || now.Sub(d.tried) > settleLimit
 	default:
 		return false
 	}
@@ -105,7 +107,7 @@
 
 // began notes that a machine has been taken down for its duty.
 func (s *Steward) began(d *duty) {
-	d.phase = settling
+	d.phase, d.began = settling, boot.Now()
 	if d.wave != 0 && !slices.Contains(s.done[d.wave], d.machine) {
 		s.done[d.wave] = append(s.done[d.wave], d.machine)
 		s.changed = true
--- a/internal/cell/steward/steward_test.go
+++ b/internal/cell/steward/steward_test.go
@@ -77,6 +77,7 @@
 	}
 	s.orders = append(s.orders, note)
 	m.State = cloud.Upkeep
+	isOff := pool == "off"
 	s.down++
 	s.most = max(s.most, s.down)
 	time.AfterFunc(away, func() {
@@ -84,12 +85,22 @@
 		defer s.mu.Unlock()
 		s.lives++
 		s.down--
-		m.State, m.Pool, m.Endpoint = cloud.Up, pool, fmt.Sprintf("i-%s-%d", machine, s.lives)
+		m.State, m.Pool, m.Endpoint = cloud.Up, pool, ""
+		if isOff {
+			return
+		}
+		m.Endpoint = fmt.Sprintf("i-%s-%d", machine, s.lives)
 		s.loads[m.Endpoint] = jobs.Load{Endpoint: m.Endpoint, IsKnown: true}
 	})
 	return nil
 }
 
+func (s *site) poolOf(machine string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machines[machine].Pool
+}
+
 func (s *site) survey(context.Context, string) (jobs.Demand, []jobs.Load, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,7 +142,7 @@
 				return s.order(machine, pool, "move "+machine+" to "+pool)
 			},
 			Maintain: func(_ context.Context, _ cloud.Holder, machine string, wave int) error {
-				return s.order(machine, "p", fmt.Sprintf("maintain %s for %d", machine, wave))
+				return s.order(machine, s.poolOf(machine), fmt.Sprintf("maintain %s for %d", machine, wave))
 			},
 		},
 		Cells:  Cells{Survey: s.survey, Cordon: s.cordon},
@@ -190,6 +201,19 @@
 		}
 		So(s.most, ShouldBeLessThanOrEqualTo, 2)
 	})
+	Convey("Machines that are off, and so have no endpoint, make way for the next ones once they are maintained", t, func() {
+		s := newSite(6)
+		for _, m := range s.machines {
+			if m.ID < "m4" {
+				m.Pool, m.Endpoint = "off", ""
+			}
+		}
+		w := s.steward(1, wave("m0", "m1", "m2", "m3"))
+		go w.Run()
+		defer w.Stop()
+		So(eventually(4*time.Second, func() bool { return s.status() == "true" }), ShouldBeTrue)
+		So(s.most, ShouldBeLessThanOrEqualTo, 2)
+	})
 	Convey("An order without an answer is given again; the wave is completed only when it has begun", t, func() {
 		s := newSite(2)
 		s.demand = jobs.Demand{Lasting: 90000}
