--- a/jobs/place.go
+++ b/jobs/place.go
@@ -92,7 +92,7 @@
 			kept = append(kept, t)
 			continue
 		}
-		e := p.choose(t, i+1)
+		e := p.choose(t)
 		if e == nil {
 			isFull = true
 			kept = append(kept, t)
@@ -119,9 +119,8 @@
 	return false
 }
 
-// choose returns the endpoint where a task fits best, nil if there is none. Left is
-// how many tasks of the step are still to be placed, this one included.
-func (p *placer) choose(t *task, left int) *Endpoint {
+// choose returns the endpoint where a task fits best, nil if there is none.
+func (p *placer) choose(t *task) *Endpoint {
 	s := t.step
 	reserved := s.Reserved()
 	if reserved.CPU > p.most {
@@ -133,7 +132,7 @@
 		if !reserved.Fits(e.room()) || !p.suits(t, e) {
 			continue
 		}
-		if cost := p.cost(t, e, reserved, left); best == nil || cost < bestCost {
+		if cost := p.cost(t, e, reserved); best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
@@ -173,23 +172,16 @@
 }
 
 // Costs of a placement, in thousandths of a core left free: the endpoint that is
-// filled best is taken, since packed endpoints leave room for large tasks. Tasks of
-// a step go together, as the job waits for the last of them: spread over many
-// endpoints, nearly each job would have one on the few that fail, are cut off or
-// slow.
+// filled best is taken, since packed endpoints leave room for large tasks.
 const (
-	// costSplit is for each task of the step that does not fit there with this
-	// one; more than an endpoint's processors.
-	costSplit = 1 << 18
-
 	// costFar is more than any endpoint's room.
 	costFar = 1 << 30
 	// costAvoid is for the endpoint of the last failure, worse than being far.
 	costAvoid = 1 << 31
 	// costFull is for endpoints that have their share of long-running tasks.
 	costFull = 1 << 24
-	// costProbe keeps suspects for tasks that fit nowhere else, split or not.
-	costProbe = 1 << 26
+	// costProbe keeps suspects for tasks that fit nowhere else or come first.
+	costProbe = 1 << 20
 )
 
 // lastingShare is the share of an endpoint that long-running tasks take before
@@ -200,10 +192,10 @@
 // others have room: they leave it one after the other, a second each.
 const sameStep = 2
 
-func (p *placer) cost(t *task, e *Endpoint, reserved Size, left int) int64 {
+func (p *placer) cost(t *task, e *Endpoint, reserved Size) int64 {
 	s := t.step
 	free := e.room().CPU - reserved.CPU
-	cost := free + costSplit*int64(left-min(left, e.holds(s, reserved)))
+	cost := free
 	if s.LongRunning {
 		cost = e.costLasting(reserved)
 		if e.countOf(s) >= sameStep {
@@ -225,18 +217,6 @@
 	return cost
 }
 
-// holds returns how many tasks of a step fit on the endpoint now.
-func (e *Endpoint) holds(s *step, reserved Size) int {
-	most := reserved.count(e.room())
-	if s.AntiAffinity > 0 {
-		most = min(most, s.AntiAffinity-e.countOf(s))
-	}
-	if !e.suspect.IsZero() {
-		most = min(most, 1)
-	}
-	return max(most, 0)
-}
-
 // costLasting gathers long-running tasks on few endpoints, so that the others
 // can be switched off, up to a share that leaves room for their bursts.
 func (e *Endpoint) costLasting(reserved Size) int64 {
--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -38,17 +37,6 @@
 	return s.CPU <= room.CPU && s.Memory <= room.Memory && s.GPUs <= room.GPUs
 }
 
-// count returns how many times the size fits into a room.
-func (s Size) count(room Size) int {
-	count := int64(math.MaxInt32)
-	for _, each := range [...][2]int64{{s.CPU, room.CPU}, {s.Memory, room.Memory}, {s.GPUs, room.GPUs}} {
-		if each[0] > 0 {
-			count = min(count, each[1]/each[0])
-		}
-	}
-	return int(count)
-}
-
 // IsZero tells whether nothing is asked.
 func (s Size) IsZero() bool { return s == Size{} }
 
