Send a request whose owner did not answer on to the next owner

Cause: when the owner of a cell is cut off, requests that were sent to it are open and were answered with 504 after 1.5 s. While a cell is handed over, requests within 25 to 60 ms got a 503 and came back a second later. Change: an entry waits for the next owner, 1.2 s beyond the call after an open outcome and 0.15 s in a hand-over, and asks it. Jobs are told apart by their ID, so asking twice is one job; a refusal after an open outcome stays open, since the first owner may have carried it out. A cell without an owner for longer is refused at once as before. TestOwnerThatDoesNotAnswer: 200, before 504.

--- a/internal/cell/roster/roster.go
+++ b/internal/cell/roster/roster.go
@@ -94,6 +94,8 @@
 	// when that was seen.
 	most   int
 	shrunk time.Time
+	// updated is closed and replaced with each change of the view.
+	updated chan struct{}
 }
 
 // New returns an empty roster.
@@ -101,6 +103,7 @@
 	return &Roster{
 		config: config, self: config.Self, began: boot.Now(),
 		members: make(map[string]Member), owners: make(map[string]Ownership), free: make(map[string]time.Time),
+		updated: make(chan struct{}),
 	}
 }
 
@@ -145,6 +148,8 @@
 		}
 	}
 	r.watchSize()
+	close(r.updated)
+	r.updated = make(chan struct{})
 }
 
 // watchSize notes when half of the entries or more have lapsed together, as they
@@ -172,6 +177,39 @@
 	return owner, isKnown
 }
 
+// Next waits until a cell has an owner other than the one with a life, and
+// returns it. It waits no longer than a limit, counted for a cell without an owner
+// from when that was first seen.
+func (r *Roster) Next(ctx context.Context, cell, life string, limit time.Duration) (owner Ownership, isFound bool) {
+	end := boot.Now().Add(limit)
+	for {
+		r.mu.Lock()
+		owner, isFound = r.owners[cell]
+		since, updated := r.free[cell], r.updated
+		r.mu.Unlock()
+		if isFound && owner.Life != life {
+			return owner, true
+		}
+		if !isFound && !since.IsZero() && since.Add(limit).Before(end) {
+			end = since.Add(limit)
+		}
+		wait := end.Sub(boot.Now())
+		if wait <= 0 {
+			return Ownership{}, false
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-updated:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return Ownership{}, false
+		}
+	}
+}
+
 // Members returns the living entries, by name.
 func (r *Roster) Members() []Member {
 	r.mu.Lock()
--- a/internal/cell/roster/roster_test.go
+++ b/internal/cell/roster/roster_test.go
@@ -102,6 +102,42 @@
 	})
 }
 
+func TestNext(t *testing.T) {
+	members := []Member{member(0, 1), member(1, 1)}
+	one := Ownership{Name: "e0", Life: "life-0"}
+	two := Ownership{Name: "e1", Life: "life-1"}
+	Convey("The next owner of a cell is waited for, but not for longer than the limit", t, func() {
+		for name, each := range map[string]struct {
+			first, then map[string]Ownership
+			free        time.Duration
+			limit       time.Duration
+			isFound     bool
+			least, most time.Duration
+		}{
+			"it is there":             {map[string]Ownership{"a": two}, nil, 0, time.Second, true, 0, 10 * time.Millisecond},
+			"it comes":                {map[string]Ownership{"a": one}, map[string]Ownership{"a": two}, 0, time.Second, true, 30 * time.Millisecond, 500 * time.Millisecond},
+			"the same one stays":      {map[string]Ownership{"a": one}, nil, 0, 80 * time.Millisecond, false, 80 * time.Millisecond, 500 * time.Millisecond},
+			"none for long":           {nil, nil, time.Second, 300 * time.Millisecond, false, 0, 50 * time.Millisecond},
+			"none for a moment":       {nil, map[string]Ownership{"a": two}, time.Millisecond, 300 * time.Millisecond, true, 30 * time.Millisecond, 250 * time.Millisecond},
+			"another cell is no help": {map[string]Ownership{"a": one, "b": two}, nil, 0, 50 * time.Millisecond, false, 50 * time.Millisecond, 500 * time.Millisecond},
+		} {
+			r := newRoster(members[0], nil)
+			r.Full(items(members, each.first))
+			r.ToTake([]string{"a"}, no)
+			if each.free > 0 {
+				r.free["a"] = r.free["a"].Add(-each.free)
+			}
+			if each.then != nil {
+				time.AfterFunc(40*time.Millisecond, func() { r.Update(items(nil, each.then)) })
+			}
+			began := time.Now()
+			_, isFound := r.Next(context.Background(), "a", one.Life, each.limit)
+			SoMsg(name, isFound, ShouldEqual, each.isFound)
+			SoMsg(name, time.Since(began), ShouldBeBetweenOrEqual, each.least, each.most)
+		}
+	})
+}
+
 func TestTake(t *testing.T) {
 	Convey("One of two entries wins a cell, also when the answer is lost", t, func() {
 		s := keyvalue.New()
--- a/internal/daemon/fleet/daemon_test.go
+++ b/internal/daemon/fleet/daemon_test.go
@@ -146,6 +146,23 @@
 	})
 }
 
+func TestOwnerThatDoesNotAnswer(t *testing.T) {
+	Convey("A job that was sent to an owner cut off from the store is accepted by the next owner, once", t, func() {
+		s := newSite(t, 3)
+		So(s.submit(0, path("quick", 1)), ShouldBeTrue)
+		number := s.owner("red")
+		So(number, ShouldBeGreaterThanOrEqualTo, 0)
+		s.entries[number].cut(true)
+		other := (number + 1) % 3
+		status, answer := s.call(other, http.MethodPost, path("quick", 2), twoSteps)
+		SoMsg(answer, status, ShouldEqual, http.StatusOK)
+		So(s.completes(other, path("quick", 2), 8*time.Second), ShouldBeTrue)
+		for task, count := range s.workers.Starts() {
+			SoMsg(task, count, ShouldEqual, 1)
+		}
+	})
+}
+
 func TestStoreOutage(t *testing.T) {
 	Convey("Without the store nothing is accepted, and that is said at once; after it all is as before", t, func() {
 		s := newSite(t, 2)
--- a/internal/daemon/fleet/desk.go
+++ b/internal/daemon/fleet/desk.go
@@ -12,6 +12,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/ledger"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/owner"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/roster"
 	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/call"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
@@ -22,6 +23,17 @@
 // while the caller still waits.
 const peerTimeout = 1500 * time.Millisecond
 
+const (
+	// handOverWait is how long a request waits for the next owner of a cell that
+	// is being handed over, which takes 25 to 60 ms. A cell that has been without
+	// an owner for longer than that is refused at once.
+	handOverWait = 150 * time.Millisecond
+	// takeoverWait is how long a request whose owner did not answer waits for the
+	// next one, beyond peerTimeout: until the lease of a dead owner has lapsed and
+	// the cell is taken.
+	takeoverWait = sessionTTL + 700*time.Millisecond - peerTimeout
+)
+
 // ownerOf returns the owner of a cell in this entry, nil if it has none.
 func (d *Daemon) ownerOf(cell string) *owner.Owner {
 	d.mu.Lock()
@@ -34,15 +46,45 @@
 	return submitter.Desk{Submit: d.submit, Status: d.status, Cancel: d.cancelJob, Pending: d.pending}
 }
 
-// ask has the owner of a cell answer a request, here or at a peer.
+// ask has the owner of a cell answer a request, here or at a peer. If the owner
+// changes meanwhile, the request goes to the next one: requests carry the ID of
+// their job, so they may be carried out twice.
 func (d *Daemon) ask(ctx context.Context, request *wire.Request) (response *wire.Response, err error) {
-	if o := d.ownerOf(request.GetCell()); o != nil {
+	holder, isKnown := d.roster.Owner(request.GetCell())
+	if d.ownerOf(request.GetCell()) != nil {
+		holder = roster.Ownership{Life: d.self.Life}
+	} else if !isKnown {
+		holder = roster.Ownership{}
+	}
+	response, err = d.askHolder(ctx, holder, request)
+	isOpen := errors.Is(err, submitter.ErrOpen)
+	limit := handOverWait
+	switch {
+	case isOpen:
+		limit = takeoverWait
+	case !errors.Is(err, submitter.ErrUnavailable):
+		return response, err
+	}
+	next, isFound := d.roster.Next(ctx, request.GetCell(), holder.Life, limit)
+	if !isFound {
+		return nil, err
+	}
+	again, errAgain := d.askHolder(ctx, next, request)
+	if isOpen && (errAgain != nil || again.GetOutcome() == call.Refused) {
+		// The first owner may have carried it out after all.
+		return nil, err
+	}
+	return again, errAgain
+}
+
+// askHolder has one owner answer a request.
+func (d *Daemon) askHolder(ctx context.Context, holder roster.Ownership, request *wire.Request) (response *wire.Response, err error) {
+	switch {
+	case d.ownerOf(request.GetCell()) != nil:
 		response = d.serve(ctx, request)
-	} else {
-		holder, isKnown := d.roster.Owner(request.GetCell())
-		if !isKnown || holder.Life == d.self.Life {
-			return nil, fmt.Errorf("%w: cell %s has no owner", submitter.ErrUnavailable, request.GetCell())
-		}
+	case holder.Life == "" || holder.Life == d.self.Life:
+		return nil, fmt.Errorf("%w: cell %s has no owner", submitter.ErrUnavailable, request.GetCell())
+	default:
 		limited, cancel := context.WithTimeout(ctx, peerTimeout)
 		response, err = d.mesh.Call(limited, holder.Peer, request)
 		cancel()
