Try: count late jobs in the queue and jobs from when they were first handed in

Change: the objective counts from the first time a job was handed in to this owner, and the queue at the door counts late jobs too.

--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -425,6 +425,27 @@
 	})
 }
 
+func TestArrivalsAreForgotten(t *testing.T) {
+	Convey("What was handed in is kept for its window only, also if nobody asks for the rate", t, func() {
+		now := time.Unix(1, 0)
+		a := &arrivals{}
+		for i := range 10000 {
+			a.add(now, fmt.Sprint(i), 1)
+			now = now.Add(10 * time.Millisecond)
+		}
+		So(len(a.at), ShouldBeLessThan, int(3*arrivalWindow/(10*time.Millisecond)))
+		So(len(a.seen), ShouldBeLessThan, int((firstWindow+2*arrivalWindow)/(10*time.Millisecond)))
+	})
+	Convey("A job counts from when it was first handed in", t, func() {
+		now := time.Unix(1, 0)
+		a := &arrivals{}
+		a.add(now, "a", 1)
+		a.add(now.Add(7*time.Second), "a", 1)
+		So(a.first(now.Add(8*time.Second), "a"), ShouldEqual, now)
+		So(a.first(now.Add(8*time.Second), "b"), ShouldEqual, now.Add(8*time.Second))
+	})
+}
+
 func TestAdvice(t *testing.T) {
 	Convey("Steps of a queue with a policy wait for tickets, which hold for one life and time", t, func() {
 		b := newBench(2)
--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -145,7 +145,7 @@
 // Submit hands a job in to the owner of the cell.
 func (w *World) Submit(job jobs.Job) (verdict jobs.Verdict) {
 	o := w.owner
-	if o == nil {
+	if o == nil || o.isGone {
 		return jobs.Verdict{Reason: "no owner", Retry: time.Second}
 	}
 	verdict = o.cell.Admit(w.now, &job)
--- a/jobs/emulator/load_test.go
+++ b/jobs/emulator/load_test.go
@@ -21,6 +21,9 @@
 	troubles func(w *World)
 	// isOpenDoor lets every job in, as a simple baseline.
 	isOpenDoor bool
+	// retries is how many times a submitter comes back, in whole seconds as
+	// Retry-After has them.
+	retries int
 }
 
 // outcome is what came of a load.
@@ -67,10 +70,10 @@
 			w.owner.cell.Submit(w.Now(), job)
 			continue
 		}
-		if !w.Submit(job).IsAccepted {
+		l.submit(w, job, l.retries, func() {
 			o.refused++
 			delete(sent, job.ID)
-		}
+		})
 	}
 	w.Advance(60 * time.Second)
 	for id, at := range sent {
@@ -88,6 +91,28 @@
 	return o
 }
 
+// answerLimit is when a submitter takes a request for lost.
+const answerLimit = 1500 * time.Millisecond
+
+// submit hands a job in, and again when its submitter is told to come back.
+func (l load) submit(w *World, job jobs.Job, retries int, refused func()) {
+	verdict := w.Submit(job)
+	switch {
+	case verdict.IsAccepted:
+		// An owner that ends before the job is stored gives no answer.
+		w.After(answerLimit, func() {
+			if _, isAccepted := w.Accepted()[job.ID]; !isAccepted {
+				l.submit(w, job, retries, refused)
+			}
+		})
+	case retries == 0:
+		refused()
+	default:
+		wait := time.Duration(math.Ceil(verdict.Retry.Seconds())) * time.Second
+		w.After(wait, func() { l.submit(w, job, retries-1, refused) })
+	}
+}
+
 // trueTime is how long the tasks of a job run; the spec carries it, which the
 // cell does not read.
 func trueTime(job jobs.Job) time.Duration {
@@ -150,6 +175,31 @@
 	}
 }
 
+// TestReturnsAfterAGap plays turns in which the cell has no owner for two seconds,
+// as when its owner was cut off. Those that were refused come back while others
+// arrive.
+func TestReturnsAfterAGap(t *testing.T) {
+	for name, seed := range map[string]uint64{"first seed": 21, "second seed": 22, "third seed": 23} {
+		t.Run(name, func(t *testing.T) {
+			l := load{
+				seed: seed, turn: 30, turnLength: 12 * time.Second, period: 30 * time.Second, length: 20 * time.Second, retries: 4,
+				troubles: func(w *World) { w.After(4*time.Second, w.Kill) },
+			}
+			o := l.play()
+			t.Logf("%+v", o)
+			if len(o.violations) > 0 {
+				t.Fatal(o.violations)
+			}
+			// The cell works off 24 of the 30 jobs that come in a second. Of what it can
+			// do in the turn, outside of the gap and the two seconds in which those that
+			// were refused come back, three fifths should be in time.
+			if least := 24 * (12 - 2 - 2) * 3 / 5; o.inTime < least {
+				t.Errorf("%d in time, fewer than %d", o.inTime, least)
+			}
+		})
+	}
+}
+
 // TestBadEndpointsUnderLoad plays endpoints that fail, stall or slow what they
 // start: most of the work still ends in time elsewhere.
 func TestBadEndpointsUnderLoad(t *testing.T) {
