--- a/jobs/admit.go
+++ b/jobs/admit.go
@@ -28,9 +28,8 @@
 	if c.jobs[spec.ID] != nil || spec.IsLasting() || spec.Times > 0 {
 		return Verdict{IsAccepted: true}
 	}
-	j := &job{Job: *spec}
+	j := &job{Job: *spec, arrived: now}
 	c.arrivals.add(now, spec.ID, c.workLeft(j))
-	j.arrived = c.arrivals.first(now, spec.ID)
 	if !c.fitsAnywhere(j) {
 		return Verdict{Retry: maxRetry, Reason: "no endpoint is large enough"}
 	}
@@ -39,7 +38,7 @@
 		return Verdict{Retry: maxRetry, Reason: "no endpoint is up"}
 	}
 	chain := c.chainLeft(j)
-	slack := c.objective(j) - chain - now.Sub(j.arrived)
+	slack := c.objective(j) - chain
 	wait := time.Duration(c.backlog(now) / rate * float64(time.Second))
 	if wait <= max(slack, 0)+patience {
 		return Verdict{IsAccepted: true}
@@ -91,13 +90,11 @@
 	return cores * usable
 }
 
-// backlog returns the core-seconds of accepted work that has not ended, but for
-// that of jobs that are worth nothing any more. Late jobs go after those in time,
-// but they count, since those that are at work keep their room.
+// backlog returns the core-seconds of accepted work that has not ended.
 func (c *Cell) backlog(now time.Time) float64 {
 	work := 0.0
 	for _, j := range c.active {
-		if j.isOver() || j.IsLasting() || c.rank(now, j).class == classLost {
+		if j.isOver() || j.IsLasting() || c.rank(now, j).class > 1 {
 			continue
 		}
 		work += c.workLeft(j) * remaining
--- a/jobs/demand.go
+++ b/jobs/demand.go
@@ -30,49 +30,30 @@
 	// sameWindow is how long a job that was turned away and comes again is not
 	// counted again.
 	sameWindow = 6 * time.Second
-	// firstWindow is how long the first time is remembered: submitters that are
-	// told to come back a few times, at most maxRetry each, are through by then.
-	firstWindow = 20 * time.Second
 )
 
 // arrivals is the work that was handed in lately.
 type arrivals struct {
 	at   []time.Time
 	work []float64
-	seen map[string]sighting
+	seen map[string]time.Time
 	// trimmed is when what is too old was last dropped.
 	trimmed time.Time
 }
 
-// sighting is when a job was first handed in, and when it was last counted.
-type sighting struct{ first, counted time.Time }
-
 // add notes a job with its work in core-seconds, unless it comes again.
 func (a *arrivals) add(now time.Time, id string, work float64) {
 	if a.seen == nil {
-		a.seen = make(map[string]sighting)
+		a.seen = make(map[string]time.Time)
 	}
-	earlier, isSeen := a.seen[id]
-	switch {
-	case !isSeen:
-		a.seen[id] = sighting{first: now, counted: now}
-	case now.Sub(earlier.counted) < sameWindow:
+	if at, isSeen := a.seen[id]; isSeen && now.Sub(at) < sameWindow {
 		return
-	default:
-		a.seen[id] = sighting{first: earlier.first, counted: now}
 	}
+	a.seen[id] = now
 	a.trim(now)
 	a.at, a.work = append(a.at, now), append(a.work, work)
 }
 
-// first returns when a job was first handed in, as far as that is remembered.
-func (a *arrivals) first(now time.Time, id string) time.Time {
-	if earlier, isSeen := a.seen[id]; isSeen {
-		return earlier.first
-	}
-	return now
-}
-
 // rate returns core-seconds a second.
 func (a *arrivals) rate(now time.Time) float64 {
 	a.trim(now)
@@ -92,8 +73,8 @@
 	a.trimmed = now
 	first := a.firstWithin(now, arrivalWindow)
 	a.at, a.work = slices.Delete(a.at, 0, first), slices.Delete(a.work, 0, first)
-	for id, earlier := range a.seen {
-		if now.Sub(earlier.first) >= firstWindow {
+	for id, at := range a.seen {
+		if now.Sub(at) >= sameWindow {
 			delete(a.seen, id)
 		}
 	}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -16,8 +16,7 @@
 	// shown is the state whose records are stored.
 	shown    State
 	hasBegun bool
-	// arrived is when the job was first handed in as far as this owner knows, also
-	// if it was turned away then, ended when it ended.
+	// arrived is when this owner first knew the job, ended when it ended.
 	arrived, ended time.Time
 	// due is the latest time for its end at which it earns its full worth.
 	due time.Time
@@ -129,11 +128,11 @@
 		occurrences: make(map[int]*occurrence),
 		left:        spec.Occurrences(),
 		state:       Queued,
-		arrived:     c.arrivals.first(now, spec.ID),
+		arrived:     now,
 	}
 	c.jobs[spec.ID] = j
 	c.active = append(c.active, j)
-	j.due = j.arrived.Add(c.objective(j))
+	j.due = now.Add(c.objective(j))
 	if spec.Times == 0 {
 		c.begin(j, 0)
 	}
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -49,33 +49,23 @@
 	return cmp.Or(cmp.Compare(k.class, o.class), cmp.Compare(k.priority, o.priority), cmp.Compare(k.slack, o.slack))
 }
 
-// Classes of jobs, in their order.
-const (
-	classLasting = iota
-	// classTimely jobs can still reach their objective.
-	classTimely
-	// classLate jobs are worth something yet.
-	classLate
-	classLost
-)
-
 // lateFactor is how many times its objective a job may take until it is worth
 // nothing any more.
 const lateFactor = 3
 
 func (c *Cell) rank(now time.Time, j *job) rankKey {
 	if j.IsLasting() {
-		return rankKey{class: classLasting, priority: j.Priority}
+		return rankKey{class: 0, priority: j.Priority}
 	}
 	chain := time.Duration(float64(c.chainLeft(j)) / widthFactor)
 	slack := j.due.Sub(now) - chain
 	switch {
 	case slack >= 0:
-		return rankKey{class: classTimely, priority: j.Priority, slack: slack}
+		return rankKey{class: 1, priority: j.Priority, slack: slack}
 	case now.Add(chain).Sub(j.arrived) < lateFactor*j.due.Sub(j.arrived):
-		return rankKey{class: classLate, priority: j.Priority, slack: -slack}
+		return rankKey{class: 2, priority: j.Priority, slack: -slack}
 	default:
-		return rankKey{class: classLost, priority: j.Priority, slack: -slack}
+		return rankKey{class: 3, priority: j.Priority, slack: -slack}
 	}
 }
 
