Give large pools less headroom than small ones

Change: 1.3 times the demand and 1.58 times the root of the machines that it fills, which is 1.8 times at ten machines and 1.45 at a hundred.

--- a/internal/plan/pools/pools.go
+++ b/internal/plan/pools/pools.go
@@ -76,9 +76,11 @@
 
 // Sizing constants.
 const (
-	// headroom is kept over the demand for short-lived work, for tasks that do
-	// not pack and for what arrives while a machine moves.
-	headroom = 1.8
+	// headroom is kept over the demand for short-lived work, for tasks that do not
+	// pack. What swings adds to it: jobs come by chance, so the swing falls with the
+	// root of what there is, and a pool of ten machines has 1.8 times its demand.
+	headroom = 1.3
+	swing    = 1.58
 	// spares is how many machines a pool keeps beyond its need, for the loss of
 	// one.
 	spares = 2
@@ -92,8 +94,9 @@
 	if cpu == 0 {
 		return p.Least
 	}
-	work := headroom*float64(max(p.Present, p.Arriving)) + float64(p.Lasting)
-	return max(int(math.Ceil(work/float64(cpu))), p.Least) + spares
+	busy := float64(max(p.Present, p.Arriving)) / float64(cpu)
+	work := headroom*busy + min(swing*math.Sqrt(busy), busy) + float64(p.Lasting)/float64(cpu)
+	return max(int(math.Ceil(work)), p.Least) + spares
 }
 
 // Moves answers demand that rises and falls by turns: idle machines of pools
