Reach the store through a peer when it turns an entry away

Change: the store's client has a second path, one hop through a peer, which makes the same call on its own path and decides nothing. The setting 'alone' turns it off. Also: a request to an owner ends 0.1 s after the cell has another one, instead of after 1.5 s. TestStoreThroughAPeer: the cell stays with its owner, at the same epoch, for twice the lease; without the path it goes to another entry (TestLostOwner, TestOwnerThat- DoesNotAnswer play that with 'alone').

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -93,5 +93,8 @@
 	PoolsSized    = define(668, logrus.InfoLevel, "machines planned to move")
 	SettingsRead  = define(670, logrus.InfoLevel, "settings read again")
 	LinesDropped  = define(671, logrus.WarnLevel, "log lines dropped")
+	PathDetour    = define(673, logrus.WarnLevel, "store asked through a peer")
+	PathDirect    = define(674, logrus.InfoLevel, "store asked directly again")
+	DetourFailed  = define(675, logrus.WarnLevel, "peer could not reach the store")
 	CallFailed    = define(672, logrus.WarnLevel, "call to another entry failed")
 )
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,8 @@
 	"gitlab.com/chicorypin/chicorypin/internal/cell/steward"
 	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/call"
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/relay"
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
 	"gitlab.com/chicorypin/chicorypin/internal/model/setup"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
@@ -81,11 +84,14 @@
 	log      *logrus.Entry
 	self     roster.Member
 	mesh     *call.Mesh
-	session  *store.Session
-	roster   *roster.Roster
-	ledger   *ledger.Ledger
-	setup    atomic.Pointer[setup.Setup]
-	contact  contact
+	// store is reached directly or through a peer; relay makes calls for peers.
+	store   *store.Client
+	relay   *relay.Server
+	session *store.Session
+	roster  *roster.Roster
+	ledger  *ledger.Ledger
+	setup   atomic.Pointer[setup.Setup]
+	contact contact
 	// directory holds the endpoints that discovery lists.
 	directory *directory
 
@@ -117,13 +123,20 @@
 		return nil, err
 	}
 	d.contact = contact{log: d.log}
+	d.relay = relay.NewServer(d.platform.Store)
+	d.store = relay.New(relay.Config{
+		Direct: d.platform.Store, Peers: d.relays, Log: d.log,
+		Call: func(ctx context.Context, peer netip.AddrPort, request *wire.Request) (*wire.Response, error) {
+			return d.mesh.Call(ctx, peer, request)
+		},
+	}).Client()
 	d.directory = newDirectory(directoryConfig{
 		Prefix: d.platform.EndpointPrefix, Decode: d.platform.DecodeEndpoint, Pass: d.passEntries, Log: d.log,
 	})
-	d.roster = roster.New(roster.Config{Client: d.platform.Store, Self: d.self, Changed: d.nudge})
-	d.ledger = ledger.New(d.platform.Store, d.log)
+	d.roster = roster.New(roster.Config{Client: d.store, Self: d.self, Changed: d.nudge})
+	d.ledger = ledger.New(d.store, d.log)
 	d.session = store.NewSession(store.SessionConfig{
-		Client: d.platform.Store, TTL: sessionTTL,
+		Client: d.store, TTL: sessionTTL,
 		Made: d.sessionMade, Lost: d.sessionLost, Failed: d.contact.failed, Reached: d.contact.reached,
 	})
 	return d, nil
@@ -173,6 +186,25 @@
 	return d.config.Settings.bounds()
 }
 
+// relays returns the entries that may make calls to the store for this one: those
+// of its own data centre first.
+func (d *Daemon) relays() []netip.AddrPort {
+	if d.config.Settings.Alone {
+		return nil
+	}
+	var near, far []netip.AddrPort
+	for _, m := range d.roster.Members() {
+		switch {
+		case m.Name == d.self.Name || m.IsLeaving:
+		case m.Centre == d.self.Centre:
+			near = append(near, m.Peer)
+		default:
+			far = append(far, m.Peer)
+		}
+	}
+	return append(near, far...)
+}
+
 // nudge makes manage look at ownership at once.
 func (d *Daemon) nudge() {
 	select {
@@ -323,7 +355,7 @@
 func (d *Daemon) own(cell string, condition store.Condition) {
 	event.CellTaken.Log(d.log, logrus.Fields{"cell": cell, "epoch": condition.Revision})
 	o := owner.New(owner.Config{
-		Cell: cell, Store: d.platform.Store, Endpoints: d.platform.Endpoints, Condition: condition,
+		Cell: cell, Store: d.store, Endpoints: d.platform.Endpoints, Condition: condition,
 		IsValid: d.session.IsValid, IsStoreUp: d.isStoreUp, Bounds: d.bounds(), Inherited: boot.Now(),
 		Entitled: d.entitled(cell), Advise: d.platform.Advise,
 		Log:   d.log.WithField("cell", cell),
--- a/internal/daemon/fleet/daemon_test.go
+++ b/internal/daemon/fleet/daemon_test.go
@@ -124,7 +124,7 @@
 
 func TestLostOwner(t *testing.T) {
 	Convey("Cells of an entry that is cut off from the store are taken over, and no task runs twice", t, func() {
-		s := newSite(t, 3)
+		s := newLonelySite(t, 3)
 		for i := range 4 {
 			So(s.submit(i%3, path("quick", uint64(i+1))), ShouldBeTrue)
 		}
@@ -146,9 +146,33 @@
 	})
 }
 
+func TestStoreThroughAPeer(t *testing.T) {
+	Convey("An entry that the store turns away keeps its cells and serves on by way of a peer", t, func() {
+		s := newSite(t, 3)
+		So(s.submit(0, path("quick", 1)), ShouldBeTrue)
+		number := s.owner("red")
+		So(number, ShouldBeGreaterThanOrEqualTo, 0)
+		epoch := s.entries[number].daemon.ownerOf("red").Condition().Revision
+		s.entries[number].cut(true)
+		// Twice the lease: without another path the cell would have gone by now.
+		end := time.Now().Add(2 * sessionTTL)
+		for i := uint64(2); time.Now().Before(end); i++ {
+			status, answer := s.call(int(i%3), http.MethodPost, path("quick", i), twoSteps)
+			SoMsg(answer, status, ShouldEqual, http.StatusOK)
+			So(s.completes(number, path("quick", i), 8*time.Second), ShouldBeTrue)
+			So(s.entries[number].daemon.IsReady(), ShouldBeTrue)
+		}
+		So(s.owner("red"), ShouldEqual, number)
+		So(s.entries[number].daemon.ownerOf("red").Condition().Revision, ShouldEqual, epoch)
+		for task, count := range s.workers.Starts() {
+			SoMsg(task, count, ShouldEqual, 1)
+		}
+	})
+}
+
 func TestOwnerThatDoesNotAnswer(t *testing.T) {
 	Convey("A job that was sent to an owner cut off from the store is accepted by the next owner, once", t, func() {
-		s := newSite(t, 3)
+		s := newLonelySite(t, 3)
 		So(s.submit(0, path("quick", 1)), ShouldBeTrue)
 		number := s.owner("red")
 		So(number, ShouldBeGreaterThanOrEqualTo, 0)
--- a/internal/daemon/fleet/desk.go
+++ b/internal/daemon/fleet/desk.go
@@ -28,6 +28,9 @@
 	// is being handed over, which takes 25 to 60 ms. A cell that has been without
 	// an owner for longer than that is refused at once.
 	handOverWait = 150 * time.Millisecond
+	// deposedWait is how long an answer of an owner is waited for after the next one
+	// is there; one that has handed over sends its last answers before.
+	deposedWait = 100 * time.Millisecond
 	// takeoverWait is how long a request whose owner did not answer waits for the
 	// next one, beyond peerTimeout: until the lease of a dead owner has lapsed and
 	// the cell is taken.
@@ -86,6 +89,11 @@
 		return nil, fmt.Errorf("%w: cell %s has no owner", submitter.ErrUnavailable, request.GetCell())
 	default:
 		limited, cancel := context.WithTimeout(ctx, peerTimeout)
+		go func() {
+			if _, isFound := d.roster.Next(limited, request.GetCell(), holder.Life, peerTimeout); isFound {
+				time.AfterFunc(deposedWait, cancel)
+			}
+		}()
 		response, err = d.mesh.Call(limited, holder.Peer, request)
 		cancel()
 		if err != nil {
@@ -141,6 +149,9 @@
 
 // serve answers a request as the owner of its cell.
 func (d *Daemon) serve(ctx context.Context, request *wire.Request) *wire.Response {
+	if relay := request.GetRelay(); relay != nil {
+		return d.relay.Serve(ctx, relay)
+	}
 	o := d.ownerOf(request.GetCell())
 	if o == nil {
 		return &wire.Response{Outcome: call.NotOwner, Reason: "this entry does not own the cell"}
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -38,6 +38,8 @@
 	store   *keyvalue.Store
 	workers *worker.Fleet
 	entries []*entry
+	// isAlone keeps entries from asking the store through each other.
+	isAlone bool
 }
 
 // entry is one daemon.
@@ -71,7 +73,16 @@
 }
 
 func newSite(t *testing.T, entries int) *site {
-	s := &site{t: t, store: keyvalue.New()}
+	return (&site{t: t, store: keyvalue.New()}).begin(entries)
+}
+
+// newLonelySite returns an installation whose entries lose their cells when they do
+// not reach the store themselves.
+func newLonelySite(t *testing.T, entries int) *site {
+	return (&site{t: t, store: keyvalue.New(), isAlone: true}).begin(entries)
+}
+
+func (s *site) begin(entries int) *site {
 	s.workers = worker.NewFleet(func(task string) time.Duration {
 		if strings.HasPrefix(task, "f") {
 			return 0 // Jobs whose ID begins with f last.
@@ -85,7 +96,7 @@
 	for i := range entries {
 		s.start(fmt.Sprintf("entry-%d", i))
 	}
-	t.Cleanup(func() {
+	s.t.Cleanup(func() {
 		for _, e := range s.entries {
 			e.stop()
 		}
@@ -130,7 +141,7 @@
 func (s *site) start(name string) *entry {
 	settings := Settings{
 		Name: name, Centre: "c", Submitters: freeAddress(s.t), Ready: freeAddress(s.t), Peer: freeAddress(s.t),
-		Metrics: freeAddress(s.t), Orders: ordersOnRequest, Stop: 0.4,
+		Metrics: freeAddress(s.t), Orders: ordersOnRequest, Stop: 0.4, Alone: s.isAlone,
 	}
 	settings.Bounds.Hold = 5000
 	e := &entry{url: "http://" + settings.Submitters.String(), done: make(chan struct{}), logs: &lines{}}
--- a/internal/daemon/fleet/steward.go
+++ b/internal/daemon/fleet/steward.go
@@ -25,7 +25,7 @@
 func (d *Daemon) runSteward(condition store.Condition) {
 	event.StewardTaken.Log(d.log, logrus.Fields{"epoch": condition.Revision})
 	s := steward.New(steward.Config{
-		Store: d.platform.Store, Cloud: d.platform.Cloud,
+		Store: d.store, Cloud: d.platform.Cloud,
 		Cells:     steward.Cells{Survey: d.survey, Cordon: d.cordon},
 		Holder:    cloud.Holder{Name: d.self.Name, Epoch: condition.Revision},
 		Condition: condition, IsValid: d.session.IsValid,
