--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -57,6 +57,7 @@
 	JobCancelled  = define(602, logrus.InfoLevel, "job cancelled")
 	JobEnded      = define(603, logrus.InfoLevel, "job ended")
 	JobOpen       = define(604, logrus.WarnLevel, "outcome of a request left open")
+	JobWaits      = define(605, logrus.InfoLevel, "job waits for room")
 	RunOrdered    = define(610, logrus.InfoLevel, "run ordered")
 	RunRefused    = define(611, logrus.InfoLevel, "run refused by its endpoint")
 	RunOpen       = define(612, logrus.WarnLevel, "order to an endpoint not answered")
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -183,6 +183,7 @@
 	}
 	if !o.isLeaving {
 		o.cell.Plan(now, time.Now())
+		o.logWaits(now)
 	}
 	o.orderStops(now)
 	o.orderPaces(now)
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -36,6 +36,8 @@
 	learned  learned
 	arrivals arrivals
 	counts   Counts
+	// waitsTold is when waiting jobs were last looked for.
+	waitsTold time.Time
 }
 
 // Counts tells what a cell has done since it was taken over.
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -22,6 +22,8 @@
 	due time.Time
 	// blocked is since when a task of the job finds no room.
 	blocked time.Time
+	// waitTold is when that was last told.
+	waitTold time.Time
 }
 
 func (j *job) isOver() bool { return j.state != Queued && j.state != Running }
--- /dev/null
+++ b/jobs/wait.go
@@ -0,0 +1,95 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+)
+
+// Figures of what is told of waiting jobs.
+const (
+	// waitShown is how long a job finds no room until that is told, waitAgain when
+	// it is told again, waitsEvery and waitsMost bound how much is told.
+	waitShown  = 2 * time.Second
+	waitAgain  = 5 * time.Second
+	waitsEvery = time.Second
+	waitsMost  = 3
+)
+
+// Wait says why a task that could run finds no room.
+type Wait struct {
+	Task string
+	// Since is how long the job has found no room.
+	Since time.Duration
+	Size  Size
+	// Together is how many tasks have to be placed at once.
+	Together int
+	// Endpoints counts the endpoints by what stands against each.
+	Endpoints map[string]int
+}
+
+// Waits returns a few of the jobs that wait for room, each from time to time.
+func (c *Cell) Waits(now time.Time) (waits []Wait) {
+	if now.Sub(c.waitsTold) < waitsEvery {
+		return nil
+	}
+	c.waitsTold = now
+	for _, j := range c.active {
+		if len(waits) == waitsMost {
+			break
+		}
+		if j.isOver() || j.blocked.IsZero() || now.Sub(j.blocked) < waitShown || now.Sub(j.waitTold) < waitAgain {
+			continue
+		}
+		if t := j.firstWaiting(); t != nil {
+			j.waitTold = now
+			waits = append(waits, c.explain(now, t))
+		}
+	}
+	return waits
+}
+
+func (j *job) firstWaiting() *task {
+	for _, o := range j.ordered() {
+		for _, s := range o.steps {
+			if s.isReady && len(s.waiting) > 0 {
+				return s.waiting[len(s.waiting)-1]
+			}
+		}
+	}
+	return nil
+}
+
+// explain says why a task is not placed.
+func (c *Cell) explain(now time.Time, t *task) Wait {
+	s := t.step
+	j := s.occurrence.job
+	w := Wait{Task: t.name, Since: now.Sub(j.blocked), Size: s.Reserved(), Together: 1, Endpoints: make(map[string]int)}
+	if s.Gang {
+		w.Together = len(s.tasks)
+	}
+	p := &placer{c: c, now: now}
+	limit, isBounded := c.config.Entitled(j.Account)
+	isBeyond := j.Account != "" && isBounded && !c.used[j.Account].Plus(s.Each.Times(int64(w.Together))).Fits(limit)
+	for _, e := range c.endpoints {
+		reason := e.state(now)
+		switch {
+		case isBeyond:
+			reason = "limit of the client account"
+		case now.Before(t.notBefore):
+			reason = "refused a moment ago"
+		case reason != "" && (!e.canTake(now) || !e.isTrusted(now)):
+		case s.Requires != "" && !slices.Contains(e.Labels, s.Requires):
+			reason = "label"
+		case e.held != nil && e.held != t:
+			reason = "kept free for another task"
+		case !s.Reserved().Fits(e.room()):
+			reason = "no room"
+		case !p.suits(t, e):
+			reason = "spread, ticket or earlier run"
+		default:
+			reason = "none"
+		}
+		w.Endpoints[reason]++
+	}
+	return w
+}
