--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -61,8 +61,10 @@
 	probes  int
 	// paced is when paces were last changed.
 	paced time.Time
-	// held is the task that the endpoint is kept free for, since it found no room.
-	held *task
+	// held is the task that the endpoint is kept free for, since it found no room,
+	// heldAt when that was last found.
+	held   *task
+	heldAt time.Time
 }
 
 // Profile is what discovery says of an endpoint.
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -13,6 +13,8 @@
 	free []*Endpoint
 	// most is the most processor time that any endpoint has free.
 	most int64
+	// wanted are the labels that tasks wait for.
+	wanted map[string]bool
 }
 
 func (c *Cell) newPlacer(now time.Time) *placer {
@@ -27,9 +29,30 @@
 	}
 	slices.SortFunc(p.free, byEndpointID)
 	p.measure()
+	p.wanted = c.wantedLabels()
 	return p
 }
 
+// wantedLabels returns the labels that waiting tasks need.
+func (c *Cell) wantedLabels() map[string]bool {
+	var wanted map[string]bool
+	for _, j := range c.active {
+		if j.isOver() {
+			continue
+		}
+		for i := range j.Steps {
+			if j.Steps[i].Requires == "" {
+				continue
+			}
+			if wanted == nil {
+				wanted = make(map[string]bool)
+			}
+			wanted[j.Steps[i].Requires] = true
+		}
+	}
+	return wanted
+}
+
 func (p *placer) measure() {
 	p.most = 0
 	for _, e := range p.free {
@@ -180,6 +203,8 @@
 	costAvoid = 1 << 31
 	// costFull is for endpoints that have their share of long-running tasks.
 	costFull = 1 << 24
+	// costWanted keeps endpoints with a label that others need for those.
+	costWanted = 1 << 19
 	// costProbe keeps suspects for tasks that fit nowhere else or come first.
 	costProbe = 1 << 20
 )
@@ -208,6 +233,9 @@
 	if t.avoid == e.ID {
 		cost += costAvoid
 	}
+	if s.Requires == "" && slices.ContainsFunc(e.Labels, func(label string) bool { return p.wanted[label] }) {
+		cost += costWanted
+	}
 	if !e.suspect.IsZero() {
 		if s.LongRunning {
 			cost += costFar
@@ -243,6 +271,7 @@
 	held := 0
 	for _, e := range p.free {
 		if e.held == t {
+			e.heldAt = p.now
 			return
 		}
 		if e.held != nil {
@@ -257,7 +286,18 @@
 		}
 	}
 	if best != nil && held <= len(p.free)/4 {
-		best.held = t
+		best.held, best.heldAt = t, p.now
+	}
+}
+
+// releaseHeld frees the endpoints whose tasks did not ask for them in this pass:
+// they were placed elsewhere, or wait for something else than room, such as the
+// limit of their client account.
+func (p *placer) releaseHeld() {
+	for _, e := range p.c.endpoints {
+		if e.held != nil && !e.heldAt.Equal(p.now) {
+			e.held = nil
+		}
 	}
 }
 
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -34,6 +34,7 @@
 	for _, j := range c.active {
 		p.placeJob(j)
 	}
+	p.releaseHeld()
 }
 
 // rankKey orders jobs: long-running ones first, then those that can still reach
