--- a/internal/cell/steward/view.go
+++ b/internal/cell/steward/view.go
@@ -73,7 +73,6 @@
 			defer mu.Unlock()
 			p.IsSurveyed = true
 			p.Present, p.Arriving, p.Lasting, p.Least = demand.Present, demand.Arriving, demand.Lasting, demand.Least
-			p.Labels = demand.Labels
 			for _, load := range found {
 				loads[load.Endpoint] = load
 			}
--- a/internal/daemon/fleet/desk.go
+++ b/internal/daemon/fleet/desk.go
@@ -219,7 +219,6 @@
 		Outcome: outcome(true, err), Load: wireLoads(loads),
 		Demand: &wire.Demand{
 			Present: demand.Present, Arriving: demand.Arriving, Lasting: demand.Lasting, Least: uint32(demand.Least),
-			Label: demand.Labels,
 		},
 	}
 }
--- a/internal/daemon/fleet/steward.go
+++ b/internal/daemon/fleet/steward.go
@@ -91,7 +91,6 @@
 	found := response.GetDemand()
 	demand = jobs.Demand{
 		Present: found.GetPresent(), Arriving: found.GetArriving(), Lasting: found.GetLasting(), Least: int(found.GetLeast()),
-		Labels: found.GetLabel(),
 	}
 	return demand, loadsOf(response), nil
 }
--- a/internal/plan/pools/pools.go
+++ b/internal/plan/pools/pools.go
@@ -40,8 +40,6 @@
 	Present, Arriving, Lasting int64
 	// Least is the fewest endpoints that the long-running steps can spread over.
 	Least int
-	// Labels is the demand that needs machines with a label, by that label.
-	Labels map[string]int64
 }
 
 // View is what the planner goes by.
@@ -96,7 +94,7 @@
 	if cpu == 0 {
 		return p.Least
 	}
-	busy := float64(max(p.Present-p.labelled(), p.Arriving)) / float64(cpu)
+	busy := float64(max(p.Present, p.Arriving)) / float64(cpu)
 	work := headroom*busy + min(swing*math.Sqrt(busy), busy) + float64(p.Lasting)/float64(cpu)
 	return max(int(math.Ceil(work)), p.Least) + spares
 }
@@ -117,13 +115,11 @@
 			m := free[at]
 			free = slices.Delete(free, at, at+1)
 			moves = append(moves, Move{Machine: m, Pool: s.Name, Reason: "the pool lacks machines"})
-			sizes[m.Pool].give(m)
-			s.get(m)
+			sizes[m.Pool].have--
+			s.have++
 		}
 	}
-	labelled, free := relabel(engage(v, moves), sizes, free)
-	moves = append(moves, labelled...)
-	moves = append(moves, rebalance(engage(v, moves), sizes)...)
+	moves = append(moves, rebalance(v, sizes)...)
 	standby := standbyPool(v)
 	if standby == "" {
 		return moves
@@ -134,22 +130,11 @@
 			continue
 		}
 		moves = append(moves, Move{Machine: m, Pool: standby, Reason: "the machine is idle"})
-		s.give(m)
+		s.have--
 	}
 	return moves
 }
 
-// engage returns a view in which the machines of some moves are engaged, so that
-// they are not chosen again.
-func engage(v View, moves []Move) View {
-	v.Machines = slices.Clone(v.Machines)
-	for i := range v.Machines {
-		isMoved := slices.ContainsFunc(moves, func(m Move) bool { return m.Machine.ID == v.Machines[i].ID })
-		v.Machines[i].IsEngaged = v.Machines[i].IsEngaged || isMoved
-	}
-	return v
-}
-
 // Sharing constants, for demand beyond all machines.
 const (
 	// fairSlack is how many machines a pool may have over its fair share before
@@ -183,13 +168,13 @@
 				break
 			}
 			isFair := from.have <= from.need+fairSlack
-			if from == s || from.IsStandby || isFair || !from.sparesLabels(m) || leaving[m.Pool]*takenAtOnce >= from.have {
+			if from == s || from.IsStandby || isFair || leaving[m.Pool]*takenAtOnce >= from.have {
 				continue
 			}
 			moves = append(moves, Move{Machine: m, Pool: s.Name, Reason: "the pool has more than its share"})
 			leaving[m.Pool]++
-			from.give(m)
-			s.get(m)
+			from.have--
+			s.have++
 			busy = slices.DeleteFunc(slices.Clone(busy), func(each Machine) bool { return each.ID == m.ID })
 		}
 	}
@@ -223,16 +208,12 @@
 type size struct {
 	Pool
 	have, need int
-	// labels are the machines with each label that the pool has and needs.
-	labels map[string]*labelSize
 }
 
 func (s *size) lacks() int { return s.need - s.have }
 
 // canGive tells whether the pool can do without an idle machine.
-func (s *size) canGive(m Machine) bool {
-	return s.IsStandby || m.isIdle() && s.have > s.need && s.sparesLabels(m)
-}
+func (s *size) canGive(m Machine) bool { return s.IsStandby || m.isIdle() && s.have > s.need }
 
 func measure(v View) map[string]*size {
 	sizes := make(map[string]*size, len(v.Pools))
@@ -247,7 +228,7 @@
 		}
 		cpu, count = cpu+m.CPU, count+1
 		if m.State == cloud.Up || m.State == cloud.Moving {
-			s.get(m)
+			s.have++
 		}
 	}
 	for _, s := range sizes {
@@ -258,13 +239,6 @@
 			s.need = s.have
 		case count > 0:
 			s.need = s.Pool.need(cpu / count)
-			s.needLabels(cpu / count)
-		}
-	}
-	shareLabels(sizes)
-	for _, s := range sizes {
-		if !s.IsStandby && s.IsSurveyed {
-			s.need += s.labelNeed()
 		}
 	}
 	share(sizes, int(count))
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -426,6 +426,32 @@
 	})
 }
 
+func TestHeldEndpoints(t *testing.T) {
+	Convey("An endpoint that is kept free for a task serves others once the task waits for its account's limit", t, func() {
+		b := newBench(1)
+		limit := Size{CPU: 9000, Memory: 9000}
+		b.cell.config.Entitled = func(account string) (Size, bool) { return limit, account == "bounded" }
+		// Half of the endpoint is taken, and a task that needs all of it waits.
+		b.submit(first, batch(1, 2000))
+		So(b.run(), ShouldHaveLength, 1)
+		b.cell.Submit(b.now, Job{ID: second, Queue: "q", Account: "bounded", Attempts: 2, Stretch: 1.6, Steps: []Step{batch(1, 4000)}})
+		b.cycle()
+		b.pass(2 * holdAfter)
+		b.list(0, Listed{Task: first + ".0.0.0", Run: 1, Percent: 10})
+		b.cycle()
+		So(b.cell.endpoints[name(0)].held, ShouldNotBeNil)
+		b.submit("000000000000000c", batch(1, 1000))
+		So(b.run(), ShouldBeEmpty)
+		limit = Size{}
+		b.pass(100 * time.Millisecond)
+		b.cycle()
+		So(b.run(), ShouldHaveLength, 1)
+		waits := b.cell.Waits(b.now.Add(waitShown))
+		So(waits, ShouldHaveLength, 1)
+		So(waits[0].Endpoints, ShouldResemble, map[string]int{"limit of the client account": 1})
+	})
+}
+
 func TestArrivalsAreForgotten(t *testing.T) {
 	Convey("What was handed in is kept for its window only, also if nobody asks for the rate", t, func() {
 		now := time.Unix(1, 0)
--- a/jobs/demand.go
+++ b/jobs/demand.go
@@ -19,9 +19,6 @@
 	Lasting int64
 	// Least is the fewest endpoints that the long-running steps can spread over.
 	Least int
-	// Labels is the part of Present and Lasting that needs an endpoint with a label,
-	// by that label.
-	Labels map[string]int64
 }
 
 // Windows over which arrivals are averaged. Demand changes by five times within
@@ -157,12 +154,6 @@
 		return
 	}
 	asked := int64(s.left) * s.Reserved().CPU
-	if s.Requires != "" {
-		if demand.Labels == nil {
-			demand.Labels = make(map[string]int64)
-		}
-		demand.Labels[s.Requires] += asked
-	}
 	if !s.LongRunning {
 		demand.Present += asked
 		return
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -13,8 +13,6 @@
 	free []*Endpoint
 	// most is the most processor time that any endpoint has free.
 	most int64
-	// wanted are the labels that tasks wait for.
-	wanted map[string]bool
 }
 
 func (c *Cell) newPlacer(now time.Time) *placer {
@@ -29,30 +27,9 @@
 	}
 	slices.SortFunc(p.free, byEndpointID)
 	p.measure()
-	p.wanted = c.wantedLabels()
 	return p
 }
 
-// wantedLabels returns the labels that waiting tasks need.
-func (c *Cell) wantedLabels() map[string]bool {
-	var wanted map[string]bool
-	for _, j := range c.active {
-		if j.isOver() {
-			continue
-		}
-		for i := range j.Steps {
-			if j.Steps[i].Requires == "" {
-				continue
-			}
-			if wanted == nil {
-				wanted = make(map[string]bool)
-			}
-			wanted[j.Steps[i].Requires] = true
-		}
-	}
-	return wanted
-}
-
 func (p *placer) measure() {
 	p.most = 0
 	for _, e := range p.free {
@@ -203,8 +180,6 @@
 	costAvoid = 1 << 31
 	// costFull is for endpoints that have their share of long-running tasks.
 	costFull = 1 << 24
-	// costWanted keeps endpoints with a label that others need for those.
-	costWanted = 1 << 19
 	// costProbe keeps suspects for tasks that fit nowhere else or come first.
 	costProbe = 1 << 20
 )
@@ -233,9 +208,6 @@
 	if t.avoid == e.ID {
 		cost += costAvoid
 	}
-	if s.Requires == "" && slices.ContainsFunc(e.Labels, func(label string) bool { return p.wanted[label] }) {
-		cost += costWanted
-	}
 	if !e.suspect.IsZero() {
 		if s.LongRunning {
 			cost += costFar
