Give cells up where the way to the store through a peer is bad

Peers of its own data centre, which were asked first, were cut off with it, and watches that the store had cut made entries shun a path that worked. Change: an entry on the way through peers whose ownership became uncertain hands its cells over at the next answer and takes none for 3 s; peers of other data centres come first; watches tell nothing of the path.

--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -86,6 +87,7 @@
 	mesh     *call.Mesh
 	// store is reached directly or through a peer; relay makes calls for peers.
 	store   *store.Client
+	path    *relay.Path
 	relay   *relay.Server
 	session *store.Session
 	roster  *roster.Roster
@@ -124,12 +126,13 @@
 	}
 	d.contact = contact{log: d.log}
 	d.relay = relay.NewServer(d.platform.Store)
-	d.store = relay.New(relay.Config{
+	d.path = relay.New(relay.Config{
 		Direct: d.platform.Store, Peers: d.relays, Log: d.log,
 		Call: func(ctx context.Context, peer netip.AddrPort, request *wire.Request) (*wire.Response, error) {
 			return d.mesh.Call(ctx, peer, request)
 		},
-	}).Client()
+	})
+	d.store = d.path.Client()
 	d.directory = newDirectory(directoryConfig{
 		Prefix: d.platform.EndpointPrefix, Decode: d.platform.DecodeEndpoint, Pass: d.passEntries, Log: d.log,
 	})
@@ -187,7 +190,8 @@
 }
 
 // relays returns the entries that may make calls to the store for this one: those
-// of its own data centre first.
+// of other data centres first, since what cuts an entry off often cuts off its
+// neighbours too.
 func (d *Daemon) relays() []netip.AddrPort {
 	if d.config.Settings.Alone {
 		return nil
@@ -202,7 +206,7 @@
 			far = append(far, m.Peer)
 		}
 	}
-	return append(near, far...)
+	return append(far, near...)
 }
 
 // nudge makes manage look at ownership at once.
@@ -270,6 +274,7 @@
 
 // manage takes the cells whose turn it is.
 func (d *Daemon) manage(ctx context.Context) {
+	footing := footing{}
 	ticker := time.NewTicker(manageEvery)
 	defer ticker.Stop()
 	for {
@@ -279,8 +284,11 @@
 		case <-ticker.C:
 		case <-d.wake:
 		}
+		if footing.note(boot.Now(), d.path.IsDetour(), d.session.IsValid()) {
+			d.handOver()
+		}
 		s := d.setup.Load()
-		if s == nil || !d.session.IsValid() {
+		if s == nil || !d.session.IsValid() || footing.isResting(boot.Now()) {
 			continue
 		}
 		cells := cellsOf(s)
@@ -415,6 +423,7 @@
 		}
 	}
 	var wait conc.WaitGroup
+	wait.Go(func() { d.giveUp(ctx, owners) })
 	if s != nil {
 		s.Stop()
 		wait.Go(func() {
@@ -423,6 +432,22 @@
 			}
 		})
 	}
+	wait.Wait()
+}
+
+// handOver gives all cells to other entries.
+func (d *Daemon) handOver() {
+	d.mu.Lock()
+	owners := maps.Clone(d.owners)
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	d.giveUp(ctx, owners)
+}
+
+// giveUp settles cells and removes their ownership.
+func (d *Daemon) giveUp(ctx context.Context, owners map[string]*owner.Owner) {
+	var wait conc.WaitGroup
 	for cell, o := range owners {
 		wait.Go(func() {
 			o.Settle(ctx)
--- a/internal/mesh/relay/relay.go
+++ b/internal/mesh/relay/relay.go
@@ -142,8 +142,10 @@
 		ctx = limited
 	}
 	a := perform(ctx, p.config.Direct, verb, args)
-	// A caller that has ended tells nothing of the path.
-	if a.isAnswered() || !errors.Is(ctx.Err(), context.Canceled) {
+	// A caller that has ended tells nothing of the path, and a watch that waits may
+	// be cut by a store that serves all else.
+	isTelling := verb != verbWatch && !errors.Is(ctx.Err(), context.Canceled)
+	if a.isAnswered() || isTelling {
 		p.noteDirect(a)
 	}
 	return a
@@ -167,6 +169,13 @@
 	}
 }
 
+// IsDetour tells whether the own path does not answer.
+func (p *Path) IsDetour() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shunFor > 0
+}
+
 // isShunned tells whether a call should go to a peer. When the time is over, one
 // call tries the own path again; a watch would take too long to find it silent.
 func (p *Path) isShunned(verb string) bool {
