Hand cells over by default; the way to the store through a peer is a setting

Handing over is the default again; 'relay' in the settings turns the second path on, where clients prefer an owner that stays.

--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -193,7 +193,7 @@
 // of other data centres first, since what cuts an entry off often cuts off its
 // neighbours too.
 func (d *Daemon) relays() []netip.AddrPort {
-	if d.config.Settings.Alone {
+	if !d.config.Settings.Relay {
 		return nil
 	}
 	var near, far []netip.AddrPort
--- a/internal/daemon/fleet/daemon_test.go
+++ b/internal/daemon/fleet/daemon_test.go
@@ -124,7 +124,7 @@
 
 func TestLostOwner(t *testing.T) {
 	Convey("Cells of an entry that is cut off from the store are taken over, and no task runs twice", t, func() {
-		s := newLonelySite(t, 3)
+		s := newSite(t, 3)
 		for i := range 4 {
 			So(s.submit(i%3, path("quick", uint64(i+1))), ShouldBeTrue)
 		}
@@ -148,7 +148,7 @@
 
 func TestStoreThroughAPeer(t *testing.T) {
 	Convey("An entry that the store turns away keeps its cells and serves on by way of a peer", t, func() {
-		s := newSite(t, 3)
+		s := newRelayedSite(t, 3)
 		So(s.submit(0, path("quick", 1)), ShouldBeTrue)
 		number := s.owner("red")
 		So(number, ShouldBeGreaterThanOrEqualTo, 0)
@@ -172,7 +172,7 @@
 
 func TestOwnerThatDoesNotAnswer(t *testing.T) {
 	Convey("A job that was sent to an owner cut off from the store is accepted by the next owner, once", t, func() {
-		s := newLonelySite(t, 3)
+		s := newSite(t, 3)
 		So(s.submit(0, path("quick", 1)), ShouldBeTrue)
 		number := s.owner("red")
 		So(number, ShouldBeGreaterThanOrEqualTo, 0)
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -38,8 +38,8 @@
 	store   *keyvalue.Store
 	workers *worker.Fleet
 	entries []*entry
-	// isAlone keeps entries from asking the store through each other.
-	isAlone bool
+	// isRelayed lets entries ask the store through each other.
+	isRelayed bool
 }
 
 // entry is one daemon.
@@ -76,10 +76,10 @@
 	return (&site{t: t, store: keyvalue.New()}).begin(entries)
 }
 
-// newLonelySite returns an installation whose entries lose their cells when they do
-// not reach the store themselves.
-func newLonelySite(t *testing.T, entries int) *site {
-	return (&site{t: t, store: keyvalue.New(), isAlone: true}).begin(entries)
+// newRelayedSite returns an installation whose entries ask the store through each
+// other when they do not reach it themselves.
+func newRelayedSite(t *testing.T, entries int) *site {
+	return (&site{t: t, store: keyvalue.New(), isRelayed: true}).begin(entries)
 }
 
 func (s *site) begin(entries int) *site {
@@ -141,7 +141,7 @@
 func (s *site) start(name string) *entry {
 	settings := Settings{
 		Name: name, Centre: "c", Submitters: freeAddress(s.t), Ready: freeAddress(s.t), Peer: freeAddress(s.t),
-		Metrics: freeAddress(s.t), Orders: ordersOnRequest, Stop: 0.4, Alone: s.isAlone,
+		Metrics: freeAddress(s.t), Orders: ordersOnRequest, Stop: 0.4, Relay: s.isRelayed,
 	}
 	settings.Bounds.Hold = 5000
 	e := &entry{url: "http://" + settings.Submitters.String(), done: make(chan struct{}), logs: &lines{}}
--- a/internal/daemon/fleet/settings.go
+++ b/internal/daemon/fleet/settings.go
@@ -28,9 +28,9 @@
 	Store  netip.AddrPort `json:"store"`
 	Cloud  netip.AddrPort `json:"cloud,omitzero"`
 	Advice netip.AddrPort `json:"advice,omitzero"`
-	// Alone keeps an entry that does not reach the store from asking it through a
-	// peer, so that its cells go to other entries.
-	Alone bool `json:"alone,omitempty"`
+	// Relay lets an entry that does not reach the store ask it through a peer.
+	// Without it, its cells go to other entries.
+	Relay bool `json:"relay,omitempty"`
 	// Orders says how endpoints get their orders.
 	Orders string `json:"orders"`
 	// Memory is what the process may use, in megabytes; 0 if it is not bounded.
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -260,6 +260,9 @@
 	IsUrgent bool
 }
 
+// isUnlisted tells whether the endpoint has yet to list its runs.
+func (e *Endpoint) isUnlisted() bool { return !e.isReached || e.isSilent }
+
 // LookAt returns what to ask an endpoint for now. The ends up to Seen must be
 // stored before they are acknowledged.
 func (c *Cell) LookAt(now time.Time, id string) (look Look, isKnown bool) {
@@ -268,7 +271,7 @@
 		return Look{}, false
 	}
 	look.Seen = e.seen
-	if !e.isReached || e.isSilent {
+	if e.isUnlisted() {
 		look.IsNeeded, look.IsUrgent = true, true
 	}
 	isIdle := e.suspect.IsZero() || !now.Before(e.suspect)
--- a/jobs/wait.go
+++ b/jobs/wait.go
@@ -67,29 +67,38 @@
 	if s.Gang {
 		w.Together = len(s.tasks)
 	}
-	p := &placer{c: c, now: now}
 	limit, isBounded := c.config.Entitled(j.Account)
 	isBeyond := j.Account != "" && isBounded && !c.used[j.Account].Plus(s.Each.Times(int64(w.Together))).Fits(limit)
 	for _, e := range c.endpoints {
-		reason := e.state(now)
 		switch {
 		case isBeyond:
-			reason = "limit of the client account"
+			w.Endpoints["limit of the client account"]++
 		case now.Before(t.notBefore):
-			reason = "refused a moment ago"
-		case reason != "" && (!e.canTake(now) || !e.isTrusted(now)):
-		case s.Requires != "" && !slices.Contains(e.Labels, s.Requires):
-			reason = "label"
-		case e.held != nil && e.held != t:
-			reason = "kept free for another task"
-		case !s.Reserved().Fits(e.room()):
-			reason = "no room"
-		case !p.suits(t, e):
-			reason = "spread, ticket or earlier run"
+			w.Endpoints["refused a moment ago"]++
 		default:
-			reason = "none"
+			w.Endpoints[c.obstacle(now, t, e)]++
 		}
-		w.Endpoints[reason]++
 	}
 	return w
 }
+
+// obstacle says what keeps a task from an endpoint.
+func (c *Cell) obstacle(now time.Time, t *task, e *Endpoint) string {
+	s := t.step
+	p := &placer{c: c, now: now}
+	state := e.state(now)
+	switch {
+	case state != "" && (!e.canTake(now) || !e.isTrusted(now)):
+		return state
+	case s.Requires != "" && !slices.Contains(e.Labels, s.Requires):
+		return "label"
+	case e.held != nil && e.held != t:
+		return "kept free for another task"
+	case !s.Reserved().Fits(e.room()):
+		return "no room"
+	case !p.suits(t, e):
+		return "spread, ticket or earlier run"
+	default:
+		return "none"
+	}
+}
