--- a/internal/daemon/fleet/desk.go
+++ b/internal/daemon/fleet/desk.go
@@ -89,6 +89,7 @@
 		return nil, fmt.Errorf("%w: cell %s has no owner", submitter.ErrUnavailable, request.GetCell())
 	default:
 		limited, cancel := context.WithTimeout(ctx, peerTimeout)
+		// Ends the call soon after the cell has another owner; Next ends with the call.
 		go func() {
 			if _, isFound := d.roster.Next(limited, request.GetCell(), holder.Life, peerTimeout); isFound {
 				time.AfterFunc(deposedWait, cancel)
--- a/internal/daemon/fleet/footing.go
+++ b/internal/daemon/fleet/footing.go
@@ -6,6 +6,8 @@
 // for want of a good path to the store; others take them within a second.
 const restAfter = 3 * time.Second
 
+// Entries ask the store through peers only with the setting relay.
+
 // footing decides whether an entry that reaches the store through peers only is fit
 // to own cells. While that path is good it is, so nothing changes hands. One that
 // got no answer in time on the way is not: it would pause again and again, and its
