Copy the owners of a daemon in one place; take out what nothing uses

Five places copied the map of owners by a loop or a clone of their own, and the lost session and the end of the daemon detached owners alike: currentOwners and detachOwners serve all. 'chicorypin cells' sorts names with the standard library. saveAfter of the steward and DecodeWaveStatus of fleet.Platform had no use.

--- a/cmd/chicorypin/job.go
+++ b/cmd/chicorypin/job.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
@@ -142,7 +143,7 @@
 	defer func() { _ = w.Flush() }()
 	fmt.Fprintln(w, "CELL\tOWNER\tEPOCH\tJOBS\tWAITING\tENDPOINTS\tOUT")
 	for _, dump := range dumps {
-		for _, cell := range sortedNames(dump.Cells) {
+		for _, cell := range slices.Sorted(maps.Keys(dump.Cells)) {
 			state := dump.Cells[cell]
 			waiting, out := 0, 0
 			for _, q := range state.Queues {
@@ -159,7 +160,7 @@
 	}
 	fmt.Fprintln(w, "\nENDPOINT\tCELL\tRUNS\tWHY OUT")
 	for _, dump := range dumps {
-		for _, cell := range sortedNames(dump.Cells) {
+		for _, cell := range slices.Sorted(maps.Keys(dump.Cells)) {
 			for _, e := range dump.Cells[cell].Endpoints {
 				if e.State != "" {
 					fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", e.ID, cell, e.Runs, e.State)
@@ -168,12 +169,3 @@
 		}
 	}
 }
-
-func sortedNames[T any](values map[string]T) []string {
-	names := make([]string, 0, len(values))
-	for name := range values {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/cmd/chicorypind/fleet.go
+++ b/cmd/chicorypind/fleet.go
@@ -135,7 +135,7 @@
 		ReadyPath: platform.ReadyPath, OperatorPrefix: platform.OperatorPrefix, ConfigKey: platform.ConfigKey,
 		WavePrefix: platform.WavePrefix, EndpointPrefix: platform.EndpointPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint, DecodeWave: platform.DecodeWave,
-		EncodeWaveStatus: platform.EncodeWaveStatus, DecodeWaveStatus: platform.DecodeWaveStatus,
+		EncodeWaveStatus: platform.EncodeWaveStatus,
 	}
 	if settings.Cloud.IsValid() {
 		p.Cloud = platform.NewCloud(settings.Cloud)
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -32,9 +32,7 @@
 	// cordonLength is how long an owner keeps work off a machine without hearing
 	// again; longer than an order can be under way.
 	cordonLength = 4 * time.Second
-	// saveAfter is how long short-lived work may go on before what saves its
-	// progress is stopped, forceAfter before the rest is given up.
-	saveAfter  = 2500 * time.Millisecond
+	// forceAfter is how long short-lived work may go on before it is given up.
 	forceAfter = 7 * time.Second
 	// noteFor is how long a machine that was ordered is noted for the next holder.
 	// It is longer than an order is repeated and the next holder's wait together.
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -66,7 +66,6 @@
 	DecodeEndpoint                                        func(key string, value []byte) (endpoint.Entry, error)
 	DecodeWave                                            func(value []byte) (cloud.Wave, error)
 	EncodeWaveStatus                                      func(number int, isCompleted bool) (key string, value []byte)
-	DecodeWaveStatus                                      func(value []byte) (isCompleted bool, err error)
 }
 
 // Config sets up a Daemon.
@@ -246,28 +245,34 @@
 
 func (d *Daemon) sessionLost(lease store.Lease) {
 	event.SessionLost.Log(d.log, logrus.Fields{"lease": int64(lease)})
-	d.mu.Lock()
-	if d.steward != nil {
-		d.steward.Stop()
-	}
-	owners := d.owners
-	d.owners = make(map[string]*owner.Owner)
-	d.mu.Unlock()
-	for cell, o := range owners {
+	for cell, o := range d.detachOwners() {
 		event.CellLost.Log(d.log, logrus.Fields{"cell": cell, "reason": "the session lapsed"})
 		go o.Stop()
 	}
 }
 
-func (d *Daemon) stopOwners() {
+// currentOwners returns the owners of the cells that this entry has now.
+func (d *Daemon) currentOwners() map[string]*owner.Owner {
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.owners)
+}
+
+// detachOwners stops the steward and returns the owners, which are no longer asked
+// and are the caller's to stop.
+func (d *Daemon) detachOwners() map[string]*owner.Owner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.steward != nil {
 		d.steward.Stop()
 	}
 	owners := d.owners
 	d.owners = make(map[string]*owner.Owner)
-	d.mu.Unlock()
-	for _, o := range owners {
+	return owners
+}
+
+func (d *Daemon) stopOwners() {
+	for _, o := range d.detachOwners() {
 		o.Stop()
 	}
 }
@@ -407,11 +412,7 @@
 func (d *Daemon) leave() {
 	d.mu.Lock()
 	d.isLeaving = true
-	owners := make(map[string]*owner.Owner, len(d.owners))
-	for cell, o := range d.owners {
-		owners[cell] = o
-	}
-	s := d.steward
+	owners, s := maps.Clone(d.owners), d.steward
 	d.mu.Unlock()
 	event.Leaving.Log(d.log, logrus.Fields{"cells": len(owners)})
 	d.roster.Leave()
@@ -437,12 +438,9 @@
 
 // handOver gives all cells to other entries.
 func (d *Daemon) handOver() {
-	d.mu.Lock()
-	owners := maps.Clone(d.owners)
-	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
-	d.giveUp(ctx, owners)
+	d.giveUp(ctx, d.currentOwners())
 }
 
 // giveUp settles cells and removes their ownership.
--- a/internal/daemon/fleet/desk.go
+++ b/internal/daemon/fleet/desk.go
@@ -251,14 +251,8 @@
 	if !d.session.IsValid() {
 		return
 	}
-	d.mu.Lock()
-	owners := make(map[string]*owner.Owner, len(d.owners))
-	for cell, o := range d.owners {
-		owners[cell] = o
-	}
-	d.mu.Unlock()
 	var cells []ledger.Cell
-	for cell, o := range owners {
+	for cell, o := range d.currentOwners() {
 		if !o.IsServing() {
 			continue
 		}
--- a/internal/daemon/fleet/dump.go
+++ b/internal/daemon/fleet/dump.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"time"
 
-	"gitlab.com/chicorypin/chicorypin/internal/cell/owner"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/roster"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
@@ -54,10 +54,7 @@
 		}
 	}
 	d.mu.Lock()
-	owners := make(map[string]*owner.Owner, len(d.owners))
-	for cell, o := range d.owners {
-		owners[cell] = o
-	}
+	owners := maps.Clone(d.owners)
 	dump.IsSteward = d.steward != nil
 	for _, w := range d.waves {
 		dump.Waves = append(dump.Waves, w.wave.Number)
--- a/internal/daemon/fleet/watch.go
+++ b/internal/daemon/fleet/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"strings"
 	"time"
 
@@ -137,10 +136,7 @@
 
 // passEntries gives each cell that this entry owns its endpoints.
 func (d *Daemon) passEntries(entries map[string]endpoint.Entry) {
-	d.mu.Lock()
-	owners := maps.Clone(d.owners)
-	d.mu.Unlock()
-	for cell, o := range owners {
+	for cell, o := range d.currentOwners() {
 		var own []endpoint.Entry
 		for _, entry := range entries {
 			if entry.Pool == cell {
