End the session to a peer only if the peer is silent, not after each slow call

Cause: when a call timed out its whole session was closed, so that all other calls on it ended as open outcomes.

Change: the connection records when data was last received. After a time-out the session is closed only if nothing was received since the call was sent. Also, from the list of known faults: a connection accepted while Close runs is closed instead of served (Close could wait for it for ever), and a stream that carries no request is closed after 2 s. The texts on dialTimeout claimed that a lost SYN is detected by then; it is sent again after a second.

Tests: TestSlowCall, TestClose; the old code failed the first two cases and the last one.

--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -32,8 +33,8 @@
 	// maxMessageSize bounds a message, in bytes. The largest ones, pages of the store's
 	// keys, take about 1 MB.
 	maxMessageSize = 8 << 20
-	// dialTimeout exceeds the time that it takes to detect a lost SYN packet between
-	// data centres of one region.
+	// dialTimeout is far above a round trip within a region. It is below the second
+	// after which a lost SYN packet is sent again; the next call dials anew instead.
 	dialTimeout = 400 * time.Millisecond
 	// redialDelay is how long calls to a peer fail immediately after a failed dial, so
 	// that they do not each wait for an unreachable peer. It is also the pause after a
@@ -45,6 +46,9 @@
 	acceptBacklog = 256
 	// readBufferSize is in bytes; most messages fit into it.
 	readBufferSize = 512
+	// requestTimeout is how long a peer may take to send a request on an open stream.
+	// Peers open a stream only when they have a request to send.
+	requestTimeout = 2 * time.Second
 )
 
 // Outcomes of requests. The numbers are part of the protocol between entries.
@@ -91,6 +95,7 @@
 	// mu is held while dialling, so that concurrent calls share one session.
 	mu      sync.Mutex
 	session *yamux.Session
+	conn    *watchedConn
 	// lastFailure is the time of the last failed dial.
 	lastFailure time.Time
 }
@@ -148,11 +153,24 @@
 			time.Sleep(redialDelay)
 			continue
 		}
-		m.mu.Lock()
+		m.wait.Go(func() { m.serveAccepted(conn) })
+	}
+}
+
+// serveAccepted serves a connection, unless the Mesh is being closed: Close may have
+// closed the accepted connections before.
+func (m *Mesh) serveAccepted(conn net.Conn) {
+	m.mu.Lock()
+	isClosing := m.ctx.Err() != nil
+	if !isClosing {
 		m.accepted[conn] = struct{}{}
-		m.mu.Unlock()
-		m.wait.Go(func() { m.serveConn(conn) })
 	}
+	m.mu.Unlock()
+	if isClosing {
+		_ = conn.Close()
+		return
+	}
+	m.serveConn(conn)
 }
 
 func (m *Mesh) serveConn(conn net.Conn) {
@@ -178,6 +196,7 @@
 
 func (m *Mesh) handleStream(stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
+	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 	request := &wire.Request{}
 	options := protodelim.UnmarshalOptions{MaxSize: maxMessageSize}
 	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, readBufferSize), request); err != nil {
@@ -200,10 +219,11 @@
 		m.peers[address] = p
 	}
 	m.mu.Unlock()
-	session, err := p.connect(ctx, address)
+	session, conn, err := p.connect(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	sentAt := time.Now()
 	stream, err := session.OpenStream()
 	if err != nil {
 		p.closeSession(session)
@@ -222,8 +242,10 @@
 		err = options.UnmarshalFrom(bufio.NewReaderSize(stream, readBufferSize), response)
 	}
 	if err != nil {
-		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			// The connection may be dead without having been closed; dial again next time.
+		isTimeout := errors.Is(ctx.Err(), context.DeadlineExceeded)
+		if ctx.Err() == nil || isTimeout && !conn.hasReadSince(sentAt) {
+			// The connection is dead, possibly without having been closed; dial again next
+			// time. A peer that is only slow with this call still answers others on it.
 			p.closeSession(session)
 		}
 		return nil, fmt.Errorf("%w: %w", ErrIndeterminate, err)
@@ -231,24 +253,47 @@
 	return response, nil
 }
 
-// connect returns the open session, or dials a new one.
-func (p *peer) connect(ctx context.Context, address netip.AddrPort) (session *yamux.Session, err error) {
+// watchedConn records when data was last received.
+type watchedConn struct {
+	net.Conn
+	// lastRead is in nanoseconds since created.
+	lastRead atomic.Int64
+	created  time.Time
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(buffer []byte) (n int, err error) {
+	n, err = c.Conn.Read(buffer)
+	if n > 0 {
+		c.lastRead.Store(int64(time.Since(c.created)))
+	}
+	return n, err
+}
+
+// hasReadSince reports whether data was received after a time.
+func (c *watchedConn) hasReadSince(at time.Time) bool {
+	return c.created.Add(time.Duration(c.lastRead.Load())).After(at)
+}
+
+// connect returns the open session and its connection, or dials a new one.
+func (p *peer) connect(ctx context.Context, address netip.AddrPort) (session *yamux.Session, conn *watchedConn, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.session != nil && !p.session.IsClosed() {
-		return p.session, nil
+		return p.session, p.conn, nil
 	}
 	if time.Since(p.lastFailure) < redialDelay {
-		return nil, errors.New("the last dial failed")
+		return nil, nil, errors.New("the last dial failed")
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	dialled, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		p.lastFailure = time.Now()
-		return nil, err
+		return nil, nil, err
 	}
-	p.session, err = yamux.Client(conn, sessionConfig())
-	return p.session, err
+	p.conn = &watchedConn{Conn: dialled, created: time.Now()}
+	p.session, err = yamux.Client(p.conn, sessionConfig())
+	return p.session, p.conn, err
 }
 
 // closeSession closes the current session if it is the given one, or in any case if
--- /dev/null
+++ b/internal/mesh/call/call_test.go
@@ -0,0 +1,197 @@
+package call
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
+)
+
+// waitTimeout bounds the waits of the tests. It is generous so that a busy machine does
+// not fail them.
+const waitTimeout = 10 * time.Second
+
+// newTestMesh returns a mesh on a free port that is closed at the end of the test.
+func newTestMesh(t *testing.T, serve func(ctx context.Context, request *wire.Request) *wire.Response) (mesh *Mesh, address netip.AddrPort) {
+	t.Helper()
+	mesh, err := New(Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Serve: serve})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(mesh.Close)
+	return mesh, mesh.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// serveByCell answers at once, except that a request for the cell "slow" is answered
+// when released is closed.
+func serveByCell(released <-chan struct{}) func(ctx context.Context, request *wire.Request) *wire.Response {
+	return func(ctx context.Context, request *wire.Request) *wire.Response {
+		if request.GetCell() == "slow" {
+			select {
+			case <-released:
+			case <-ctx.Done():
+			}
+		}
+		return &wire.Response{Outcome: Done, State: request.GetCell()}
+	}
+}
+
+func callWithTimeout(m *Mesh, address netip.AddrPort, cell string, timeout time.Duration) (*wire.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return m.Call(ctx, address, &wire.Request{Cell: cell})
+}
+
+// returnsWithin reports whether f returns within waitTimeout.
+func returnsWithin(f func()) bool {
+	done := make(chan struct{})
+	go func() {
+		f()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-time.After(waitTimeout):
+		return false
+	}
+}
+
+func TestSlowCall(t *testing.T) {
+	Convey("A call that times out does not end the other calls to a peer that answers", t, func() {
+		released := make(chan struct{})
+		_, address := newTestMesh(t, serveByCell(released))
+		caller, _ := newTestMesh(t, nil)
+		var wait sync.WaitGroup
+		var slowErr error
+		wait.Go(func() { _, slowErr = callWithTimeout(caller, address, "slow", waitTimeout) })
+		// Keeps the session in use, so that its peer is seen to answer.
+		stop := make(chan struct{})
+		wait.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+					_, _ = callWithTimeout(caller, address, "fast", waitTimeout)
+				}
+			}
+		})
+		_, err := callWithTimeout(caller, address, "slow", 200*time.Millisecond)
+		So(err, ShouldNotBeNil)
+		close(released)
+		close(stop)
+		wait.Wait()
+		So(slowErr, ShouldBeNil)
+	})
+	Convey("A session whose peer has gone silent is replaced after a call timed out", t, func() {
+		_, address := newTestMesh(t, serveByCell(nil))
+		proxy := newSilencer(t, address)
+		caller, _ := newTestMesh(t, nil)
+		_, err := callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		So(err, ShouldBeNil)
+		proxy.silence()
+		_, err = callWithTimeout(caller, proxy.address, "fast", 100*time.Millisecond)
+		So(err, ShouldNotBeNil)
+		_, err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		So(err, ShouldBeNil)
+	})
+}
+
+// silencer is a proxy whose open connections can be made to pass nothing on without
+// being closed.
+type silencer struct {
+	address netip.AddrPort
+	mu      sync.Mutex
+	// silenced is closed to silence the connections opened so far.
+	silenced chan struct{}
+}
+
+func newSilencer(t *testing.T, target netip.AddrPort) *silencer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &silencer{address: listener.Addr().(*net.TCPAddr).AddrPort(), silenced: make(chan struct{})}
+	go func() {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp", target.String())
+			if err != nil {
+				_ = from.Close()
+				continue
+			}
+			t.Cleanup(func() {
+				_ = from.Close()
+				_ = to.Close()
+			})
+			s.mu.Lock()
+			silenced := s.silenced
+			s.mu.Unlock()
+			go pass(from, to, silenced)
+			go pass(to, from, silenced)
+		}
+	}()
+	return s
+}
+
+// pass copies data until silenced is closed; from then on it drops the data.
+func pass(from, to net.Conn, silenced <-chan struct{}) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		select {
+		case <-silenced:
+		default:
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *silencer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.silenced)
+	s.silenced = make(chan struct{})
+}
+
+func TestClose(t *testing.T) {
+	Convey("A connection that was accepted just before Close is not served, so Close does not wait for it", t, func() {
+		mesh, _ := newTestMesh(t, serveByCell(nil))
+		mesh.Close()
+		server, client := net.Pipe()
+		So(returnsWithin(func() { mesh.serveAccepted(server) }), ShouldBeTrue)
+		_, err := client.Read(make([]byte, 1))
+		So(err, ShouldNotBeNil)
+	})
+	Convey("A stream that carries no request is closed after a time", t, func() {
+		_, address := newTestMesh(t, serveByCell(nil))
+		conn, err := net.Dial("tcp", address.String())
+		So(err, ShouldBeNil)
+		defer func() { _ = conn.Close() }()
+		session, err := yamux.Client(conn, sessionConfig())
+		So(err, ShouldBeNil)
+		stream, err := session.OpenStream()
+		So(err, ShouldBeNil)
+		_, err = stream.Write([]byte{1})
+		So(err, ShouldBeNil)
+		So(returnsWithin(func() { _, _ = stream.Read(make([]byte, 1)) }), ShouldBeTrue)
+	})
+}
