Mend faults of state and hand-over that reading found

Cause and change, each with a test that failed before: - steward: with 32 or more statuses of waves due none was written, each time. They go out in parts of what a change holds (TestManyWaves). - ledger: a configuration that arrived while a write was under way, or its outcome unknown, put the allocation before the write back into force, so a lowered one could be exceeded; a cell that the entry had lost kept its allocation until the next publication (TestLowerAllocationStaysInForce). The field cells was never read; rows are copied with maps.Clone. - fleet: waves removed while the watch was interrupted stayed (TestWavesAfterInterruptedWatch); startSteward read the bounds without the lock that Reload writes under (read by code, the race was not seen); the text on preferredGrant spoke of a lease of 3 s, sessionTTL is 2 s. - peer: a failed write of a document left the session up without its stream (TestMesh, 'a link is dialled again after a write of a document failed'); accept ended for good on any error; failed connections were not logged (event 403, once until connected); a connection accepted while Close ran was served, so Close could hang. The last three were read, not run.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -35,6 +35,8 @@
 	PeerUp      = define(400, logrus.InfoLevel, "peer connected")
 	PeerDown    = define(401, logrus.WarnLevel, "peer connection lost")
 	PeerRefused = define(402, logrus.ErrorLevel, "peer message refused")
+	// PeerUnreachable is logged once until the peer is connected.
+	PeerUnreachable = define(403, logrus.WarnLevel, "peer connection failed")
 )
 
 // Minions and maintenance, 500 to 599.
--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,7 +67,8 @@
 	// may use nothing.
 	loadedEpochs map[string]int64
 	accounts     map[string]setup.Account
-	cells        int
+	// pending is the document that is being written, nil if none is.
+	pending allocations
 }
 
 // New returns a ledger that allows no use until SetSetup and Balance have been
@@ -84,8 +86,7 @@
 	for name, account := range s.Accounts {
 		l.accounts[name] = account
 	}
-	l.cells = max(len(s.Pools), 1)
-	l.publish(nil)
+	l.publish()
 }
 
 // Allocation returns the resources that a client account may use in a cell. isBounded
@@ -98,17 +99,16 @@
 // unbounded is the allocation of a resource without a limit.
 const unbounded = 1 << 50
 
-// publish recomputes the effective allocations. While a write of next is in progress,
-// the lower one of the stored and the next allocation applies; otherwise next is nil.
-// The caller holds l.mu.
-func (l *Ledger) publish(next allocations) {
+// publish recomputes the effective allocations. While a write is pending, the lower one
+// of the stored and the pending allocation applies. The caller holds l.mu.
+func (l *Ledger) publish() {
 	effective := make(allocations, len(l.accounts))
 	for name, account := range l.accounts {
 		row := make(map[string]jobs.Size)
 		for cell := range l.loadedEpochs {
 			allocation := l.stored[name][cell]
-			if next != nil {
-				allocation = minSize(allocation, next[name][cell])
+			if l.pending != nil {
+				allocation = minSize(allocation, l.pending[name][cell])
 			}
 			row[cell] = scaleToLimit(allocation, account.Limit, l.allocated(name))
 		}
@@ -157,7 +157,7 @@
 // unknown whether the document has changed, so it is read again by the next call.
 func (l *Ledger) Balance(ctx context.Context, cells []Cell) (err error) {
 	l.mu.Lock()
-	isReloadDue := !l.isLoaded
+	isReloadDue, isDropped := !l.isLoaded, false
 	owned := make(map[string]int64, len(cells))
 	for _, cell := range cells {
 		owned[cell.Name] = cell.Condition.Revision
@@ -166,8 +166,12 @@
 	for name := range l.loadedEpochs {
 		if owned[name] != l.loadedEpochs[name] {
 			delete(l.loadedEpochs, name)
+			isDropped = true
 		}
 	}
+	if isDropped {
+		l.publish()
+	}
 	l.mu.Unlock()
 	if len(cells) == 0 {
 		return nil
@@ -240,11 +244,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stored, l.revision, l.isLoaded = document, item.Revision, true
+	l.stored, l.revision, l.isLoaded, l.pending = document, item.Revision, true, nil
 	for name, revision := range owned {
 		l.loadedEpochs[name] = revision
 	}
-	l.publish(nil)
+	l.publish()
 	return nil
 }
 
@@ -255,11 +259,7 @@
 	defer l.mu.Unlock()
 	next = make(allocations, len(l.stored))
 	for account, row := range l.stored {
-		copied := make(map[string]jobs.Size, len(row))
-		for cell, allocation := range row {
-			copied[cell] = allocation
-		}
-		next[account] = copied
+		next[account] = maps.Clone(row)
 	}
 	for name, account := range l.accounts {
 		if next[name] == nil {
@@ -320,7 +320,8 @@
 		return err
 	}
 	l.mu.Lock()
-	l.publish(next)
+	l.pending = next
+	l.publish()
 	change := store.Change{
 		If:   []store.Condition{{Key: Key, Revision: l.revision}},
 		Puts: []store.Put{{Key: Key, Value: value}},
@@ -347,14 +348,17 @@
 			}
 			l.stored, l.revision = document, item.Revision
 		}
-		l.publish(nil)
+		l.pending = nil
+		l.publish()
 		return err
 	}
 	if err != nil {
+		// The write may have been carried out, so the lower allocations stay in force
+		// until the document has been read again.
 		return err
 	}
-	l.stored, l.revision = next, revision
-	l.publish(nil)
+	l.stored, l.revision, l.pending = next, revision, nil
+	l.publish()
 	event.LimitsRedistributed.Log(l.log, logrus.Fields{"revision": revision})
 	return nil
 }
--- a/internal/cell/ledger/ledger_test.go
+++ b/internal/cell/ledger/ledger_test.go
@@ -74,6 +74,36 @@
 	})
 }
 
+func TestLowerAllocationStaysInForce(t *testing.T) {
+	Convey("A configuration that arrives while the outcome of a write is unknown does not restore the allocation before the write", t, func() {
+		s := keyvalue.New()
+		l := New(s.Client(nil), discardLog())
+		l.SetSetup(setupWithLimit(1000))
+		c := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 900}}}}
+		So(l.Balance(context.Background(), []Cell{c}), ShouldBeNil)
+		s.LoseResponses(func(store.Change) bool { return true })
+		c.Needs = map[string]jobs.Need{"a": {Used: jobs.Size{CPU: 100}}}
+		So(l.Balance(context.Background(), []Cell{c}), ShouldNotBeNil)
+		lowered, _ := l.Allocation("c0", "a")
+		So(lowered.CPU, ShouldBeLessThan, 900)
+		l.SetSetup(setupWithLimit(1000))
+		allocation, _ := l.Allocation("c0", "a")
+		So(allocation, ShouldResemble, lowered)
+	})
+	Convey("A cell that the entry has lost may use nothing any more", t, func() {
+		s := keyvalue.New()
+		l := New(s.Client(nil), discardLog())
+		l.SetSetup(setupWithLimit(1000))
+		first, second := Cell{Name: "c0", Condition: takeOwnership(s, "c0")}, Cell{Name: "c1", Condition: takeOwnership(s, "c1")}
+		So(l.Balance(context.Background(), []Cell{first, second}), ShouldBeNil)
+		allocation, _ := l.Allocation("c0", "a")
+		So(allocation.CPU, ShouldBeGreaterThan, 0)
+		So(l.Balance(context.Background(), []Cell{second}), ShouldBeNil)
+		allocation, _ = l.Allocation("c0", "a")
+		So(allocation.CPU, ShouldEqual, 0)
+	})
+}
+
 // TestAllocationsNeverExceedLimits runs random sequences of ownership changes, changing
 // needs, lost answers and changed limits on two entries. The total use, with each
 // cell within its allocation, must never exceed the highest limit set so far.
--- a/internal/cell/steward/state.go
+++ b/internal/cell/steward/state.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -102,9 +103,25 @@
 	if isChanged && !s.saveState(boot.Now(), nil) {
 		return
 	}
+	due := s.dueWaveStatuses()
+	for chunk := range slices.Chunk(due, store.MaxChangeSize-1) {
+		if !s.writeWaveStatuses(chunk) {
+			return
+		}
+	}
+}
+
+// waveStatus is the completion of a wave that has not been published yet.
+type waveStatus struct {
+	number      int
+	isCompleted bool
+}
+
+// dueWaveStatuses returns the waves whose completion has changed since it was last
+// published, sorted by number.
+func (s *Steward) dueWaveStatuses() (due []waveStatus) {
 	s.mu.Lock()
-	change := store.Change{If: []store.Condition{s.config.Condition}}
-	completed := make(map[int]bool)
+	defer s.mu.Unlock()
 	present := make(map[string]bool, len(s.machines))
 	for _, m := range s.machines {
 		present[m.ID] = true
@@ -117,26 +134,33 @@
 		if isPublished && isCompletedBefore == isCompleted || isCompletedBefore {
 			continue
 		}
-		key, value := s.config.EncodeStatus(w.Number, isCompleted)
-		change.Puts = append(change.Puts, store.Put{Key: key, Value: value})
-		completed[w.Number] = isCompleted
+		due = append(due, waveStatus{w.Number, isCompleted})
 	}
-	s.mu.Unlock()
-	if len(change.Puts) == 0 || len(change.Puts) >= store.MaxChangeSize {
-		return
+	slices.SortFunc(due, func(a, b waveStatus) int { return cmp.Compare(a.number, b.number) })
+	return due
+}
+
+// writeWaveStatuses writes statuses in one change, which must fit store.MaxChangeSize.
+// It returns false if that fails.
+func (s *Steward) writeWaveStatuses(statuses []waveStatus) bool {
+	change := store.Change{If: []store.Condition{s.config.Condition}}
+	for _, status := range statuses {
+		key, value := s.config.EncodeStatus(status.number, status.isCompleted)
+		change.Puts = append(change.Puts, store.Put{Key: key, Value: value})
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	if _, err := s.config.Store.Commit(ctx, change); err != nil {
 		event.OperationFailed.Log(s.config.Log, logrus.Fields{"call": "wave status", "error": err.Error()})
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for number, isCompleted := range completed {
-		s.published[number] = isCompleted
-		if isCompleted {
-			event.WaveCompleted.Log(s.config.Log, logrus.Fields{"wave": number})
+	for _, status := range statuses {
+		s.published[status.number] = status.isCompleted
+		if status.isCompleted {
+			event.WaveCompleted.Log(s.config.Log, logrus.Fields{"wave": status.number})
 		}
 	}
+	return true
 }
--- a/internal/cell/steward/steward_test.go
+++ b/internal/cell/steward/steward_test.go
@@ -303,6 +303,26 @@
 	})
 }
 
+func TestManyWaves(t *testing.T) {
+	Convey("The statuses of more waves than fit into one change of the store are all published", t, func() {
+		f := newFakeFleet(2)
+		w := f.newSteward(1, nil)
+		waves := 2*store.MaxChangeSize + 3
+		w.config.Waves = func() (list []Wave) {
+			for i := range waves {
+				list = append(list, Wave{Wave: cloud.Wave{Number: i, Machines: []string{"m0"}}})
+			}
+			return list
+		}
+		So(w.listMachines(boot.Now()), ShouldBeTrue)
+		w.publishWaveStatus()
+		for i := range waves {
+			_, isPublished := f.store.Get(fmt.Sprintf("status/%d", i))
+			So(isPublished, ShouldBeTrue)
+		}
+	})
+}
+
 func TestMovesOfIdleMachines(t *testing.T) {
 	Convey("Idle machines are cordoned and then switched off", t, func() {
 		f := newFakeFleet(5)
--- a/internal/daemon/fleet/settings.go
+++ b/internal/daemon/fleet/settings.go
@@ -121,9 +121,9 @@
 const (
 	// minGrant is the shortest grant that outlasts a takeover.
 	minGrant = 2 * time.Second
-	// preferredGrant covers a takeover: a lease of 3 s, the delay until the next entry
-	// takes the cell, loading the state and polling all endpoints. With a longer
-	// grant, the tasks of a lost endpoint wait longer until they are started elsewhere.
+	// preferredGrant covers a takeover: sessionTTL, the delay until the next entry takes
+	// the cell, loading the state and polling all endpoints. With a longer grant, the
+	// tasks of a lost endpoint wait longer until they are started elsewhere.
 	preferredGrant = 5 * time.Second
 )
 
--- a/internal/daemon/fleet/steward.go
+++ b/internal/daemon/fleet/steward.go
@@ -30,7 +30,7 @@
 		Cells:     steward.Cells{Survey: d.survey, Cordon: d.cordon},
 		Holder:    cloud.Holder{Name: d.self.Name, Epoch: condition.Revision},
 		Condition: condition, IsValid: d.session.IsValid,
-		QuietPeriod: time.Duration(d.config.Settings.Bounds.QuietPeriodMilliseconds) * time.Millisecond,
+		QuietPeriod: d.quietPeriod(),
 		Pools:       d.pools, Waves: d.currentWaves, EncodeStatus: d.platform.EncodeWaveStatus,
 		CPU: d.endpointCPU, Log: d.log,
 	})
@@ -48,6 +48,13 @@
 	})
 }
 
+// quietPeriod returns how long machines that the previous steward ordered get no orders.
+func (d *Daemon) quietPeriod() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Duration(d.config.Settings.Bounds.QuietPeriodMilliseconds) * time.Millisecond
+}
+
 // pools returns the pools of the configuration in force.
 func (d *Daemon) pools() []pools.Pool {
 	s := d.setup.Load()
--- a/internal/daemon/fleet/watch.go
+++ b/internal/daemon/fleet/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"time"
 
@@ -37,11 +38,24 @@
 // watchOperators watches the keys that operators write: the configuration and the
 // maintenance waves.
 func (d *Daemon) watchOperators(ctx context.Context) {
-	d.watch(ctx, d.platform.OperatorPrefix, 0, d.applyOperatorKeys, d.applyOperatorKeys)
+	d.watch(ctx, d.platform.OperatorPrefix, 0, d.replaceOperatorKeys, d.applyOperatorKeys)
 }
 
-// applyOperatorKeys applies all or changed keys of the operators. A configuration stays
-// in force if its key is removed.
+// replaceOperatorKeys applies all keys of the operators and drops the waves whose keys
+// were removed while the watch was interrupted.
+func (d *Daemon) replaceOperatorKeys(items []store.Item) {
+	present := make(map[string]bool, len(items))
+	for _, item := range items {
+		present[item.Key] = true
+	}
+	d.mu.Lock()
+	maps.DeleteFunc(d.waves, func(key string, _ storedWave) bool { return !present[key] })
+	d.mu.Unlock()
+	d.applyOperatorKeys(items)
+}
+
+// applyOperatorKeys applies changed keys of the operators. A configuration stays in force
+// if its key is removed.
 func (d *Daemon) applyOperatorKeys(items []store.Item) {
 	for _, item := range items {
 		switch {
--- a/internal/mesh/peer/mesh.go
+++ b/internal/mesh/peer/mesh.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -222,10 +223,18 @@
 // runLink connects to the peer of a link, and again after each failure, until ctx is
 // done.
 func (m *Mesh) runLink(ctx context.Context, l *link) {
+	isFailureLogged := false
 	for ctx.Err() == nil {
 		err := m.connect(ctx, l)
-		if name := l.entry.Swap(nil); name != nil {
+		name := l.entry.Swap(nil)
+		switch {
+		case name != nil:
 			event.PeerDown.Log(m.config.Log, logrus.Fields{"peer": *name, "address": l.address, "error": err})
+			isFailureLogged = false
+		case ctx.Err() == nil && !isFailureLogged && !errors.As(err, new(*SelfError)):
+			// Logged once, not at each attempt to an entry that is gone.
+			event.PeerUnreachable.Log(m.config.Log, logrus.Fields{"address": l.address, "error": err})
+			isFailureLogged = true
 		}
 		select {
 		case <-ctx.Done():
@@ -303,16 +312,17 @@
 }
 
 // sendAll sends the queued messages of a link until the session ends or ctx is done.
-// A failed write of a short message ends the session.
+// A failed write ends the session, so that the link is dialled again.
 func (m *Mesh) sendAll(ctx context.Context, session *yamux.Session, l *link, messages, documents net.Conn) error {
 	var wait conc.WaitGroup
 	defer wait.Wait()
 	defer session.Close()
-	wait.Go(func() { m.sendQueue(session.CloseChan(), documents, l.documents) })
-	wait.Go(func() {
-		m.sendQueue(session.CloseChan(), messages, l.messages)
+	send := func(stream net.Conn, queue <-chan *wire.Frame) {
+		m.sendQueue(session.CloseChan(), stream, queue)
 		_ = session.Close()
-	})
+	}
+	wait.Go(func() { send(documents, l.documents) })
+	wait.Go(func() { send(messages, l.messages) })
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
@@ -345,24 +355,46 @@
 	return err
 }
 
-// accept accepts connections from peers until Accept fails, normally because Close has
-// closed the listener.
+// accept accepts connections from peers until Close has closed the listener.
 func (m *Mesh) accept() {
 	for {
 		conn, err := m.listener.Accept()
-		if err != nil {
+		if m.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			if err == nil {
+				_ = conn.Close()
+			}
 			return
 		}
-		m.mu.Lock()
+		if err != nil {
+			// For instance, all descriptors are in use.
+			event.PeerUnreachable.Log(m.config.Log, logrus.Fields{"address": m.Address(), "error": err})
+			select {
+			case <-m.ctx.Done():
+			case <-time.After(redialDelay):
+			}
+			continue
+		}
+		m.wait.Go(func() { m.serveAccepted(conn) })
+	}
+}
+
+// serveAccepted serves a connection, unless the Mesh is being closed: Close may have
+// closed the accepted connections before.
+func (m *Mesh) serveAccepted(conn net.Conn) {
+	m.mu.Lock()
+	isClosing := m.ctx.Err() != nil
+	if !isClosing {
 		m.accepted[conn] = struct{}{}
-		m.mu.Unlock()
-		m.wait.Go(func() {
-			m.serveConn(conn)
-			m.mu.Lock()
-			delete(m.accepted, conn)
-			m.mu.Unlock()
-		})
 	}
+	m.mu.Unlock()
+	if isClosing {
+		_ = conn.Close()
+		return
+	}
+	m.serveConn(conn)
+	m.mu.Lock()
+	delete(m.accepted, conn)
+	m.mu.Unlock()
 }
 
 // serveConn reads the streams of a connection from a peer until it is closed.
--- a/internal/mesh/peer/mesh_test.go
+++ b/internal/mesh/peer/mesh_test.go
@@ -103,6 +103,16 @@
 			a.SetAddresses([]netip.AddrPort{a.Address()})
 			So(a.links, ShouldBeEmpty)
 		},
+		"a link is dialled again after a write of a document failed": func(a, b *testMesh) {
+			l := a.links[b.Address()]
+			before := l.entry.Load()
+			// Larger than the peer accepts, so that it ends the stream.
+			a.Send("b", snapshot(maxMessageSize+1))
+			So(waitUntil(func() bool {
+				a.Send("b", snapshot(1<<20))
+				return l.entry.Load() != nil && l.entry.Load() != before && b.receivedCount() > 0
+			}), ShouldBeTrue)
+		},
 		"a link is dialled again after the peer closed the connection": func(a, b *testMesh) {
 			b.Mesh.mu.Lock()
 			for conn := range b.accepted {
