Count demand by label, and end what keeps labelled endpoints unused for ever

The steward sized pools by totals. Where nearly all machines that were left in a pool had the wrong label, tasks waited although others had the right ones (event 605: label 5 of 5). A machine in a wave was cordoned and its long-running tasks stopped one by one, though no other endpoint had the label. A task is stopped for planned work only if another endpoint has room for it, and a machine that cannot be emptied in 9 s is given back for 3 s. Holds count only the room that ends of short-lived runs bring, and end after 4 s.

Ruled out: account limits (event 605 names them), too few such machines in the fleet alone (the cells that had them did not use them).

Tests: TestMovesForLabels, TestLabelHistory, TestLabelledEndpoints, TestEvacuationNeedsRoom, TestHoldsThatCannotSucceed, TestDrainLimits.

--- a/internal/cell/steward/operation.go
+++ b/internal/cell/steward/operation.go
@@ -94,6 +94,9 @@
 		m, isListed := machines[id]
 		switch {
 		case !isListed || m.State == cloud.Down || op.isFinished(now, m, s.listedAt):
+			if op.phase == phaseDraining && op.targetPool == "" {
+				s.quietUntil[id] = now.Add(maintenanceRetryDelay)
+			}
 			delete(s.operations, id)
 		case op.phase == phaseUnanswered && s.listedAt.After(op.orderedAt) && (m.State == cloud.Maintenance || m.State == cloud.Moving):
 			s.markStarted(op)
@@ -106,7 +109,7 @@
 func (op *operation) isFinished(now time.Time, m cloud.Machine, listedAt time.Time) bool {
 	switch op.phase {
 	case phaseDraining:
-		return m.Endpoint != op.endpoint || op.targetPool != "" && now.Sub(op.createdAt) > moveDrainLimit
+		return m.Endpoint != op.endpoint || now.Sub(op.createdAt) > op.drainLimit()
 	case phaseReturning:
 		// A machine that is off has no endpoint, neither before nor after.
 		isNewEndpoint := m.Endpoint != op.endpoint || op.endpoint == ""
@@ -116,6 +119,18 @@
 	}
 }
 
+// drainLimit returns how long the machine may be kept free of new work before the
+// operation is given up.
+func (op *operation) drainLimit() time.Duration {
+	if op.targetPool != "" {
+		return moveDrainLimit
+	}
+	return maintenanceDrainLimit
+}
+
+// isLeaving reports whether the machine is being emptied or its order is in progress.
+func (op *operation) isLeaving() bool { return op.phase != phaseReturning }
+
 // markStarted records that the order for a machine has been carried out. The caller
 // holds s.mu.
 func (s *Steward) markStarted(op *operation) {
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -43,6 +43,11 @@
 	// moveDrainLimit is how long a machine may be kept free of new work for a move
 	// before the move is given up.
 	moveDrainLimit = 4 * time.Second
+	// maintenanceDrainLimit is the same for maintenance. It exceeds forceAfter. A machine
+	// that cannot be emptied of long-running tasks is given back for
+	// maintenanceRetryDelay, so that tasks that can run nowhere else are started there.
+	maintenanceDrainLimit = 9 * time.Second
+	maintenanceRetryDelay = 3 * time.Second
 	// refusalBackoff is how long a machine gets no orders after a refusal. Such a
 	// machine is already moving or in maintenance, which takes seconds.
 	refusalBackoff = 2 * time.Second
@@ -121,6 +126,8 @@
 	quietUntil  map[string]time.Time
 	// idleSince is when each machine was first seen without runs.
 	idleSince map[string]time.Time
+	// labels is used by buildView alone, under its lock.
+	labels *pools.LabelHistory
 	// maxCPU is the largest capacity seen, used for machines whose capacity is
 	// unknown.
 	maxCPU int64
@@ -134,7 +141,7 @@
 	s := &Steward{
 		config: config, operations: make(map[string]*operation), maintained: make(map[int][]string),
 		published: make(map[int]bool), idleSince: make(map[string]time.Time),
-		lastOrdered: make(map[string]time.Time), quietUntil: make(map[string]time.Time),
+		lastOrdered: make(map[string]time.Time), quietUntil: make(map[string]time.Time), labels: pools.NewLabelHistory(),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
--- a/internal/cell/steward/steward_test.go
+++ b/internal/cell/steward/steward_test.go
@@ -319,6 +319,32 @@
 		for i := range waves {
 			_, isPublished := f.store.Get(fmt.Sprintf("status/%d", i))
 			So(isPublished, ShouldBeTrue)
+	})
+}
+
+func TestDrainLimits(t *testing.T) {
+	Convey("A machine that cannot be emptied is given back after a time, and is left alone before the next attempt", t, func() {
+		now := boot.Now()
+		for name, c := range map[string]struct {
+			op    operation
+			limit time.Duration
+		}{
+			"for maintenance": {operation{machine: "m0", endpoint: "i-m0", wave: 1}, maintenanceDrainLimit},
+			"for a move":      {operation{machine: "m0", endpoint: "i-m0", targetPool: "q"}, moveDrainLimit},
+		} {
+			s := newFakeFleet(1).newSteward(1, nil)
+			So(s.listMachines(now), ShouldBeTrue)
+			op := c.op
+			op.createdAt = now
+			s.operations["m0"] = &op
+			s.updateOperations(now.Add(c.limit))
+			SoMsg(name, s.operations, ShouldHaveLength, 1)
+			s.updateOperations(now.Add(c.limit + time.Millisecond))
+			SoMsg(name, s.operations, ShouldBeEmpty)
+			if op.wave != 0 {
+				So(s.isEngaged(now.Add(c.limit+time.Second), "m0"), ShouldBeTrue)
+				So(s.isEngaged(now.Add(c.limit+2*maintenanceRetryDelay), "m0"), ShouldBeFalse)
+			}
 		}
 	})
 }
--- a/internal/cell/steward/view.go
+++ b/internal/cell/steward/view.go
@@ -75,6 +75,7 @@
 			defer mu.Unlock()
 			p.IsSurveyed = true
 			p.Present, p.Arriving, p.LongRunningCPU, p.MinEndpoints = demand.Present, demand.Arriving, demand.LongRunningCPU, demand.MinEndpoints
+			p.LabelCPU = s.labels.Update(now, p.Name, demand.LabelCPU)
 			for _, load := range poolLoads {
 				loads[load.Endpoint] = load
 			}
@@ -97,6 +98,9 @@
 // time. The caller holds s.mu.
 func (s *Steward) describeMachine(now time.Time, m cloud.Machine, loads map[string]jobs.Load, waves []Wave) pools.Machine {
 	described := pools.Machine{Machine: m, CPU: s.config.CPU(m.Endpoint), IsEngaged: s.isEngaged(now, m.ID)}
+	if op := s.operations[m.ID]; op != nil {
+		described.IsLeaving = op.isLeaving()
+	}
 	if described.CPU == 0 {
 		described.CPU = s.maxCPU
 	}
@@ -153,6 +157,9 @@
 	for _, p := range v.Pools {
 		if !p.IsStandby {
 			fields[p.Name+".demand"] = fmt.Sprintf("present %d arriving %d lasting %d", p.Present, p.Arriving, p.LongRunningCPU)
+			if len(p.LabelCPU) > 0 {
+				fields[p.Name+".labels"] = fmt.Sprint(p.LabelCPU)
+			}
 		}
 	}
 	event.PoolMovesPlanned.Log(s.config.Log, fields)
--- a/internal/daemon/fleet/request.go
+++ b/internal/daemon/fleet/request.go
@@ -233,12 +233,13 @@
 
 func handleSurvey(ctx context.Context, o *owner.Owner) *wire.Response {
 	demand, loads, err := o.Survey(ctx)
-	return &wire.Response{
-		Outcome: requestOutcome(true, err), Load: encodeLoads(loads),
-		Demand: &wire.Demand{
-			Present: demand.Present, Arriving: demand.Arriving, Lasting: demand.LongRunningCPU, Least: uint32(demand.MinEndpoints),
-		},
+	encoded := &wire.Demand{
+		Present: demand.Present, Arriving: demand.Arriving, Lasting: demand.LongRunningCPU, Least: uint32(demand.MinEndpoints),
 	}
+	for label, cpu := range demand.LabelCPU {
+		encoded.Label = append(encoded.Label, &wire.LabelDemand{Label: label, Cpu: cpu})
+	}
+	return &wire.Response{Outcome: requestOutcome(true, err), Load: encodeLoads(loads), Demand: encoded}
 }
 
 func encodeLoads(loads []jobs.Load) []*wire.Load {
--- a/internal/daemon/fleet/steward.go
+++ b/internal/daemon/fleet/steward.go
@@ -105,6 +105,12 @@
 	demand = jobs.Demand{
 		Present: encoded.GetPresent(), Arriving: encoded.GetArriving(), LongRunningCPU: encoded.GetLasting(), MinEndpoints: int(encoded.GetLeast()),
 	}
+	for _, label := range encoded.GetLabel() {
+		if demand.LabelCPU == nil {
+			demand.LabelCPU = make(map[string]int64)
+		}
+		demand.LabelCPU[label.GetLabel()] = label.GetCpu()
+	}
 	return demand, decodeLoads(response), nil
 }
 
--- a/internal/plan/pools/pools.go
+++ b/internal/plan/pools/pools.go
@@ -28,6 +28,9 @@
 	// IsEngaged is true while no move or maintenance of the machine may be planned:
 	// one is already in progress, or the steward has excluded it for a while.
 	IsEngaged bool
+	// IsLeaving is true while the machine is kept free of new work for a move or
+	// maintenance.
+	IsLeaving bool
 	// Wave is the number of the wave for which the machine still has to be
 	// maintained, 0 if there is none.
 	Wave int
@@ -50,6 +53,9 @@
 	// MinEndpoints is the smallest number of endpoints over which the long-running
 	// steps can be spread.
 	MinEndpoints int
+	// LabelCPU is the part of the demand that only machines with a label can meet, by
+	// label, in thousandths of a core.
+	LabelCPU map[string]int64
 }
 
 // View is the input of the planner: the pools, machines and waves at one time.
@@ -118,8 +124,7 @@
 // off by a move to the standby pool. No machine is moved more than once.
 func PlanMoves(v View) []Move {
 	sizes := measurePools(v)
-	var moves []Move
-	movable := movableMachines(v, sizes)
+	moves, movable := planLabelMoves(v, sizes, movableMachines(v, sizes))
 	for _, s := range sortByShortage(sizes) {
 		for s.shortage() > 0 {
 			index := slices.IndexFunc(movable, func(m Machine) bool { return sizes[m.Pool].canSpare(m) && m.Pool != s.Name })
@@ -129,11 +134,10 @@
 			m := movable[index]
 			movable = slices.Delete(movable, index, index+1)
 			moves = append(moves, Move{Machine: m, Pool: s.Name, Reason: "the pool lacks machines"})
-			sizes[m.Pool].have--
-			s.have++
+			sizes[m.Pool].transfer(m, s)
 		}
 	}
-	moves = append(moves, rebalance(v, sizes)...)
+	moves = append(moves, rebalance(v, sizes, moves)...)
 	standby := standbyPool(v)
 	if standby == "" {
 		return moves
@@ -144,7 +148,7 @@
 			continue
 		}
 		moves = append(moves, Move{Machine: m, Pool: standby, Reason: "the machine is idle"})
-		s.have--
+		s.transfer(m, sizes[standby])
 	}
 	return moves
 }
@@ -163,18 +167,11 @@
 // together exceed all machines. Without it the pool that peaked first would keep
 // them all. Machines without long-running tasks leave the pools that exceed their
 // fair share, once the short-lived work on them has ended.
-func rebalance(v View, sizes map[string]*poolSize) (moves []Move) {
-	leaving := make(map[string]int)
-	for _, m := range v.Machines {
-		if m.IsEngaged {
-			leaving[m.Pool]++
-		}
-	}
-	candidates := slices.DeleteFunc(slices.Clone(v.Machines), func(m Machine) bool {
-		return m.State != cloud.Up || m.IsEngaged || !m.IsSurveyed || m.LongRunningRuns > 0 || m.Runs == 0
-	})
-	slices.SortFunc(candidates, func(a, b Machine) int {
-		return cmp.Or(cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.ID, b.ID))
+// planned are the moves planned before; their machines are left alone.
+func rebalance(v View, sizes map[string]*poolSize, planned []Move) (moves []Move) {
+	leaving := leavingMachines(v)
+	candidates := slices.DeleteFunc(busyMachines(v), func(m Machine) bool {
+		return slices.ContainsFunc(planned, func(move Move) bool { return move.Machine.ID == m.ID })
 	})
 	for _, s := range sortByShortage(sizes) {
 		for _, m := range candidates {
@@ -183,19 +180,41 @@
 				break
 			}
 			isWithinShare := source.have <= source.need+fairShareMargin
-			if source == s || source.IsStandby || isWithinShare || leaving[m.Pool]*leavingDivisor >= source.have {
+			if source == s || source.IsStandby || isWithinShare || !source.canSpareLabels(m) || leaving[m.Pool]*leavingDivisor >= source.have {
 				continue
 			}
 			moves = append(moves, Move{Machine: m, Pool: s.Name, Reason: "the pool has more than its share"})
 			leaving[m.Pool]++
-			source.have--
-			s.have++
+			source.transfer(m, s)
 			candidates = slices.DeleteFunc(slices.Clone(candidates), func(other Machine) bool { return other.ID == m.ID })
 		}
 	}
 	return moves
 }
 
+// leavingMachines counts the engaged machines of each pool.
+func leavingMachines(v View) map[string]int {
+	leaving := make(map[string]int)
+	for _, m := range v.Machines {
+		if m.IsEngaged {
+			leaving[m.Pool]++
+		}
+	}
+	return leaving
+}
+
+// busyMachines returns the machines that run short-lived work only, those with the
+// fewest runs first.
+func busyMachines(v View) []Machine {
+	busy := slices.DeleteFunc(slices.Clone(v.Machines), func(m Machine) bool {
+		return m.State != cloud.Up || m.IsEngaged || !m.IsSurveyed || m.LongRunningRuns > 0 || m.Runs == 0
+	})
+	slices.SortFunc(busy, func(a, b Machine) int {
+		return cmp.Or(cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.ID, b.ID))
+	})
+	return busy
+}
+
 // scaleToMachines reduces the needs of the pools to the number of machines that
 // exist: each pool gets its minimum, that is MinEndpoints and its spare machines but
 // at most its need, and the rest is divided in proportion to the remaining needs. The
@@ -226,13 +245,17 @@
 type poolSize struct {
 	Pool
 	have, need int
+	// labels holds the sizes of the labels that the pool's tasks require, by label.
+	labels map[string]*labelSize
 }
 
 func (s *poolSize) shortage() int { return s.need - s.have }
 
 // canSpare reports whether the pool can give up the machine. The standby pool can
-// give up any, another pool only idle ones beyond its need.
-func (s *poolSize) canSpare(m Machine) bool { return s.IsStandby || m.isIdle() && s.have > s.need }
+// give up any, another pool only idle ones beyond its need, also of their labels.
+func (s *poolSize) canSpare(m Machine) bool {
+	return s.IsStandby || m.isIdle() && s.have > s.need && s.canSpareLabels(m)
+}
 
 // measurePools returns the sizes of all pools by name, scaled to the number of
 // machines. A pool's need is computed with the average capacity of all machines.
@@ -263,6 +286,7 @@
 		}
 	}
 	scaleToMachines(sizes, int(count))
+	measureLabels(v, sizes, totalCPU/max(count, 1))
 	return sizes
 }
 
--- a/internal/plan/pools/pools_test.go
+++ b/internal/plan/pools/pools_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,6 +98,88 @@
 	})
 }
 
+// withLabels returns the machines with labels.
+func withLabels(machines []Machine, labels ...string) []Machine {
+	for i := range machines {
+		machines[i].Labels = labels
+	}
+	return machines
+}
+
+func TestMovesForLabels(t *testing.T) {
+	off := Pool{Name: "off", IsStandby: true}
+	labelled := newPool("labelled", 8000, 0)
+	labelled.LabelCPU = map[string]int64{"rare": 8000}
+	Convey("Pools whose tasks require a label get and keep machines with it", t, func() {
+		for name, c := range map[string]struct {
+			view View
+			// moves holds the expected numbers of moves by machine label and target pool.
+			moves map[string]int
+		}{
+			"a machine that is off, although the pool has enough machines without the label": {
+				View{
+					Pools:    []Pool{labelled, off},
+					Machines: slices.Concat(newMachines("labelled", 6, 1, 0, 0), withLabels(newMachines("off", 3, 0, 0, 0), "rare")),
+				},
+				map[string]int{"rare to labelled": 1},
+			},
+			"a busy machine of a pool that does not need the label": {
+				View{
+					Pools:    []Pool{labelled, newPool("other", 60000, 0), off},
+					Machines: slices.Concat(newMachines("labelled", 6, 1, 0, 0), withLabels(newMachines("other", 8, 2, 0, 0), "rare")),
+				},
+				map[string]int{"rare to labelled": 1},
+			},
+			"no machine of a pool that needs the label itself": {
+				View{
+					Pools:    []Pool{labelled, {Name: "other", IsSurveyed: true, Present: 60000, LabelCPU: map[string]int64{"rare": 60000}}, off},
+					Machines: slices.Concat(newMachines("labelled", 6, 1, 0, 0), withLabels(newMachines("other", 4, 2, 0, 0), "rare")),
+				},
+				map[string]int{"rare to labelled": 0},
+			},
+			"an idle machine is not switched off while the pool needs its label": {
+				View{
+					Pools:    []Pool{{Name: "labelled", IsSurveyed: true, LabelCPU: map[string]int64{"rare": 1000}}, off},
+					Machines: slices.Concat(newMachines("labelled", 6, 0, 0, time.Minute), withLabels(newMachines("labelled", 1, 0, 0, time.Hour), "rare")),
+				},
+				map[string]int{"rare to off": 0, " to off": 5},
+			},
+			"a machine that is leaving does not count": {
+				View{
+					Pools: []Pool{labelled, off},
+					Machines: func() []Machine {
+						leaving := withLabels(newMachines("labelled", 1, 0, 0, 0), "rare")
+						leaving[0].IsLeaving, leaving[0].IsEngaged = true, true
+						return slices.Concat(leaving, newMachines("labelled", 6, 1, 0, 0), withLabels(newMachines("off", 3, 0, 0, 0), "rare"))
+					}(),
+				},
+				map[string]int{"rare to labelled": 1},
+			},
+		} {
+			counts := make(map[string]int)
+			for _, m := range PlanMoves(c.view) {
+				counts[strings.Join(m.Machine.Labels, ",")+" to "+m.Pool]++
+			}
+			for kind, n := range c.moves {
+				SoMsg(name+": "+kind, counts[kind], ShouldEqual, n)
+			}
+		}
+	})
+}
+
+func TestLabelHistory(t *testing.T) {
+	Convey("The demand for a label outlasts a gap, and ends after the retention", t, func() {
+		h, now := NewLabelHistory(), time.Unix(1000, 0)
+		So(h.Update(now, "p", map[string]int64{"rare": 500}), ShouldResemble, map[string]int64{"rare": 500})
+		now = now.Add(labelRetention / 2)
+		So(h.Update(now, "p", nil), ShouldResemble, map[string]int64{"rare": 500})
+		So(h.Update(now, "q", nil), ShouldBeEmpty)
+		now = now.Add(labelRetention)
+		So(h.Update(now, "p", nil), ShouldBeEmpty)
+		So(h.Update(now, "p", map[string]int64{"rare": 20}), ShouldResemble, map[string]int64{"rare": 20})
+	})
+}
+
 // TestMovesKeepTheRules checks the moves planned for random views: no machine is
 // moved twice or to its own pool, no machine is moved that is engaged, not up or
 // has runs of long-running tasks, and no pool without a survey loses machines.
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -481,6 +481,77 @@
 	})
 }
 
+func TestHoldsThatCannotSucceed(t *testing.T) {
+	Convey("No endpoint is held for a task that does not fit beside its long-running tasks", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, Step{Count: 1, Each: Size{CPU: 3000, Memory: 10}, LongRunning: true})
+		So(b.planAndAccept(), ShouldHaveLength, 1)
+		b.submit(secondID, batchStep(1, 2000))
+		b.planAndStore()
+		b.advance(2 * holdDelay)
+		b.answerPoll(0, ListedRun{Task: firstID + ".0.0.0", Run: 1, Percent: 100})
+		b.planAndStore()
+		b.submit("000000000000000c", batchStep(1, 1000))
+		So(b.planAndAccept(), ShouldHaveLength, 1)
+	})
+	Convey("A hold ends if its task is not placed in time, so that smaller tasks are", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, batchStep(1, 2000))
+		So(b.planAndAccept(), ShouldHaveLength, 1)
+		b.submit(secondID, batchStep(1, 4000))
+		b.planAndStore()
+		isPlaced := false
+		for elapsed := time.Duration(0); elapsed < 2*maxHoldTime && !isPlaced; elapsed += 100 * time.Millisecond {
+			b.advance(100 * time.Millisecond)
+			b.answerPoll(0, ListedRun{Task: firstID + ".0.0.0", Run: 1, Percent: int(elapsed / (100 * time.Millisecond))})
+			if elapsed == time.Second {
+				b.submit("000000000000000c", batchStep(1, 1000))
+			}
+			for _, start := range b.planAndAccept() {
+				isPlaced = isPlaced || start.Task == "000000000000000c.0.0.0"
+			}
+		}
+		So(isPlaced, ShouldBeTrue)
+	})
+}
+
+func TestEvacuationNeedsRoom(t *testing.T) {
+	Convey("A long-running task is stopped for planned work only if another endpoint can run it", t, func() {
+		b := newTestbed(2)
+		step := Step{Count: 1, Each: Size{CPU: 500, Memory: 10}, LongRunning: true, Requires: "only-first"}
+		b.cell.endpoints[endpointName(0)].Labels = []string{"only-first"}
+		b.submit(firstID, step)
+		So(b.planAndAccept(), ShouldHaveLength, 1)
+		b.advance(100 * time.Millisecond)
+		b.answerPoll(0, ListedRun{Task: firstID + ".0.0.0", Run: 1, Percent: 100})
+		b.cell.Evacuate(b.now, endpointName(0), b.now.Add(time.Second), true)
+		So(b.cell.Stops(b.now), ShouldBeEmpty)
+		b.cell.endpoints[endpointName(1)].Labels = []string{"only-first"}
+		b.cell.Evacuate(b.now, endpointName(0), b.now.Add(time.Second), true)
+		So(b.cell.Stops(b.now), ShouldHaveLength, 1)
+	})
+}
+
+func TestLabelledEndpoints(t *testing.T) {
+	Convey("Tasks without requirements leave endpoints with a required label to the tasks that need it", t, func() {
+		b := newTestbed(2)
+		b.cell.endpoints[endpointName(0)].Labels = []string{"rare"}
+		b.submit(firstID, Step{Count: 1, Each: Size{CPU: 4000, Memory: 10}, Requires: "rare", After: nil})
+		b.cell.jobs[firstID].occurrences[0].steps[0].tasks[0].notBefore = b.now.Add(time.Hour)
+		b.submit(secondID, batchStep(1, 1000))
+		starts := b.planAndAccept()
+		So(starts, ShouldHaveLength, 1)
+		So(starts[0].Endpoint, ShouldEqual, endpointName(1))
+	})
+	Convey("The demand of tasks that require a label is reported by label", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, Step{Count: 3, Each: Size{CPU: 500, Memory: 10}, Requires: "rare"}, batchStep(1, 100))
+		demand, _ := b.cell.Survey(b.now)
+		So(demand.LabelCPU, ShouldResemble, map[string]int64{"rare": 1500})
+		So(demand.Present, ShouldEqual, 1600)
+	})
+}
+
 func TestArrivalsAreForgotten(t *testing.T) {
 	Convey("Arrivals are dropped after their window, even if the rate is never read", t, func() {
 		now := time.Unix(1, 0)
--- a/jobs/demand.go
+++ b/jobs/demand.go
@@ -20,6 +20,9 @@
 	// MinEndpoints is the fewest endpoints that meet the anti-affinity of every
 	// long-running step.
 	MinEndpoints int
+	// LabelCPU is the part of Present and LongRunningCPU that can only be met by
+	// endpoints with a label, by that label. It is nil if no step requires one.
+	LabelCPU map[string]int64
 }
 
 // Windows over which arrivals are averaged. Demand can change fivefold within a
@@ -159,6 +162,12 @@
 		return
 	}
 	requested := int64(s.tasksLeft) * s.Reserved().CPU
+	if s.Requires != "" {
+		if demand.LabelCPU == nil {
+			demand.LabelCPU = make(map[string]int64)
+		}
+		demand.LabelCPU[s.Requires] += requested
+	}
 	if !s.LongRunning {
 		demand.Present += requested
 		return
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -73,9 +73,10 @@
 	// pacedAt is when the pace of a run here was last changed.
 	pacedAt time.Time
 	// heldFor is the task that the endpoint is kept free for because the task
-	// found no room anywhere; heldAt is when that was last the case.
-	heldFor *task
-	heldAt  time.Time
+	// found no room anywhere; heldAt is when that was last the case, heldSince when
+	// the hold began.
+	heldFor           *task
+	heldAt, heldSince time.Time
 }
 
 // Profile describes an endpoint as service discovery lists it.
--- a/jobs/load.go
+++ b/jobs/load.go
@@ -35,7 +35,8 @@
 
 // Evacuate cordons an endpoint until a time, unless it is cordoned for longer
 // already, and returns its load. If isEvacuating is set, its long-running tasks are
-// also stopped, as far as their steps allow it now, so that they move elsewhere.
+// also stopped, so that they move elsewhere, as far as their steps allow it now and
+// other endpoints have room for them.
 func (c *Cell) Evacuate(now time.Time, id string, until time.Time, isEvacuating bool) Load {
 	e := c.endpoints[id]
 	if e == nil {
@@ -44,12 +45,28 @@
 	if until.After(e.cordonUntil) {
 		e.cordonUntil = until
 	}
+	if isEvacuating {
+		c.evacuate(now, e)
+	}
+	return e.load()
+}
+
+// evacuate stops long-running tasks on an endpoint that can run elsewhere now.
+func (c *Cell) evacuate(now time.Time, e *Endpoint) {
+	var p *placer
 	for _, r := range sortedRuns(e) {
-		if isEvacuating && r.task.step.LongRunning && !r.isStopping && r.phase == running && c.isDisruptionAllowed(now, r) {
+		if !r.task.step.LongRunning || r.isStopping || r.phase != running || !c.isDisruptionAllowed(now, r) {
+			continue
+		}
+		if p == nil {
+			p = c.newPlacer(now)
+		}
+		// Without another endpoint the task would wait for the end of the planned work,
+		// and block the evacuation of its step's other tasks.
+		if p.chooseEndpoint(r.task) != nil {
 			c.stopRun(r, "evacuation for planned work")
 		}
 	}
-	return e.load()
 }
 
 // isDisruptionAllowed reports whether a long-running task may be stopped for planned
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -15,6 +15,8 @@
 	// maxFreeCPU is the largest free processor time of any candidate, in thousandths
 	// of a core. Tasks that need more are rejected without a search.
 	maxFreeCPU int64
+	// requiredLabels are the labels that unfinished steps require.
+	requiredLabels []string
 }
 
 func (c *Cell) newPlacer(now time.Time) *placer {
@@ -29,9 +31,25 @@
 	}
 	slices.SortFunc(p.candidates, byEndpointID)
 	p.updateMaxFreeCPU()
+	p.requiredLabels = c.requiredLabels()
 	return p
 }
 
+// requiredLabels returns the labels that the unfinished steps of active jobs require,
+// each once.
+func (c *Cell) requiredLabels() (labels []string) {
+	for _, j := range c.active {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.Requires != "" && s.tasksLeft > 0 && !slices.Contains(labels, s.Requires) {
+					labels = append(labels, s.Requires)
+				}
+			}
+		}
+	}
+	return labels
+}
+
 func (p *placer) updateMaxFreeCPU() {
 	p.maxFreeCPU = 0
 	for _, e := range p.candidates {
@@ -194,6 +212,10 @@
 	// costProbe leaves suspect endpoints to tasks that find no room on a trusted
 	// one, or only at a higher cost.
 	costProbe = 1 << 20
+	// costLabelled leaves endpoints with a label that some steps require to those
+	// steps, as long as other endpoints have room. It exceeds the free capacity of
+	// any endpoint.
+	costLabelled = 1 << 18
 )
 
 // longRunningShare is the share of an endpoint's processors that long-running tasks
@@ -222,6 +244,9 @@
 	if t.avoidEndpoint == e.ID {
 		cost += costAvoid
 	}
+	if s.Requires == "" && p.hasRequiredLabel(e) {
+		cost += costLabelled
+	}
 	if !e.suspectUntil.IsZero() {
 		if s.LongRunning {
 			cost += costFar
@@ -231,6 +256,11 @@
 	return cost
 }
 
+// hasRequiredLabel reports whether an endpoint has a label that some step requires.
+func (p *placer) hasRequiredLabel(e *Endpoint) bool {
+	return slices.ContainsFunc(p.requiredLabels, func(label string) bool { return slices.Contains(e.Labels, label) })
+}
+
 // longRunningCost rates an endpoint for a long-running task. It concentrates such
 // tasks on few endpoints, so that the others can be switched off, but only up to
 // longRunningShare, which leaves room for bursts.
@@ -249,18 +279,24 @@
 
 // hold reserves a whole endpoint for a task that has found no room: at once for
 // long-running tasks, after holdDelay for others. A held endpoint gets no other runs
-// except long-running ones. It chooses the least used endpoint that is large enough,
-// unless more than a quarter of the candidates are held already.
+// except long-running ones. It chooses the least used endpoint that is large enough
+// once its short-lived work has ended, unless more than a quarter of the candidates
+// are held already. A hold ends after maxHoldTime, so that other tasks do not wait
+// for one that finds no room for another reason.
 func (p *placer) hold(t *task) {
 	j := t.step.occurrence.job
 	isHoldDue := t.step.LongRunning || !j.blockedSince.IsZero() && p.now.Sub(j.blockedSince) > holdDelay
-	if !isHoldDue {
+	if !isHoldDue || p.now.Before(t.noHoldBefore) {
 		return
 	}
 	var best *Endpoint
 	heldCount := 0
 	for _, e := range p.candidates {
 		if e.heldFor == t {
+			if p.now.Sub(e.heldSince) > maxHoldTime {
+				t.noHoldBefore = p.now.Add(maxHoldTime)
+				return
+			}
 			e.heldAt = p.now
 			return
 		}
@@ -268,7 +304,7 @@
 			heldCount++
 			continue
 		}
-		if !t.step.Reserved().Fits(e.Capacity) || !p.isSuitable(t, e) {
+		if !t.step.Reserved().Fits(e.roomWhenIdle()) || !p.isSuitable(t, e) {
 			continue
 		}
 		if best == nil || e.used.CPU < best.used.CPU {
@@ -276,8 +312,19 @@
 		}
 	}
 	if best != nil && heldCount <= len(p.candidates)/4 {
-		best.heldFor, best.heldAt = t, p.now
+		best.heldFor, best.heldAt, best.heldSince = t, p.now, p.now
+	}
+}
+
+// roomWhenIdle returns the capacity that is left once all short-lived runs have ended.
+func (e *Endpoint) roomWhenIdle() Size {
+	room := e.Capacity.Minus(e.orphanUsage)
+	for _, r := range e.runs {
+		if r.task.step.LongRunning {
+			room = room.Minus(r.reserved)
+		}
 	}
+	return room
 }
 
 // releaseUnusedHolds releases the endpoints whose tasks did not renew the hold in
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -16,6 +16,9 @@
 	// holdDelay is how long a job must be blocked before an endpoint is kept free
 	// for one of its tasks.
 	holdDelay = 400 * time.Millisecond
+	// maxHoldTime is how long an endpoint is kept free for a task. Most runs end
+	// sooner, after which the task has room.
+	maxHoldTime = 4 * time.Second
 )
 
 // Plan removes runs that can no longer exist, begins due occurrences, stops stalled
