--- a/internal/cell/steward/steward_test.go
+++ b/internal/cell/steward/steward_test.go
@@ -319,6 +319,7 @@
 		for i := range waves {
 			_, isPublished := f.store.Get(fmt.Sprintf("status/%d", i))
 			So(isPublished, ShouldBeTrue)
+		}
 	})
 }
 
