--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -28,9 +29,13 @@
 	// append rewrites its whole segment, so larger segments cost more bytes and
 	// smaller ones more keys.
 	maxSegmentBytes = 8 << 10
-	// maxFullSegments is the number of full segments after which a snapshot is due.
-	// The snapshot removes them all in the same change of the store.
-	maxFullSegments = 24
+	// minLogBytes is the least size of the log at which a snapshot is due. Above that a
+	// snapshot is due when the log is as large as the last snapshot, so that in a large
+	// cell snapshots cost no more than the log itself.
+	minLogBytes = 24 * maxSegmentBytes
+	// maxPartBytes bounds the parts into which a snapshot is divided. The store accepts
+	// values of a megabyte.
+	maxPartBytes = 900 << 10
 	// commitTimeout bounds one commit attempt; the store answers in milliseconds.
 	commitTimeout = 700 * time.Millisecond
 	// retryDelay is the pause after a failed commit attempt.
@@ -55,10 +60,12 @@
 	// revision is the store revision of the current segment, 0 if it is not stored
 	// yet.
 	revision int64
-	// fullSegments holds the keys of the segments to remove with the next snapshot.
-	fullSegments []string
-	// attempts counts the commit attempts.
-	attempts int64
+	// fullSegments holds the keys of the segments that the next snapshot replaces,
+	// obsolete those of segments that were replaced and are to be removed.
+	fullSegments, obsolete []string
+	// logBytes is the size of the log since the last snapshot, snapshotBytes that of the
+	// last snapshot before compression.
+	logBytes, snapshotBytes int
 }
 
 // Load reads the stored state of a cell into target, which must be empty, and returns
@@ -71,13 +78,9 @@
 		return nil, err
 	}
 	j := &Journal{client: client, cell: cell, owner: owner}
-	firstSegment := int64(0)
-	for _, item := range items {
-		if item.Key == j.snapshotKey() {
-			if firstSegment, err = restore(item.Value, target, now); err != nil {
-				return nil, err
-			}
-		}
+	firstSegment, err := j.restore(items, target, now)
+	if err != nil {
+		return nil, err
 	}
 	j.sequence = firstSegment
 	for _, item := range items {
@@ -85,10 +88,12 @@
 		if !ok {
 			continue
 		}
-		j.fullSegments = append(j.fullSegments, item.Key)
 		if sequence < firstSegment {
+			j.obsolete = append(j.obsolete, item.Key)
 			continue
 		}
+		j.fullSegments = append(j.fullSegments, item.Key)
+		j.logBytes += len(item.Value)
 		if err := replay(item.Value, target, now); err != nil {
 			return nil, fmt.Errorf("%s: %w", item.Key, err)
 		}
@@ -98,7 +103,7 @@
 	return j, nil
 }
 
-// storedSnapshot is the content of the snapshot key, as compressed JSON.
+// storedSnapshot is the content of the snapshot's parts, as compressed JSON.
 type storedSnapshot struct {
 	// FirstSegment is the number of the first segment that is not part of the
 	// snapshot.
@@ -106,13 +111,27 @@
 	State        jobs.Snapshot `json:"state"`
 }
 
-// restore decodes a snapshot into target and returns the number of the first segment
-// to replay.
-func restore(value []byte, target *jobs.Cell, now time.Time) (firstSegment int64, err error) {
-	data, err := io.ReadAll(flate.NewReader(bytes.NewReader(value)))
+// restore decodes the snapshot among the keys of a cell into target and returns the
+// number of the first segment to replay, 0 if there is no snapshot.
+func (j *Journal) restore(items []store.Item, target *jobs.Cell, now time.Time) (firstSegment int64, err error) {
+	parts := make(map[string][]byte)
+	for _, item := range items {
+		parts[item.Key] = item.Value
+	}
+	var compressed []byte
+	for i := 0; parts[j.partKey(i)] != nil; i++ {
+		compressed = append(compressed, parts[j.partKey(i)]...)
+	}
+	if compressed == nil {
+		return 0, nil
+	}
+	// Parts that an earlier, larger snapshot has left follow the end of the compressed
+	// data, where the reader stops.
+	data, err := io.ReadAll(flate.NewReader(bytes.NewReader(compressed)))
 	if err != nil {
 		return 0, err
 	}
+	j.snapshotBytes = len(data)
 	var s storedSnapshot
 	if err := json.Unmarshal(data, &s); err != nil {
 		return 0, err
@@ -137,7 +156,14 @@
 	}
 }
 
-func (j *Journal) snapshotKey() string { return Key(j.cell) + "state" }
+// partKey returns the key of a part of the snapshot.
+func (j *Journal) partKey(number int) string {
+	key := Key(j.cell) + "state"
+	if number > 0 {
+		key += fmt.Sprintf("/%d", number)
+	}
+	return key
+}
 
 func (j *Journal) segmentKey(sequence int64) string {
 	return fmt.Sprintf("%slog/%0*d", Key(j.cell), sequenceDigits, sequence)
@@ -155,7 +181,7 @@
 }
 
 // IsSnapshotDue reports whether the next write should be a snapshot.
-func (j *Journal) IsSnapshotDue() bool { return len(j.fullSegments) >= maxFullSegments }
+func (j *Journal) IsSnapshotDue() bool { return j.logBytes >= max(minLogBytes, j.snapshotBytes) }
 
 // Append stores records. It retries until they are stored, the cell has another owner
 // (ErrDeposed), the context ends or the store reports an error that is neither
@@ -171,13 +197,15 @@
 		}
 	}
 	key := j.segmentKey(j.sequence)
-	revision, err := j.commit(ctx, store.Change{
+	change := store.Change{
 		If:   []store.Condition{j.owner, {Key: key, Revision: j.revision}},
 		Puts: []store.Put{{Key: key, Value: buffer.Bytes()}},
-	})
+	}
+	revision, err := j.commitAndRemove(ctx, change)
 	if err != nil {
 		return err
 	}
+	j.logBytes += buffer.Len() - len(j.segment)
 	j.segment, j.revision = buffer.Bytes(), revision
 	if len(j.segment) >= maxSegmentBytes {
 		j.fullSegments = append(j.fullSegments, key)
@@ -206,34 +234,55 @@
 	if err != nil {
 		return err
 	}
-	if err := json.NewEncoder(writer).Encode(storedSnapshot{FirstSegment: j.sequence, State: state}); err != nil {
+	uncompressed := &byteCounter{Writer: writer}
+	if err := json.NewEncoder(uncompressed).Encode(storedSnapshot{FirstSegment: j.sequence, State: state}); err != nil {
 		return err
 	}
 	if err := writer.Close(); err != nil {
 		return err
 	}
-	// The condition and the snapshot each take one of the change's MaxChangeSize
-	// entries. Segments that are not removed now are older than the snapshot, and Load
-	// skips them.
-	removed := min(len(j.fullSegments), store.MaxChangeSize-2)
-	_, err = j.commit(ctx, store.Change{
-		If:     []store.Condition{j.owner},
-		Puts:   []store.Put{{Key: j.snapshotKey(), Value: buffer.Bytes()}},
-		Remove: j.fullSegments[:removed],
-	})
-	if err != nil {
+	change := store.Change{If: []store.Condition{j.owner}}
+	for part := range slices.Chunk(buffer.Bytes(), maxPartBytes) {
+		change.Puts = append(change.Puts, store.Put{Key: j.partKey(len(change.Puts)), Value: part})
+	}
+	j.obsolete = append(j.obsolete, j.fullSegments...)
+	j.fullSegments = nil
+	if _, err = j.commitAndRemove(ctx, change); err != nil {
 		return err
 	}
-	j.fullSegments = j.fullSegments[removed:]
+	j.logBytes, j.snapshotBytes = 0, uncompressed.size
 	return nil
 }
 
+// byteCounter counts the bytes written through it.
+type byteCounter struct {
+	io.Writer
+	size int
+}
+
+// Write implements io.Writer.
+func (c *byteCounter) Write(data []byte) (int, error) {
+	c.size += len(data)
+	return c.Writer.Write(data)
+}
+
+// commitAndRemove commits a change, which it fills up with removals of obsolete
+// segments. Segments that remain are older than the snapshot, and Load skips them.
+func (j *Journal) commitAndRemove(ctx context.Context, change store.Change) (revision int64, err error) {
+	removed := max(min(len(j.obsolete), store.MaxChangeSize-len(change.If)-len(change.Puts)), 0)
+	change.Remove = j.obsolete[:removed]
+	revision, err = j.commit(ctx, change)
+	if err == nil {
+		j.obsolete = j.obsolete[removed:]
+	}
+	return revision, err
+}
+
 // commit retries a change until its outcome is known or the context ends. An attempt
 // without an answer may have succeeded and make the next one conflict, so conflicts
 // are compared with the change itself.
 func (j *Journal) commit(ctx context.Context, change store.Change) (revision int64, err error) {
 	for {
-		j.attempts++
 		attemptCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 		revision, err = j.client.Commit(attemptCtx, change)
 		cancel()
