Mend faults of callers, operators and the command line that reading found

Each was read before; the verdict is of the tests, which failed with the old code unless said: - caller: a minion's own header Outcome reached the caller, for whom it is the entry's statement (TestOutcomeOfAMinionIsNotForwarded). - minion: an attempt sent before the ejection could end, count as, or free the place of the probe (TestHealth, 'an attempt sent before the ejection'; the old signature has no time of the attempt, so the old code was not run with it). - mover: two pools short at the same time got the same instance (TestMover). - entry: usage with a place out of range dropped the peer's earlier usage (TestUsageOutOfRange); ChangeFleet ended with an empty StaleRevisionError after eight conflicts (no test: it takes eight lost races); the renewal took time.Now instead of the timer service. - operator: a row number outside of the section removed the last row, or burnt memory for a large negative one (TestRemoveRow). - events: 101 was logged twice (the second is 105 now), 670 was info for a bad file (676, warning); an unreadable settings file was not logged at all, a bad one only once: now every minute. - chicorypin: usage errors ended with 1 where the help says 2 (TestExitCode).

--- a/cmd/chicorypin/main.go
+++ b/cmd/chicorypin/main.go
@@ -104,9 +104,12 @@
 func exitCode(err error) int {
 	var refused *refusedError
 	var pending *pendingError
+	var usage *usageError
 	switch {
 	case err == nil:
 		return 0
+	case errors.As(err, &usage):
+		return exitUsage
 	case errors.As(err, &pending):
 		return exitPending
 	case errors.As(err, &refused):
--- a/cmd/chicorypind/fleet.go
+++ b/cmd/chicorypind/fleet.go
@@ -96,17 +96,23 @@
 	}
 }
 
+// settingsReminder is how often a settings file that cannot be applied is reported.
+const settingsReminder = time.Minute
+
 // settingsInterval is how often the settings file is checked for changes, since it
 // may change without a SIGHUP.
 const settingsInterval = 2 * time.Second
 
 // reloadSettings applies the settings file again at each SIGHUP and when its contents
 // have changed, until the context ends. Settings that cannot be read or are not valid
-// are not applied; the daemon keeps those that it has.
+// are not applied; the daemon keeps those that it has and logs the error, again each
+// settingsReminder while it lasts.
 func reloadSettings(ctx context.Context, path string, daemon *fleet.Daemon, log *logrus.Entry) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	lastRead := mustRead(path)
+	lastReported := time.Time{}
+	clock := timer.New()
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
@@ -119,15 +125,23 @@
 		case <-ticker.C:
 		}
 		data, err := os.ReadFile(path)
-		if err != nil || !isSignalled && bytes.Equal(data, lastRead) {
+		isChanged := err == nil && !bytes.Equal(data, lastRead)
+		isReminderDue := !lastReported.IsZero() && clock.Now().Sub(lastReported) >= settingsReminder
+		isFirstFailure := err != nil && lastReported.IsZero()
+		if !isSignalled && !isChanged && !isReminderDue && !isFirstFailure {
 			continue
 		}
-		lastRead = data
-		settings, err := fleet.ParseSettings(data)
+		var settings fleet.Settings
+		if err == nil {
+			lastRead = data
+			settings, err = fleet.ParseSettings(data)
+		}
 		if err != nil {
-			event.SettingsRead.Log(log, logrus.Fields{"error": err.Error(), "asked": isSignalled})
+			lastReported = clock.Now()
+			event.SettingsInvalid.Log(log, logrus.Fields{"error": err.Error(), "asked": isSignalled})
 			continue
 		}
+		lastReported = time.Time{}
 		daemon.Reload(settings)
 		event.SettingsRead.Log(log, logrus.Fields{"asked": isSignalled})
 	}
--- a/internal/back/minion/health.go
+++ b/internal/back/minion/health.go
@@ -26,6 +26,8 @@
 	// failureRate is the weighted average of failed attempts, from 0 to 1.
 	failureRate float64
 	isEjected   bool
+	// ejectedAt is when the minion was ejected. Attempts sent before it are no probes.
+	ejectedAt time.Time
 	// isProbing is set while a probe is in flight.
 	isProbing bool
 	// ejectTime is the length of the current ejection, which ends at ejectedUntil.
@@ -49,11 +51,19 @@
 	return true
 }
 
-// cancelProbe undoes tryAllow for an attempt that was not sent.
-func (h *health) cancelProbe() {
+// cancelProbe undoes tryAllow, called at allowedAt, for an attempt that was not sent.
+func (h *health) cancelProbe(allowedAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.isProbing = false
+	if !h.isBeforeEjection(allowedAt) {
+		h.isProbing = false
+	}
+}
+
+// isBeforeEjection reports whether an attempt was allowed before the minion was
+// ejected, so that it cannot be the probe. The caller holds h.mu.
+func (h *health) isBeforeEjection(allowedAt time.Time) bool {
+	return h.isEjected && allowedAt.Before(h.ejectedAt)
 }
 
 // isUnavailable reports whether the minion is ejected and no probe may be sent now.
@@ -63,12 +73,16 @@
 	return h.isEjected && (h.isProbing || now.Before(h.ejectedUntil))
 }
 
-// recordResult updates the failure rate with the result of an attempt, or ends or
-// extends the ejection of an ejected minion. It reports whether this result ejected or
-// readmitted the minion.
-func (h *health) recordResult(now time.Time, isFailed bool) (isNewlyEjected, isReadmitted bool) {
+// recordResult updates the failure rate with the result of an attempt that tryAllow
+// allowed at allowedAt, or ends or extends the ejection of an ejected minion if the
+// attempt was the probe. It reports whether this result ejected or readmitted the
+// minion.
+func (h *health) recordResult(now, allowedAt time.Time, isFailed bool) (isNewlyEjected, isReadmitted bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.isBeforeEjection(allowedAt) {
+		return false, false
+	}
 	if h.isEjected {
 		return h.recordProbe(now, isFailed)
 	}
@@ -79,7 +93,7 @@
 	if h.failureRate < ejectFailureRate {
 		return false, false
 	}
-	h.isEjected = true
+	h.isEjected, h.ejectedAt = true, now
 	h.ejectTime = minEjectTime
 	h.ejectedUntil = now.Add(h.ejectTime)
 	return true, false
--- a/internal/back/minion/health_test.go
+++ b/internal/back/minion/health_test.go
@@ -11,14 +11,14 @@
 	now := time.Unix(1_000_000, 0)
 	eject := func(h *health) {
 		for range 10 {
-			h.recordResult(now, true)
+			h.recordResult(now, now, true)
 		}
 	}
 	cases := map[string]func(){
 		"occasional failures do not eject": func() {
 			h := &health{}
 			for i := range 100 {
-				h.recordResult(now, i%3 == 0)
+				h.recordResult(now, now, i%3 == 0)
 				So(h.isUnavailable(now), ShouldBeFalse)
 			}
 		},
@@ -26,7 +26,7 @@
 			h := &health{}
 			isEjected := false
 			for range 4 {
-				isNewlyEjected, _ := h.recordResult(now, true)
+				isNewlyEjected, _ := h.recordResult(now, now, true)
 				isEjected = isEjected || isNewlyEjected
 			}
 			So(isEjected, ShouldBeTrue)
@@ -38,7 +38,7 @@
 			afterEjection := now.Add(maxEjectTime + time.Second)
 			So(h.tryAllow(afterEjection), ShouldBeTrue)
 			So(h.tryAllow(afterEjection), ShouldBeFalse)
-			h.cancelProbe()
+			h.cancelProbe(afterEjection)
 			So(h.tryAllow(afterEjection), ShouldBeTrue)
 		},
 		"a successful probe readmits the minion": func() {
@@ -46,7 +46,7 @@
 			eject(h)
 			afterEjection := now.Add(maxEjectTime + time.Second)
 			So(h.tryAllow(afterEjection), ShouldBeTrue)
-			_, isReadmitted := h.recordResult(afterEjection, false)
+			_, isReadmitted := h.recordResult(afterEjection, afterEjection, false)
 			So(isReadmitted, ShouldBeTrue)
 			So(h.tryAllow(afterEjection), ShouldBeTrue)
 			So(h.tryAllow(afterEjection), ShouldBeTrue)
@@ -58,11 +58,26 @@
 			for range 10 {
 				probeTime = h.ejectedUntil
 				So(h.tryAllow(probeTime), ShouldBeTrue)
-				h.recordResult(probeTime, true)
+				h.recordResult(probeTime, probeTime, true)
 				So(h.ejectedUntil.Sub(probeTime), ShouldBeLessThanOrEqualTo, maxEjectTime)
 			}
 			So(h.ejectedUntil.Sub(probeTime), ShouldEqual, maxEjectTime)
 		},
+		"an attempt sent before the ejection is not taken for the probe": func() {
+			h := &health{}
+			eject(h)
+			sentBefore, afterEjection := now.Add(-time.Second), now.Add(maxEjectTime+time.Second)
+			ejectTime := h.ejectTime
+			So(h.tryAllow(afterEjection), ShouldBeTrue)
+			_, isReadmitted := h.recordResult(afterEjection, sentBefore, false)
+			So(isReadmitted, ShouldBeFalse)
+			h.recordResult(afterEjection, sentBefore, true)
+			So(h.ejectTime, ShouldEqual, ejectTime)
+			h.cancelProbe(sentBefore)
+			So(h.tryAllow(afterEjection), ShouldBeFalse)
+			_, isReadmitted = h.recordResult(afterEjection, afterEjection, false)
+			So(isReadmitted, ShouldBeTrue)
+		},
 	}
 	for name, check := range cases {
 		Convey("Case: "+name, t, check)
--- a/internal/back/minion/roster.go
+++ b/internal/back/minion/roster.go
@@ -27,9 +27,9 @@
 }
 
 // RecordResult updates the failure rate of the minion with the result of an attempt
-// that Pick selected it for.
-func (m *Minion) RecordResult(now time.Time, isFailed bool) {
-	isEjected, isReadmitted := m.health.recordResult(now, isFailed)
+// that Pick selected it for at pickedAt.
+func (m *Minion) RecordResult(now, pickedAt time.Time, isFailed bool) {
+	isEjected, isReadmitted := m.health.recordResult(now, pickedAt, isFailed)
 	fields := logrus.Fields{"minion": m.Name}
 	if isEjected {
 		event.MinionEjected.Log(m.log, fields)
@@ -39,9 +39,9 @@
 	}
 }
 
-// CancelPick undoes the selection of the minion by Pick for an attempt that was not
-// sent or whose result says nothing about the minion.
-func (m *Minion) CancelPick() { m.health.cancelProbe() }
+// CancelPick undoes the selection of the minion by Pick at pickedAt, for an attempt that
+// was not sent or whose result says nothing about the minion.
+func (m *Minion) CancelPick(pickedAt time.Time) { m.health.cancelProbe(pickedAt) }
 
 // Roster holds the minions of each pool that attempts may be sent to. It is safe for
 // concurrent use; reads take no lock, since Replace swaps the whole content atomically.
@@ -152,7 +152,7 @@
 	}
 	permit := m.Slots.Acquire()
 	if permit == nil {
-		m.health.cancelProbe()
+		m.health.cancelProbe(now)
 	}
 	return permit
 }
--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -9,6 +9,7 @@
 	Stopped      = define(102, logrus.InfoLevel, "daemon stopped")
 	Resumed      = define(103, logrus.WarnLevel, "daemon resumed after a pause")
 	Dumped       = define(104, logrus.InfoLevel, "state dumped on request")
+	WorkEnded    = define(105, logrus.InfoLevel, "daemon has ended its work")
 )
 
 // Documents: config, fleet and slice table, 200 to 299.
@@ -95,6 +96,7 @@
 	MachineListAvailable   = define(667, logrus.InfoLevel, "list of machines available again")
 	PoolMovesPlanned       = define(668, logrus.InfoLevel, "moves of machines between pools planned")
 	SettingsRead           = define(670, logrus.InfoLevel, "settings file read again")
+	SettingsInvalid        = define(676, logrus.WarnLevel, "settings file not applied")
 	LinesDropped           = define(671, logrus.WarnLevel, "log lines dropped")
 	StoreCallsRelayed      = define(673, logrus.WarnLevel, "calls to the store go through a peer")
 	StoreCallsDirect       = define(674, logrus.InfoLevel, "calls to the store are direct again")
--- a/internal/daemon/entry/change.go
+++ b/internal/daemon/entry/change.go
@@ -274,6 +274,7 @@
 // the change. The error is that of the function, a *StaleRevisionError or an
 // *UnreachableError.
 func (e *Entry) ChangeFleet(ctx context.Context, change func(next *fleet.Fleet) (bool, error)) (revision uint64, err error) {
+	stale := &StaleRevisionError{}
 	for range maxWriteAttempts {
 		e.mu.Lock()
 		next, version := e.state.fleet.Next(), e.state.storedFleet.version
@@ -287,8 +288,12 @@
 		if err == nil || !errors.As(err, &conflict) {
 			return next.Revision, err
 		}
+		stale.Read = next.Revision - 1
 	}
-	return 0, &StaleRevisionError{}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stale.Current = e.state.fleet.Revision
+	return 0, stale
 }
 
 // writeFleet writes a fleet document in place of the given version in the
--- a/internal/daemon/entry/heartbeat.go
+++ b/internal/daemon/entry/heartbeat.go
@@ -159,18 +159,19 @@
 	if usage == nil || heartbeat.GetConfig() != index.Revision || len(usage.GetPlace()) != len(usage.GetSlots()) {
 		return
 	}
+	pools, teams := index.Document.Pools, index.Document.Teams
+	isOutOfRange := func(place uint32) bool { return int(place) >= len(pools)*len(teams) }
+	if slices.ContainsFunc(usage.GetPlace(), isOutOfRange) {
+		return
+	}
 	m.running = make(caller.Occupancy)
 	m.waiting = make(map[string]int)
-	pools, teams := index.Document.Pools, index.Document.Teams
 	for i, waiting := range usage.GetWaiting() {
 		if i < len(pools) {
 			m.waiting[pools[i].Name] = int(waiting)
 		}
 	}
 	for i, place := range usage.GetPlace() {
-		if int(place) >= len(pools)*len(teams) {
-			return
-		}
 		pool, team := pools[int(place)/len(teams)].Name, teams[int(place)%len(teams)].Name
 		m.running.Add(caller.Occupancy{pool: {team: int(usage.GetSlots()[i])}})
 	}
--- a/internal/daemon/entry/receive_test.go
+++ b/internal/daemon/entry/receive_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -45,6 +46,26 @@
 	})
 }
 
+func TestUsageOutOfRange(t *testing.T) {
+	Convey("Usage with a place that the config does not have leaves the earlier usage of the peer in force", t, func() {
+		s := scales["quarter"]
+		e := newScaledEntry(t, s)
+		e.receive("entry-1.00000000", fullHeartbeat(e, s))
+		e.mu.Lock()
+		before := e.state.member("entry-1.00000000").running
+		e.mu.Unlock()
+		So(before, ShouldNotBeEmpty)
+		frame := fullHeartbeat(e, s)
+		usage := frame.GetBeat().GetUsage()
+		usage.Place[len(usage.Place)-1] = 1 << 20
+		usage.Slots[0]++
+		e.receive("entry-1.00000000", frame)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		So(e.state.member("entry-1.00000000").running, ShouldResemble, before)
+	})
+}
+
 // drawFrame draws a frame of any kind except Hello, with random content.
 func drawFrame(t *rapid.T) *wire.Frame {
 	number := func(name string) uint64 {
--- a/internal/daemon/entry/shutdown.go
+++ b/internal/daemon/entry/shutdown.go
@@ -48,7 +48,7 @@
 		e.releaseSlice(ctx)
 	}
 	e.deregister(ctx)
-	event.ShuttingDown.Log(e.log, logrus.Fields{"idle": isIdle})
+	event.WorkEnded.Log(e.log, logrus.Fields{"idle": isIdle})
 }
 
 // waitUntil polls the condition until it is true or the context ends, and
--- a/internal/daemon/entry/store.go
+++ b/internal/daemon/entry/store.go
@@ -156,9 +156,9 @@
 	lastRenewal := time.Time{}
 	for ctx.Err() == nil {
 		err := e.writeMember(ctx, ttl)
-		if err == nil && time.Since(lastRenewal) > ttl/renewalsPerTTL {
+		if now := e.config.Clock.Now(); err == nil && now.Sub(lastRenewal) > ttl/renewalsPerTTL {
 			err = e.renewLease(ctx)
-			lastRenewal = time.Now()
+			lastRenewal = now
 		}
 		if err != nil {
 			e.setReachable(false, err)
--- a/internal/front/caller/dispatcher.go
+++ b/internal/front/caller/dispatcher.go
@@ -19,9 +19,11 @@
 // slot on a minion, held until the admission is released.
 type admission struct {
 	minion *minion.Minion
-	unit   *units.Permit
-	slot   *units.Permit
-	item   *share.Item[*waiter]
+	// pickedAt is when the minion was picked.
+	pickedAt time.Time
+	unit     *units.Permit
+	slot     *units.Permit
+	item     *share.Item[*waiter]
 }
 
 // attemptResult is how an attempt ended.
@@ -193,13 +195,13 @@
 	}
 	item, unit := d.takeNext(now, q, free, held)
 	if item == nil {
-		chosen.CancelPick()
+		chosen.CancelPick(now)
 		slot.Release()
 		return false
 	}
 	q.fullSince = time.Time{}
 	if item.Value.avoidMinion == chosen.Name {
-		chosen.CancelPick()
+		chosen.CancelPick(now)
 		slot.Release()
 		chosen, slot = d.config.Roster.Pick(now, q.name, item.Value.avoidMinion)
 	}
@@ -208,7 +210,7 @@
 		q.scheduler.Requeue(now, item)
 		return false
 	}
-	item.Value.admitted <- admission{minion: chosen, unit: unit, slot: slot, item: item}
+	item.Value.admitted <- admission{minion: chosen, pickedAt: now, unit: unit, slot: slot, item: item}
 	return true
 }
 
@@ -325,7 +327,7 @@
 
 // releaseUnused releases an admission for which no attempt was sent.
 func (d *Dispatcher) releaseUnused(admitted admission, r request) {
-	admitted.minion.CancelPick()
+	admitted.minion.CancelPick(admitted.pickedAt)
 	d.release(admitted, r, 0)
 }
 
--- a/internal/front/caller/outcome_test.go
+++ b/internal/front/caller/outcome_test.go
@@ -186,6 +186,20 @@
 	})
 }
 
+func TestOutcomeOfAMinionIsNotForwarded(t *testing.T) {
+	Convey("An Outcome header in the response of a minion does not reach the caller, for whom it would be a statement of the entry", t, func() {
+		for name, status := range map[string]int{"success": http.StatusOK, "failure": http.StatusInternalServerError} {
+			m := newFakeMinion(t, func(conn net.Conn, r *http.Request, _ int) bool {
+				fmt.Fprintf(conn, "HTTP/1.1 %d x\r\nAttempt-Id: %s\r\nOutcome: not-run\r\nContent-Length: 2\r\n\r\nok", status, r.Header.Get("Attempt-Id"))
+				return true
+			})
+			r := newFixture(t, fixtureOptions{}, m).send(http.MethodPost, "swap")
+			SoMsg(name, r.status, ShouldEqual, status)
+			SoMsg(name, r.outcome, ShouldBeEmpty)
+		}
+	})
+}
+
 func TestTransportDoesNotRetrySilently(t *testing.T) {
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
 		Convey("Given a minion that closes each reused connection on "+method, t, func() {
--- a/internal/front/caller/run.go
+++ b/internal/front/caller/run.go
@@ -176,7 +176,7 @@
 		}
 		return minionResponse{}, err
 	}
-	admitted.minion.RecordResult(l.config.Clock.Now(), response.Status >= http.StatusInternalServerError)
+	admitted.minion.RecordResult(l.config.Clock.Now(), admitted.pickedAt, response.Status >= http.StatusInternalServerError)
 	return minionResponse{Response: response, finish: finish}, nil
 }
 
@@ -192,10 +192,10 @@
 	var notRunErr *minion.NotRunError
 	isAuthorityLost := errors.As(err, &notRunErr) && notRunErr.Reason == "authority"
 	if isAuthorityLost || r.service.IsCancellable && r.incoming.Context().Err() != nil {
-		admitted.minion.CancelPick()
+		admitted.minion.CancelPick(admitted.pickedAt)
 		return
 	}
-	admitted.minion.RecordResult(l.config.Clock.Now(), true)
+	admitted.minion.RecordResult(l.config.Clock.Now(), admitted.pickedAt, true)
 }
 
 // newAttemptID returns an id that is unique among all entries.
@@ -210,7 +210,9 @@
 	l.answered.Inc(1)
 	header := w.Header()
 	for name, values := range response.Header {
-		if !isHopByHop(name) && name != minion.HeaderAttempt {
+		// The outcome is the entry's own statement about a request that it did not answer
+		// with a minion's response.
+		if !isHopByHop(name) && name != minion.HeaderAttempt && name != HeaderOutcome {
 			header[name] = values
 		}
 	}
--- a/internal/front/operator/console.go
+++ b/internal/front/operator/console.go
@@ -156,8 +156,9 @@
 		p.Form.addRow(target)
 	case "remove":
 		name, row, _ := strings.Cut(target, "/")
-		number, _ := strconv.Atoi(row)
-		p.Form.removeRow(name, number)
+		if number, err := strconv.Atoi(row); err == nil {
+			p.Form.removeRow(name, number)
+		}
 	default:
 		c.submit(r, &p, action)
 	}
--- a/internal/front/operator/form.go
+++ b/internal/front/operator/form.go
@@ -145,8 +145,12 @@
 // addRow adds an empty row to the end of a section.
 func (f form) addRow(name string) { f.rowCounts[name]++ }
 
-// removeRow removes a row from a section and moves the rows after it up.
+// removeRow removes a row from a section and moves the rows after it up. A row that the
+// section does not have changes nothing.
 func (f form) removeRow(name string, row int) {
+	if row < 0 || row >= f.rowCounts[name] {
+		return
+	}
 	for _, s := range sections {
 		if s.Name != name {
 			continue
@@ -157,7 +161,7 @@
 			}
 		}
 	}
-	f.rowCounts[name] = max(f.rowCounts[name]-1, 0)
+	f.rowCounts[name]--
 }
 
 func fieldPath(section string, row int, c column) string {
--- a/internal/plan/mover/mover.go
+++ b/internal/plan/mover/mover.go
@@ -115,8 +115,7 @@
 // pool that is short of instances. It returns none while an earlier move is in
 // progress or if the document names no spare pool. The caller must apply the moves
 // one after another and check the budget of the source pool each time: Plan checks
-// each move against the current fleet alone, so that two moves may even name the
-// same instance.
+// the budget for each move against the current fleet alone.
 func (m *Mover) Plan(now time.Time, current fleet.Fleet, doc document.Document) (moves []Move) {
 	if doc.SparePool == "" || isMoveInProgress(current) {
 		return nil
@@ -127,7 +126,7 @@
 			continue
 		}
 		source := m.chooseSource(now, sizes, doc, p.Name)
-		if instance := pickInstance(current, doc, source, p.Name); instance != "" {
+		if instance := pickInstance(current, doc, source, p.Name, moves); instance != "" {
 			moves = append(moves, Move{Instance: instance, Target: p.Name})
 			sizes[source].actual--
 		}
@@ -147,7 +146,7 @@
 		if p.Name == doc.SparePool || !s.hasSurplus(m.config.MinSurplus) || !m.isDue(now, m.surplusStart(p.Name), m.config.ReturnDelay) {
 			continue
 		}
-		if instance := pickInstance(current, doc, p.Name, doc.SparePool); instance != "" {
+		if instance := pickInstance(current, doc, p.Name, doc.SparePool, moves); instance != "" {
 			moves = append(moves, Move{Instance: instance, Target: doc.SparePool})
 		}
 	}
@@ -282,8 +281,9 @@
 
 // pickInstance chooses a serving instance of the source pool that the pool's budget
 // allows to leave, preferring the data centre in which the target pool has the
-// fewest instances. It returns "" if there is none.
-func pickInstance(current fleet.Fleet, doc document.Document, source, target string) (instance string) {
+// fewest instances, and leaving out those of the moves already planned. It returns ""
+// if there is none.
+func pickInstance(current fleet.Fleet, doc document.Document, source, target string, planned []Move) (instance string) {
 	targetPerCentre := make(map[string]int)
 	for _, i := range current.Instances {
 		if i.Pool == target {
@@ -299,6 +299,9 @@
 	fewest := math.MaxInt
 	budget := current.PoolBudget(source, minShare)
 	for _, i := range current.Instances {
+		if slices.ContainsFunc(planned, func(m Move) bool { return m.Instance == i.Name }) {
+			continue
+		}
 		if i.Pool == source && i.IsServing() && budget.Admits(i) && targetPerCentre[i.Centre] < fewest {
 			instance, fewest = i.Name, targetPerCentre[i.Centre]
 		}
--- a/internal/plan/mover/mover_test.go
+++ b/internal/plan/mover/mover_test.go
@@ -52,6 +52,11 @@
 			demand: func(int) (int, int) { return 40, 20 },
 			want:   []Move{{"spare0", "a"}},
 		},
+		"two pools that are short at the same time get different instances": {
+			sizes:  map[string]int{"a": 4, "b": 4, "spare": 3},
+			demand: func(int) (int, int) { return 40, 40 },
+			want:   []Move{{"spare0", "a"}, {"spare1", "b"}},
+		},
 		"if the spare pool is at its floor, the pool with the largest surplus gives an instance": {
 			sizes:  map[string]int{"a": 4, "b": 8, "spare": 1},
 			demand: func(int) (int, int) { return 40, 20 },
