--- a/cmd/chicorypind/fleet.go
+++ b/cmd/chicorypind/fleet.go
@@ -28,10 +28,14 @@
 	// metricsInterval is how often counters are copied to the metrics page, which is
 	// scraped every few seconds.
 	metricsInterval = 2 * time.Second
-	// heapGrowthPercent is the target of the garbage collector (GOGC): how far the heap
-	// may grow over the live heap before the next collection. It is below Go's default
-	// of 100 because memory costs more than processor time here.
-	heapGrowthPercent = 50
+	// smallHeapGrowth and largeHeapGrowth are targets of the garbage collector (GOGC): how
+	// far the heap may grow over the live heap before the next collection, in percent.
+	// Memory costs more than processor time on small instances. The owner of a large cell
+	// is on an instance with largeInstanceMegabytes or more, where the processor is what
+	// runs short.
+	smallHeapGrowth        = 50
+	largeHeapGrowth        = 150
+	largeInstanceMegabytes = 400
 	// memoryLimitShare is the part of the process's memory limit that is set as the soft
 	// limit of the Go runtime.
 	memoryLimitShare = 0.8
@@ -43,7 +47,7 @@
 // runFleet runs an entry that serves jobs until the context ends. It also serves the
 // metrics and the dump, and reads the settings at the path again when they change.
 func runFleet(ctx context.Context, path string, settings fleet.Settings, logs io.Writer) error {
-	debug.SetGCPercent(heapGrowthPercent)
+	debug.SetGCPercent(heapGrowth(settings.MemoryMegabytes))
 	if settings.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMegabytes*megabyte) * memoryLimitShare))
 	}
@@ -82,6 +86,15 @@
 	return daemon.Run(ctx)
 }
 
+// heapGrowth returns the target of the garbage collector for an instance's memory, 0 if
+// that is unknown.
+func heapGrowth(memoryMegabytes int64) int {
+	if memoryMegabytes >= largeInstanceMegabytes {
+		return largeHeapGrowth
+	}
+	return smallHeapGrowth
+}
+
 // logDumps logs the state of the entry at each SIGUSR1 until the context ends.
 func logDumps(ctx context.Context, daemon *fleet.Daemon, log *logrus.Entry) {
 	signals := make(chan os.Signal, 1)
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -38,8 +38,9 @@
 	// orderTimeout bounds an order to an endpoint. Endpoints answer in milliseconds,
 	// and a task cannot be placed elsewhere while its start is unanswered.
 	orderTimeout = 450 * time.Millisecond
-	// maxOrdersPerEndpoint limits the concurrent orders to one endpoint.
-	maxOrdersPerEndpoint = 4
+	// maxOrdersPerEndpoint limits the concurrent orders to one endpoint, each of which
+	// needs a connection. A second one keeps orders going while one is not answered.
+	maxOrdersPerEndpoint = 2
 )
 
 // ErrIndeterminate reports that the outcome of a request is unknown: it may have been
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -42,6 +42,8 @@
 	arrivals arrivals
 	load     measuredLoad
 	counts   Counts
+	// runsCheckedAt is when Plan last checked all runs.
+	runsCheckedAt time.Time
 	// blockedCheckedAt is when BlockedTasks last checked for blocked jobs.
 	blockedCheckedAt time.Time
 }
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -27,8 +27,11 @@
 func (c *Cell) Plan(now, wall time.Time) {
 	c.expireRuns(now)
 	c.beginDueOccurrences(wall)
-	c.stopStalled(now)
-	c.evacuateDraining(now)
+	if now.Sub(c.runsCheckedAt) >= runCheckInterval {
+		c.runsCheckedAt = now
+		c.stopStalled(now)
+		c.evacuateDraining(now)
+	}
 	rank := make(map[*job]rankKey, len(c.active))
 	for _, j := range c.active {
 		rank[j] = c.rank(now, j)
@@ -154,6 +157,10 @@
 	return next
 }
 
+// runCheckInterval is the minimum time between two checks of all runs. A large cell is
+// planned 25 times a second, and the limits that are checked are far longer.
+const runCheckInterval = 100 * time.Millisecond
+
 // Limits on runs without progress.
 const (
 	// stallTimeout is how long the progress of a run may stay unchanged.
