--- a/internal/back/endpoint/endpoint.go
+++ b/internal/back/endpoint/endpoint.go
@@ -58,6 +58,9 @@
 	// Poll polls an endpoint: it lists the runs and extends their grant. The listing
 	// is valid only if the answer of the receipt is jobs.Accepted.
 	Poll func(ctx context.Context, target Target, poll Poll) (jobs.Listing, Receipt)
+	// Forget releases what is kept for calls to an endpoint that will get no more of
+	// them. It may be nil.
+	Forget func(target Target)
 }
 
 // Registration is what an endpoint has registered in service discovery.
--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -71,7 +71,7 @@
 				continue
 			}
 			if p != nil {
-				p.stop()
+				o.stopPoller(p)
 			}
 			o.startPoller(registration)
 		}
@@ -79,7 +79,7 @@
 		for id, p := range o.pollers {
 			if _, isKnown := o.cell.NextPoll(now, id); !isKnown {
 				event.EndpointRemoved.Log(o.config.Log, logrus.Fields{"endpoint": id})
-				p.stop()
+				o.stopPoller(p)
 				delete(o.pollers, id)
 			}
 		}
@@ -103,6 +103,14 @@
 	o.workers.Go(func() { o.pollLoop(ctx, p) })
 }
 
+// stopPoller stops polling an endpoint that gets no more calls at its address.
+func (o *Owner) stopPoller(p *poller) {
+	p.stop()
+	if o.config.Endpoints.Forget != nil {
+		o.config.Endpoints.Forget(p.target)
+	}
+}
+
 // pollLoop polls an endpoint whenever the cell needs it and the ownership is valid,
 // until the context ends.
 func (o *Owner) pollLoop(ctx context.Context, p *poller) {
