Stop no more long-running tasks for a wave than other endpoints have room for

Each stop had found a place elsewhere, but many stops the same one. Ruled out: a late restart by a loaded owner (its loop answered in 30 ms then); labels. Change: a task is stopped only if the places for tasks of its size are more than the long-running tasks that wait or are being stopped. Before and after: TestEvacuationsShareRoom 24 stops for 3 places, 3 after.

--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -532,6 +532,31 @@
 	})
 }
 
+func TestEvacuationsShareRoom(t *testing.T) {
+	Convey("Of the tasks of a wave, no more are stopped than other endpoints have room for", t, func() {
+		const machines, places = 8, 3
+		b := newTestbed(machines)
+		for i := range machines {
+			b.submit(fmt.Sprintf("%016x", i+1), Step{Count: places, Each: Size{CPU: 1300, Memory: 10}, LongRunning: true})
+		}
+		starts := b.planAndAccept()
+		So(starts, ShouldHaveLength, places*machines)
+		b.advance(100 * time.Millisecond)
+		b.setEndpoints(machines+1, false)
+		running := make(map[string][]ListedRun)
+		for _, s := range starts {
+			running[s.Endpoint] = append(running[s.Endpoint], ListedRun{Task: s.Task, Run: s.Run, Percent: 100})
+		}
+		for i := range machines + 1 {
+			b.answerPoll(i, running[endpointName(i)]...)
+		}
+		for i := range machines {
+			b.cell.Evacuate(b.now, endpointName(i), b.now.Add(time.Second), true)
+		}
+		So(b.cell.Stops(b.now), ShouldHaveLength, places)
+	})
+}
+
 func TestLabelledEndpoints(t *testing.T) {
 	Convey("Tasks without requirements leave endpoints with a required label to the tasks that need it", t, func() {
 		b := newTestbed(2)
--- a/jobs/load.go
+++ b/jobs/load.go
@@ -54,21 +54,45 @@
 // evacuate stops long-running tasks on an endpoint that can run elsewhere now.
 func (c *Cell) evacuate(now time.Time, e *Endpoint) {
 	var p *placer
+	pending := 0
 	for _, r := range sortedRuns(e) {
 		if !r.task.step.LongRunning || r.isStopping || r.phase != running || !c.isDisruptionAllowed(now, r) {
 			continue
 		}
 		if p == nil {
 			p = c.newPlacer(now)
+			pending = c.displacedTasks()
 		}
-		// Without another endpoint the task would wait for the end of the planned work,
-		// and block the evacuation of its step's other tasks.
-		if p.chooseEndpoint(r.task) != nil {
+		// Without room elsewhere, also for the tasks that were displaced before, the task
+		// would wait for the end of the planned work and block the evacuation of the
+		// other tasks of its step.
+		if p.countPlaces(r.task, pending+1) > pending {
 			c.stopRun(r, "evacuation for planned work")
+			pending++
 		}
 	}
 }
 
+// displacedTasks counts the long-running tasks that wait for a place or are being
+// stopped, after which they will.
+func (c *Cell) displacedTasks() (count int) {
+	for _, j := range c.active {
+		if j.isOver() || !j.IsLongRunning() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				for _, t := range s.tasks {
+					if s.LongRunning && s.isReady && (t.run == nil || t.run.isStopping) {
+						count++
+					}
+				}
+			}
+		}
+	}
+	return count
+}
+
 // isDisruptionAllowed reports whether a long-running task may be stopped for planned
 // work now: fewer than MaxUnavailable other tasks of its step are unavailable.
 func (c *Cell) isDisruptionAllowed(now time.Time, r *run) bool {
--- a/jobs/peak_test.go
+++ b/jobs/peak_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
 )
 
 // peakConfig describes a peak in a large cell: jobs arrive at a constant rate and ask
@@ -111,6 +113,41 @@
 	}
 }
 
+func TestLoadBetweenMeasurements(t *testing.T) {
+	Convey("In a peak the load is measured seldom, and the work accepted since is part of the backlog", t, func() {
+		p := newPeak(peakConfig{endpoints: 100})
+		So(p.cell.Admit(p.now, ptrTo(p.newJob())).IsAccepted, ShouldBeTrue)
+		measuredAt := p.cell.load.at
+		for range 30 {
+			p.advance(time.Millisecond)
+			p.submitJob(0, p.newJob())
+		}
+		So(p.cell.load.at, ShouldEqual, measuredAt)
+		So(p.cell.load.backlog, ShouldAlmostEqual, p.cell.backlog(p.now), 0.01)
+		p.advance(maxLoadAge)
+		p.submitJob(0, p.newJob())
+		So(p.cell.load.at, ShouldEqual, p.now)
+	})
+	Convey("A burst within one measurement is not accepted beyond what can end in time", t, func() {
+		p := newPeak(peakConfig{endpoints: 10})
+		for range 200 {
+			p.submitJob(0, p.newJob())
+		}
+		So(p.rejected, ShouldBeGreaterThan, 0)
+		wait := p.cell.backlog(p.now) / p.cell.throughput(p.now)
+		So(wait, ShouldBeLessThan, 5)
+	})
+	Convey("An endpoint that is up after there was none counts at once", t, func() {
+		p := newPeak(peakConfig{})
+		So(p.cell.Admit(p.now, ptrTo(p.newJob())).IsAccepted, ShouldBeFalse)
+		p.setEndpoints(1, false)
+		p.answerPoll(0)
+		So(p.cell.Admit(p.now, ptrTo(p.newJob())).IsAccepted, ShouldBeTrue)
+	})
+}
+
+func ptrTo[T any](value T) *T { return &value }
+
 // BenchmarkPeak measures the processor time of a large cell in a peak, without its
 // I/O: an owner keeps up only if it is well below the duration of the peak.
 func BenchmarkPeak(b *testing.B) {
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -164,6 +164,21 @@
 	return best
 }
 
+// countPlaces returns how many tasks of the size of t the suitable endpoints have room
+// for, up to a limit.
+func (p *placer) countPlaces(t *task, limit int) (count int) {
+	reserved := t.step.Reserved()
+	for _, e := range p.candidates {
+		if !p.isSuitable(t, e) {
+			continue
+		}
+		for room := e.available(); reserved.Fits(room) && count < limit; room = room.Minus(reserved) {
+			count++
+		}
+	}
+	return count
+}
+
 // isSuitable reports whether an endpoint meets the requirements of a task other
 // than free capacity.
 func (p *placer) isSuitable(t *task, e *Endpoint) bool {
