Do not send calls to a peer that is silent

Change: a call without a response after 120 ms pings the peer, which its session answers itself however slow the calls are.

Ruled out as a sign of a cut: a slow answer alone (the store may take 240 ms a write).

--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -46,6 +46,12 @@
 	acceptBacklog = 256
 	// readBufferSize is in bytes; most messages fit into it.
 	readBufferSize = 512
+	// pingDelay is how long a call waits for its response before the peer is pinged, to
+	// tell a peer that is slow with this call from one that cannot be reached.
+	pingDelay = 120 * time.Millisecond
+	// silenceLimit is how long nothing may be received from a peer that owes responses
+	// until new calls to it fail at once.
+	silenceLimit = 400 * time.Millisecond
 	// requestTimeout is how long a peer may take to send a request on an open stream.
 	// Peers open a stream only when they have a request to send.
 	requestTimeout = 2 * time.Second
@@ -96,6 +102,10 @@
 	mu      sync.Mutex
 	session *yamux.Session
 	conn    *watchedConn
+	// pending is the number of calls on the session without a response, pendingSince the
+	// time since when there are any.
+	pending      int
+	pendingSince time.Time
 	// lastFailure is the time of the last failed dial.
 	lastFailure time.Time
 }
@@ -210,7 +220,8 @@
 
 // Call sends a request to the peer at an address and waits for the response. It dials
 // if there is no session. The deadline and the cancellation of ctx end the call. Errors
-// wrap ErrNotSent or ErrIndeterminate.
+// wrap ErrNotSent or ErrIndeterminate. While a peer is silent, as behind a network
+// partition, calls to it are not sent, so that their callers learn that nothing was done.
 func (m *Mesh) Call(ctx context.Context, address netip.AddrPort, request *wire.Request) (*wire.Response, error) {
 	m.mu.Lock()
 	p := m.peers[address]
@@ -219,11 +230,17 @@
 		m.peers[address] = p
 	}
 	m.mu.Unlock()
-	session, conn, err := p.connect(ctx, address)
+	session, conn, err := p.begin(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	defer p.end(session)
 	sentAt := time.Now()
+	ping := time.AfterFunc(pingDelay, func() {
+		// The response is noticed by conn; without one the session is closed below.
+		_, _ = session.Ping()
+	})
+	defer ping.Stop()
 	stream, err := session.OpenStream()
 	if err != nil {
 		p.closeSession(session)
@@ -242,8 +259,10 @@
 		err = options.UnmarshalFrom(bufio.NewReaderSize(stream, readBufferSize), response)
 	}
 	if err != nil {
-		isTimeout := errors.Is(ctx.Err(), context.DeadlineExceeded)
-		if ctx.Err() == nil || isTimeout && !conn.hasReadSince(sentAt) {
+		// The deadline of the stream may pass just before that of ctx.
+		isTimeout := errors.Is(err, yamux.ErrTimeout) || errors.Is(ctx.Err(), context.DeadlineExceeded)
+		isCancelled := errors.Is(ctx.Err(), context.Canceled)
+		if !isCancelled && (!isTimeout || !conn.hasReadSince(sentAt)) {
 			// The connection is dead, possibly without having been closed; dial again next
 			// time. A peer that is only slow with this call still answers others on it.
 			p.closeSession(session)
@@ -275,13 +294,42 @@
 	return c.created.Add(time.Duration(c.lastRead.Load())).After(at)
 }
 
-// connect returns the open session and its connection, or dials a new one.
-func (p *peer) connect(ctx context.Context, address netip.AddrPort) (session *yamux.Session, conn *watchedConn, err error) {
+// begin returns the session for a call and its connection, and counts the call as
+// pending. end must be called with the session afterwards.
+func (p *peer) begin(ctx context.Context, address netip.AddrPort) (session *yamux.Session, conn *watchedConn, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	session, conn, err = p.connect(ctx, address)
+	if err != nil {
+		return nil, nil, err
+	}
+	now := time.Now()
+	if p.pending > 0 && now.Sub(p.pendingSince) > silenceLimit && !conn.hasReadSince(now.Add(-silenceLimit)) {
+		return nil, nil, errors.New("the peer is silent")
+	}
+	if p.pending == 0 {
+		p.pendingSince = now
+	}
+	p.pending++
+	return session, conn, nil
+}
+
+// end ends a call that begin has counted.
+func (p *peer) end(session *yamux.Session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.session == session {
+		p.pending--
+	}
+}
+
+// connect returns the open session and its connection, or dials a new one. The caller
+// holds p.mu.
+func (p *peer) connect(ctx context.Context, address netip.AddrPort) (session *yamux.Session, conn *watchedConn, err error) {
 	if p.session != nil && !p.session.IsClosed() {
 		return p.session, p.conn, nil
 	}
+	p.pending = 0
 	if time.Since(p.lastFailure) < redialDelay {
 		return nil, nil, errors.New("the last dial failed")
 	}
@@ -303,6 +351,6 @@
 	defer p.mu.Unlock()
 	if p.session != nil && (session == nil || p.session == session) {
 		_ = p.session.Close()
-		p.session = nil
+		p.session, p.pending = nil, 0
 	}
 }
--- a/internal/mesh/call/call_test.go
+++ b/internal/mesh/call/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -105,6 +106,48 @@
 	})
 }
 
+func TestSilentPeer(t *testing.T) {
+	// isSent reports whether a call is sent, that is, does not fail with ErrNotSent.
+	isSent := func(err error) bool { return !errors.Is(err, ErrNotSent) }
+	Convey("While a peer is silent, calls to it are not sent and fail at once; afterwards they are served", t, func() {
+		_, address := newTestMesh(t, serveByCell(nil))
+		proxy := newSilencer(t, address)
+		caller, _ := newTestMesh(t, nil)
+		_, err := callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		So(err, ShouldBeNil)
+		proxy.silence()
+		first := make(chan error, 1)
+		go func() {
+			_, err := callWithTimeout(caller, proxy.address, "fast", 5*silenceLimit)
+			first <- err
+		}()
+		time.Sleep(2 * silenceLimit)
+		startedAt := time.Now()
+		_, err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		So(isSent(err), ShouldBeFalse)
+		So(time.Since(startedAt), ShouldBeLessThan, waitTimeout/2)
+		err = <-first
+		So(err, ShouldNotBeNil)
+		So(isSent(err), ShouldBeTrue)
+		_, err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		So(err, ShouldBeNil)
+	})
+	Convey("A peer that is slow with all calls, but answers pings, gets further calls", t, func() {
+		released := make(chan struct{})
+		_, address := newTestMesh(t, serveByCell(released))
+		caller, _ := newTestMesh(t, nil)
+		var wait sync.WaitGroup
+		for range 5 {
+			wait.Go(func() { _, _ = callWithTimeout(caller, address, "slow", waitTimeout) })
+			time.Sleep(silenceLimit / 2)
+		}
+		_, err := callWithTimeout(caller, address, "fast", waitTimeout)
+		So(err, ShouldBeNil)
+		close(released)
+		wait.Wait()
+	})
+}
+
 // silencer is a proxy whose open connections can be made to pass nothing on without
 // being closed.
 type silencer struct {
