Count long-running tasks in the demand by the larger part that they take of an endpoint

Long-running tasks take 15 % of a machine's processors and 33 % of its memory there, and only the former was counted.

Change: a long-running task counts with the processor time of the larger part. Short-lived tasks count as before; theirs take more of the processors on all sites.

--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -557,6 +557,15 @@
 	})
 }
 
+func TestDemandByMemory(t *testing.T) {
+	Convey("A long-running task that needs more of the memory than of the processors counts with that part", t, func() {
+		b := newTestbed(2)
+		b.submit(firstID, Step{Count: 3, Each: Size{CPU: 400, Memory: 1000}, LongRunning: true})
+		demand, _ := b.cell.Survey(b.now)
+		So(demand.LongRunningCPU, ShouldEqual, 3000)
+	})
+}
+
 func TestLabelledEndpoints(t *testing.T) {
 	Convey("Tasks without requirements leave endpoints with a required label to the tasks that need it", t, func() {
 		b := newTestbed(2)
--- a/jobs/demand.go
+++ b/jobs/demand.go
@@ -15,7 +15,9 @@
 	// accepted or rejected, at the rate that is forecast for the time when a machine
 	// ordered now would be serving.
 	Arriving int64
-	// LongRunningCPU is the demand of long-running tasks.
+	// LongRunningCPU is the demand of long-running tasks. A task that takes a larger part
+	// of an endpoint's memory than of its processors counts with the processor time of
+	// that part, since that is what it keeps others from using.
 	LongRunningCPU int64
 	// MinEndpoints is the fewest endpoints that meet the anti-affinity of every
 	// long-running step.
@@ -138,13 +140,14 @@
 
 // Survey returns the demand of the cell and the load of each endpoint, sorted by ID.
 func (c *Cell) Survey(now time.Time) (demand Demand, loads []Load) {
+	capacity := c.totalCapacity()
 	for _, j := range c.active {
 		if j.isOver() {
 			continue
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				c.addDemand(&demand, s)
+				addDemand(&demand, s, capacity)
 			}
 		}
 	}
@@ -156,12 +159,35 @@
 	return demand, loads
 }
 
-// addDemand adds the unfinished tasks of a step that is ready.
-func (c *Cell) addDemand(demand *Demand, s *step) {
+// totalCapacity returns the capacity of all listed endpoints.
+func (c *Cell) totalCapacity() (total Size) {
+	for _, e := range c.endpoints {
+		if e.isListed {
+			total = total.Plus(e.Capacity)
+		}
+	}
+	return total
+}
+
+// dominantCPU returns the processor time in the larger one of the parts that a size
+// takes of a capacity's processors and memory.
+func (s Size) dominantCPU(capacity Size) int64 {
+	if capacity.Memory == 0 {
+		return s.CPU
+	}
+	return max(s.CPU, int64(float64(s.Memory)*float64(capacity.CPU)/float64(capacity.Memory)))
+}
+
+// addDemand adds the unfinished tasks of a step that is ready. capacity is that of the
+// cell's endpoints.
+func addDemand(demand *Demand, s *step, capacity Size) {
 	if !s.isReady {
 		return
 	}
 	requested := int64(s.tasksLeft) * s.Reserved().CPU
+	if s.LongRunning {
+		requested = int64(s.tasksLeft) * s.Reserved().dominantCPU(capacity)
+	}
 	if s.Requires != "" {
 		if demand.LabelCPU == nil {
 			demand.LabelCPU = make(map[string]int64)
