Call the store directly unless relaying is set

Cause: with the setting relay off, calls still passed through relay.Path.

Change: without the setting the daemon uses the plain client, and there is no monitor of relaying.

--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -93,8 +93,9 @@
 	log      *logrus.Entry
 	self     roster.Member
 	mesh     *call.Mesh
-	// store calls the store by way of storePath: directly, or relayed by a peer. relay
-	// serves the calls that peers relay through this entry.
+	// store calls the store, by way of storePath if Settings.Relay is set: directly, or
+	// relayed by a peer. storePath is nil otherwise. relay serves the calls that peers
+	// relay through this entry.
 	store       *store.Client
 	storePath   *relay.Path
 	relay       *relay.Server
@@ -140,13 +141,16 @@
 	}
 	d.storeHealth = storeHealth{log: d.log}
 	d.relay = relay.NewServer(d.platform.Store)
-	d.storePath = relay.New(relay.Config{
-		Direct: d.platform.Store, Peers: d.relayPeers, Log: d.log,
-		Call: func(ctx context.Context, peer netip.AddrPort, request *wire.Request) (*wire.Response, error) {
-			return d.mesh.Call(ctx, peer, request)
-		},
-	})
-	d.store = d.storePath.Client()
+	d.store = d.platform.Store
+	if s.Relay {
+		d.storePath = relay.New(relay.Config{
+			Direct: d.platform.Store, Peers: d.relayPeers, Log: d.log,
+			Call: func(ctx context.Context, peer netip.AddrPort, request *wire.Request) (*wire.Response, error) {
+				return d.mesh.Call(ctx, peer, request)
+			},
+		})
+		d.store = d.storePath.Client()
+	}
 	d.directory = newDirectory(directoryConfig{
 		Prefix: d.platform.EndpointPrefix, Decode: d.platform.DecodeEndpoint, OnChange: d.distributeEndpoints, Log: d.log,
 	})
@@ -209,11 +213,8 @@
 
 // relayPeers returns the entries that may relay calls to the store for this one,
 // those of other data centres first: a fault that disconnects an entry from the store
-// often affects its whole data centre. It returns nil if Settings.Relay is not set.
+// often affects its whole data centre.
 func (d *Daemon) relayPeers() []netip.AddrPort {
-	if !d.config.Settings.Relay {
-		return nil
-	}
 	var sameCentre, otherCentres []netip.AddrPort
 	for _, m := range d.roster.Members() {
 		switch {
@@ -302,8 +303,8 @@
 }
 
 // manageCells takes over the cells, and the stewardship, that the roster assigns to
-// this entry, until the context ends. It hands all cells over if the path to the store
-// through peers proves unreliable.
+// this entry, until the context ends. It hands all cells over if calls to the store are
+// relayed and that proves unreliable.
 func (d *Daemon) manageCells(ctx context.Context) {
 	monitor := relayMonitor{}
 	ticker := time.NewTicker(manageInterval)
@@ -315,7 +316,8 @@
 		case <-ticker.C:
 		case <-d.manageNow:
 		}
-		if monitor.update(boot.Now(), d.storePath.IsDirectDown(), d.session.IsValid()) {
+		isRelayed := d.storePath != nil && d.storePath.IsDirectDown()
+		if monitor.update(boot.Now(), isRelayed, d.session.IsValid()) {
 			d.handOverAll()
 		}
 		s := d.setup.Load()
--- a/internal/daemon/fleet/watch_test.go
+++ b/internal/daemon/fleet/watch_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -22,3 +24,33 @@
 		So(d.currentWaves()[0].FirstSeen, ShouldEqual, seen)
 	})
 }
+
+func TestStoreWithoutRelay(t *testing.T) {
+	Convey("Without the setting, an entry that loses the store for a moment neither reports relayed calls nor gives its cells away", t, func() {
+		s := newSystem(t, 2)
+		owners := func() (cells int) {
+			for _, e := range s.entries {
+				cells += len(e.daemon.currentOwners())
+			}
+			return cells
+		}
+		for end := time.Now().Add(10 * time.Second); owners() < 2 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			continue
+		}
+		So(owners(), ShouldEqual, 2)
+		for _, e := range s.entries {
+			e.setDisconnected(true)
+		}
+		time.Sleep(sessionTTL / 2)
+		for _, e := range s.entries {
+			e.setDisconnected(false)
+		}
+		time.Sleep(sessionTTL / 2)
+		So(owners(), ShouldEqual, 2)
+		for _, e := range s.entries {
+			So(e.daemon.storePath, ShouldBeNil)
+			So(strings.Contains(e.logs.String(), "calls to the store go through a peer"), ShouldBeFalse)
+			So(strings.Contains(e.logs.String(), "cell handed over"), ShouldBeFalse)
+		}
+	})
+}
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -32,7 +32,6 @@
 	delay     time.Duration
 	// isLost decides whether the response to a change is lost; nil for never.
 	isLost func(change store.Change) bool
-	calls  int64
 }
 
 type lease struct {
@@ -178,7 +177,6 @@
 		time.Sleep(delay)
 		c.store.mu.Lock()
 	}
-	c.store.calls++
 	if c.store.isDown {
 		c.store.mu.Unlock()
 		return store.ErrRefused
--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -190,12 +190,6 @@
 // Accepted returns the jobs whose acceptance was stored and answered, by ID.
 func (w *World) Accepted() map[string]jobs.Job { return w.accepted }
 
-// Cell returns the state machine of the current owner.
-func (w *World) Cell() *jobs.Cell { return w.owner.cell }
-
-// Endpoints returns all endpoints.
-func (w *World) Endpoints() []*Endpoint { return w.endpoints }
-
 func (w *World) endpoint(id string) *Endpoint {
 	for _, e := range w.endpoints {
 		if e.id == id {
