--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -156,23 +156,11 @@
 // read again when the cell is next passed. After an error other than a conflict it is
 // unknown whether the document has changed, so it is read again by the next call.
 func (l *Ledger) Balance(ctx context.Context, cells []Cell) (err error) {
-	l.mu.Lock()
-	isReloadDue, isDropped := !l.isLoaded, false
 	owned := make(map[string]int64, len(cells))
 	for _, cell := range cells {
 		owned[cell.Name] = cell.Condition.Revision
-		isReloadDue = isReloadDue || l.loadedEpochs[cell.Name] != cell.Condition.Revision
-	}
-	for name := range l.loadedEpochs {
-		if owned[name] != l.loadedEpochs[name] {
-			delete(l.loadedEpochs, name)
-			isDropped = true
-		}
 	}
-	if isDropped {
-		l.publish()
-	}
-	l.mu.Unlock()
+	isReloadDue := l.dropLostCells(owned)
 	if len(cells) == 0 {
 		return nil
 	}
@@ -207,6 +195,24 @@
 	return err
 }
 
+// dropLostCells withdraws the allocations of cells that are no longer owned under the
+// epoch for which the document was read; owned holds the epochs of the present ones. It
+// reports whether the document has to be read before the next write.
+func (l *Ledger) dropLostCells(owned map[string]int64) (isReloadDue bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isReloadDue = !l.isLoaded
+	for name, epoch := range owned {
+		isReloadDue = isReloadDue || l.loadedEpochs[name] != epoch
+	}
+	before := len(l.loadedEpochs)
+	maps.DeleteFunc(l.loadedEpochs, func(name string, epoch int64) bool { return owned[name] != epoch })
+	if len(l.loadedEpochs) < before {
+		l.publish()
+	}
+	return isReloadDue
+}
+
 // isShort reports whether a cell needs more than its current allocation.
 func (l *Ledger) isShort(cells []Cell, current allocations) bool {
 	l.mu.Lock()
--- a/internal/mesh/call/call_test.go
+++ b/internal/mesh/call/call_test.go
@@ -44,10 +44,15 @@
 	}
 }
 
-func callWithTimeout(m *Mesh, address netip.AddrPort, cell string, timeout time.Duration) (*wire.Response, error) {
+// callWithTimeout makes a call. It fails if the response is not that to the request.
+func callWithTimeout(m *Mesh, address netip.AddrPort, cell string, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return m.Call(ctx, address, &wire.Request{Cell: cell})
+	response, err := m.Call(ctx, address, &wire.Request{Cell: cell})
+	if err == nil && response.GetState() != cell {
+		return errors.New("a response to another request")
+	}
+	return err
 }
 
 // returnsWithin reports whether f returns within waitTimeout.
@@ -72,7 +77,7 @@
 		caller, _ := newTestMesh(t, nil)
 		var wait sync.WaitGroup
 		var slowErr error
-		wait.Go(func() { _, slowErr = callWithTimeout(caller, address, "slow", waitTimeout) })
+		wait.Go(func() { slowErr = callWithTimeout(caller, address, "slow", waitTimeout) })
 		// Keeps the session in use, so that its peer is seen to answer.
 		stop := make(chan struct{})
 		wait.Go(func() {
@@ -81,11 +86,11 @@
 				case <-stop:
 					return
 				case <-time.After(5 * time.Millisecond):
-					_, _ = callWithTimeout(caller, address, "fast", waitTimeout)
+					_ = callWithTimeout(caller, address, "fast", waitTimeout)
 				}
 			}
 		})
-		_, err := callWithTimeout(caller, address, "slow", 200*time.Millisecond)
+		err := callWithTimeout(caller, address, "slow", 200*time.Millisecond)
 		So(err, ShouldNotBeNil)
 		close(released)
 		close(stop)
@@ -96,12 +101,12 @@
 		_, address := newTestMesh(t, serveByCell(nil))
 		proxy := newSilencer(t, address)
 		caller, _ := newTestMesh(t, nil)
-		_, err := callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		err := callWithTimeout(caller, proxy.address, "fast", waitTimeout)
 		So(err, ShouldBeNil)
 		proxy.silence()
-		_, err = callWithTimeout(caller, proxy.address, "fast", 100*time.Millisecond)
+		err = callWithTimeout(caller, proxy.address, "fast", 100*time.Millisecond)
 		So(err, ShouldNotBeNil)
-		_, err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
 		So(err, ShouldBeNil)
 	})
 }
@@ -113,23 +118,23 @@
 		_, address := newTestMesh(t, serveByCell(nil))
 		proxy := newSilencer(t, address)
 		caller, _ := newTestMesh(t, nil)
-		_, err := callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		err := callWithTimeout(caller, proxy.address, "fast", waitTimeout)
 		So(err, ShouldBeNil)
 		proxy.silence()
 		first := make(chan error, 1)
 		go func() {
-			_, err := callWithTimeout(caller, proxy.address, "fast", 5*silenceLimit)
+			err := callWithTimeout(caller, proxy.address, "fast", 5*silenceLimit)
 			first <- err
 		}()
 		time.Sleep(2 * silenceLimit)
 		startedAt := time.Now()
-		_, err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
 		So(isSent(err), ShouldBeFalse)
 		So(time.Since(startedAt), ShouldBeLessThan, waitTimeout/2)
 		err = <-first
 		So(err, ShouldNotBeNil)
 		So(isSent(err), ShouldBeTrue)
-		_, err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
 		So(err, ShouldBeNil)
 	})
 	Convey("A peer that is slow with all calls, but answers pings, gets further calls", t, func() {
@@ -138,10 +143,10 @@
 		caller, _ := newTestMesh(t, nil)
 		var wait sync.WaitGroup
 		for range 5 {
-			wait.Go(func() { _, _ = callWithTimeout(caller, address, "slow", waitTimeout) })
+			wait.Go(func() { _ = callWithTimeout(caller, address, "slow", waitTimeout) })
 			time.Sleep(silenceLimit / 2)
 		}
-		_, err := callWithTimeout(caller, address, "fast", waitTimeout)
+		err := callWithTimeout(caller, address, "fast", waitTimeout)
 		So(err, ShouldBeNil)
 		close(released)
 		wait.Wait()
