Let a new owner wait for the stops of the previous one before it stops tasks of a step

Ruled out: two stops by one owner (a task that is being stopped counts as away at once).

Change: for 1.5 s after it acquired the cell an owner stops no task of a step with MaxUnavailable for planned work. That covers an order's time-out and the time that a stop takes. Test: TestStopsOfThePreviousOwner, failed first. TestPlannedWork began at the moment of the takeover; it begins after that time now, its checks are unchanged.

--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -332,6 +332,7 @@
 func TestPlannedWork(t *testing.T) {
 	Convey("Long-running tasks are evacuated one by one, as MaxUnavailable allows", t, func() {
 		b := newTestbed(2)
+		b.advance(inheritedStopTime)
 		b.submit(firstID, longRunningStep(3))
 		starts := b.planAndAccept()
 		b.advance(100 * time.Millisecond)
@@ -358,6 +359,7 @@
 	})
 	Convey("Nothing is placed on a cordoned or draining endpoint", t, func() {
 		b := newTestbed(1)
+		b.advance(inheritedStopTime)
 		b.cell.Evacuate(b.now, endpointName(0), b.now.Add(time.Second), false)
 		b.submit(firstID, batchStep(1, 100))
 		So(b.planAndStore(), ShouldBeEmpty)
@@ -370,6 +372,7 @@
 	})
 	Convey("At most stepSpread tasks of a long-running step share an endpoint while others have room", t, func() {
 		b := newTestbed(3)
+		b.advance(inheritedStopTime)
 		b.submit(firstID, longRunningStep(5))
 		at := make(map[string]int)
 		for _, s := range b.planAndAccept() {
@@ -557,6 +560,48 @@
 	})
 }
 
+func TestStopsOfThePreviousOwner(t *testing.T) {
+	Convey("A new owner stops no task of a step while one that the previous owner has stopped may still be listed as running", t, func() {
+		b := newTestbed(3)
+		b.now = b.now.Add(inheritedStopTime)
+		b.submit(firstID, longRunningStep(2))
+		starts := b.planAndAccept()
+		So(starts, ShouldHaveLength, 2)
+		b.advance(100 * time.Millisecond)
+		listRuns := func() {
+			for i := range 3 {
+				var runs []ListedRun
+				for _, s := range starts {
+					if s.Endpoint == endpointName(i) {
+						runs = append(runs, ListedRun{Task: s.Task, Run: s.Run, Percent: 100})
+					}
+				}
+				b.answerPoll(i, runs...)
+			}
+		}
+		listRuns()
+		evacuateAll := func() (stops []Stop) {
+			for _, s := range starts {
+				b.cell.Evacuate(b.now, s.Endpoint, b.now.Add(time.Second), true)
+			}
+			return b.cell.Stops(b.now)
+		}
+		So(evacuateAll(), ShouldHaveLength, 1)
+		// The stop is not carried out before the next owner has polled the endpoints.
+		snapshot := b.cell.Snapshot()
+		b.cell = New(Config{Bounds: DefaultBounds(), Inherited: b.now})
+		b.cell.Restore(b.now, snapshot)
+		b.cell.FinishRestore()
+		b.setEndpoints(3, false)
+		b.advance(100 * time.Millisecond)
+		listRuns()
+		So(evacuateAll(), ShouldBeEmpty)
+		b.advance(inheritedStopTime)
+		listRuns()
+		So(evacuateAll(), ShouldHaveLength, 1)
+	})
+}
+
 func TestDemandByMemory(t *testing.T) {
 	Convey("A long-running task that needs more of the memory than of the processors counts with that part", t, func() {
 		b := newTestbed(2)
--- a/jobs/load.go
+++ b/jobs/load.go
@@ -93,6 +93,11 @@
 	return count
 }
 
+// inheritedStopTime is how long after it acquired the cell an owner stops no tasks of
+// steps with MaxUnavailable for planned work. Stops of the previous owner are not stored
+// and may still be on their way: the tasks are listed as serving until they end.
+const inheritedStopTime = 1500 * time.Millisecond
+
 // isDisruptionAllowed reports whether a long-running task may be stopped for planned
 // work now: fewer than MaxUnavailable other tasks of its step are unavailable.
 func (c *Cell) isDisruptionAllowed(now time.Time, r *run) bool {
@@ -100,6 +105,9 @@
 	if s.MaxUnavailable == 0 {
 		return true
 	}
+	if now.Sub(c.config.Inherited) < inheritedStopTime {
+		return false
+	}
 	unavailable := 0
 	for _, t := range s.tasks {
 		if t != r.task && !t.isServing(now) {
