--- a/internal/mesh/peer/mesh_test.go
+++ b/internal/mesh/peer/mesh_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -48,10 +49,13 @@
 	return m
 }
 
-func (m *testMesh) receivedCount() int {
+func (m *testMesh) receivedCount() int { return len(m.frames()) }
+
+// frames returns the messages received so far.
+func (m *testMesh) frames() []*wire.Frame {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.received)
+	return slices.Clone(m.received)
 }
 
 // waitUntil polls isDone and returns false if it does not hold within waitTimeout.
@@ -81,7 +85,7 @@
 				a.Send("b", heartbeat(i))
 			}
 			So(waitUntil(func() bool { return b.receivedCount() == 50 }), ShouldBeTrue)
-			for i, frame := range b.received {
+			for i, frame := range b.frames() {
 				So(frame.GetBeat().GetSequence(), ShouldEqual, i)
 			}
 		},
@@ -178,7 +182,7 @@
 				a.Send("b", heartbeat(1))
 				return b.receivedCount() > 0
 			}), ShouldBeTrue)
-			for _, frame := range b.received {
+			for _, frame := range b.frames() {
 				So(frame.GetBeat(), ShouldNotBeNil)
 			}
 		})
