Count what long-running runs reserve in one place, and list required labels once a planning pass

Three functions summed what the runs of long-running tasks reserve on an endpoint; longRunningUsage now serves all three. The labels that unfinished steps require were listed for each placer, also for those of evacuations, which choose no endpoint; Plan lists them now, once a pass.

--- a/jobs/admit.go
+++ b/jobs/admit.go
@@ -104,12 +104,7 @@
 		if !e.isListed || e.IsDraining || e.isUnresponsive || now.Before(e.cordonUntil) || !e.suspectUntil.IsZero() || now.Sub(e.lastContact) > 2*idlePollInterval {
 			continue
 		}
-		free := e.Capacity.CPU
-		for _, r := range e.runs {
-			if r.task.step.LongRunning {
-				free -= r.reserved.CPU
-			}
-		}
+		free := e.Capacity.CPU - e.longRunningUsage().CPU
 		cores += float64(free) / 1000
 	}
 	return cores * usableShare
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -15,7 +15,8 @@
 	// maxFreeCPU is the largest free processor time of any candidate, in thousandths
 	// of a core. Tasks that need more are rejected without a search.
 	maxFreeCPU int64
-	// requiredLabels are the labels that unfinished steps require.
+	// requiredLabels are the labels that unfinished steps require. They matter only for
+	// the choice of an endpoint.
 	requiredLabels []string
 }
 
@@ -31,7 +32,6 @@
 	}
 	slices.SortFunc(p.candidates, byEndpointID)
 	p.updateMaxFreeCPU()
-	p.requiredLabels = c.requiredLabels()
 	return p
 }
 
@@ -280,12 +280,7 @@
 // tasks on few endpoints, so that the others can be switched off, but only up to
 // longRunningShare, which leaves room for bursts.
 func (e *Endpoint) longRunningCost(reserved Size) int64 {
-	longRunning := reserved.CPU
-	for _, r := range e.runs {
-		if r.task.step.LongRunning {
-			longRunning += r.reserved.CPU
-		}
-	}
+	longRunning := reserved.CPU + e.longRunningUsage().CPU
 	if float64(longRunning) > longRunningShare*float64(e.Capacity.CPU) {
 		return costFull + longRunning
 	}
@@ -333,13 +328,17 @@
 
 // roomWhenIdle returns the capacity that is left once all short-lived runs have ended.
 func (e *Endpoint) roomWhenIdle() Size {
-	room := e.Capacity.Minus(e.orphanUsage)
+	return e.Capacity.Minus(e.orphanUsage).Minus(e.longRunningUsage())
+}
+
+// longRunningUsage returns what the runs of long-running tasks reserve.
+func (e *Endpoint) longRunningUsage() (usage Size) {
 	for _, r := range e.runs {
 		if r.task.step.LongRunning {
-			room = room.Minus(r.reserved)
+			usage = usage.Plus(r.reserved)
 		}
 	}
-	return room
+	return usage
 }
 
 // releaseUnusedHolds releases the endpoints whose tasks did not renew the hold in
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -39,6 +39,7 @@
 	c.sortActive(func(a, b *job) int { return rank[a].compare(rank[b]) })
 	clear(c.wanted)
 	p := c.newPlacer(now)
+	p.requiredLabels = c.requiredLabels()
 	for _, j := range c.active {
 		p.placeJob(j)
 	}
