--- a/internal/plan/pools/label.go
+++ b/internal/plan/pools/label.go
@@ -134,46 +134,31 @@
 // planLabelMoves plans moves of machines with a label to pools whose tasks require the
 // label and that have too few of them, whatever their total number of machines: first
 // machines of movable, which are off or idle, and then busy ones of pools that do not
-// need them for the label. It returns what is left of movable.
-func planLabelMoves(v View, sizes map[string]*poolSize, movable []Machine) (moves []Move, left []Machine) {
-	left = movable
+// need them for the label. It takes them out of the lists.
+func planLabelMoves(v View, sizes map[string]*poolSize, movable, busy *machineList) (moves []Move) {
 	leaving := leavingMachines(v)
-	busy := busyMachines(v)
 	for _, shortage := range labelShortages(sizes) {
+		isMovable := func(m Machine) bool {
+			source := sizes[m.Pool]
+			isFree := source.IsStandby || m.isIdle() && source.canSpareLabels(m)
+			return isFree && source != shortage.pool && slices.Contains(m.Labels, shortage.label)
+		}
+		canLeave := func(m Machine) bool {
+			source := sizes[m.Pool]
+			isSpare := source != shortage.pool && !source.IsStandby && source.canSpareLabels(m) && leaving[m.Pool]*leavingDivisor < source.have
+			return isSpare && slices.Contains(m.Labels, shortage.label)
+		}
 		for shortage.size.have < shortage.size.need {
-			index := slices.IndexFunc(left, func(m Machine) bool {
-				source := sizes[m.Pool]
-				isAllowed := source.IsStandby || m.isIdle() && source.canSpareLabels(m)
-				return isAllowed && source != shortage.pool && slices.Contains(m.Labels, shortage.label)
-			})
-			var m Machine
-			if index >= 0 {
-				m = left[index]
-				left = slices.Delete(left, index, index+1)
-			} else {
-				index = slices.IndexFunc(busy, func(m Machine) bool {
-					source := sizes[m.Pool]
-					isAllowed := source != shortage.pool && !source.IsStandby && source.canSpareLabels(m) && leaving[m.Pool]*leavingDivisor < source.have
-					return isAllowed && slices.Contains(m.Labels, shortage.label)
-				})
-				if index < 0 {
+			m, isFound := movable.takeFirst(isMovable)
+			if !isFound {
+				if m, isFound = busy.takeFirst(canLeave); !isFound {
 					break
 				}
-				m = busy[index]
-				busy = slices.Delete(busy, index, index+1)
 				leaving[m.Pool]++
 			}
-			moves = append(moves, Move{Machine: m, Pool: shortage.pool.Name, Reason: "the pool lacks machines with a label"})
+			moves = append(moves, Move{Machine: m, Pool: shortage.pool.Name})
 			sizes[m.Pool].transfer(m, shortage.pool)
 		}
 	}
-	return moves, left
-}
-
-// transfer updates the sizes for the move of a machine to another pool.
-func (s *poolSize) transfer(m Machine, target *poolSize) {
-	s.have--
-	s.addLabels(m, -1)
-	target.have++
-	target.addLabels(m, 1)
+	return moves
 }
--- a/internal/plan/pools/pools.go
+++ b/internal/plan/pools/pools.go
@@ -83,11 +83,24 @@
 	return list
 }
 
-// Move is a proposal to move a machine to another pool, with the reason in words.
+// Move is a proposal to move a machine to another pool.
 type Move struct {
 	Machine Machine
 	Pool    string
-	Reason  string
+}
+
+// machineList is a list of machines of which some are taken for moves.
+type machineList []Machine
+
+// takeFirst removes the first machine for which isAllowed returns true from the list.
+func (l *machineList) takeFirst(isAllowed func(Machine) bool) (m Machine, isFound bool) {
+	index := slices.IndexFunc(*l, isAllowed)
+	if index < 0 {
+		return Machine{}, false
+	}
+	m = (*l)[index]
+	*l = slices.Delete(*l, index, index+1)
+	return m, true
 }
 
 // Sizing constants.
@@ -124,20 +137,19 @@
 // off by a move to the standby pool. No machine is moved more than once.
 func PlanMoves(v View) []Move {
 	sizes := measurePools(v)
-	moves, movable := planLabelMoves(v, sizes, movableMachines(v, sizes))
+	movable, busy := movableMachines(v, sizes), busyMachines(v)
+	moves := planLabelMoves(v, sizes, &movable, &busy)
 	for _, s := range sortByShortage(sizes) {
 		for s.shortage() > 0 {
-			index := slices.IndexFunc(movable, func(m Machine) bool { return sizes[m.Pool].canSpare(m) && m.Pool != s.Name })
-			if index < 0 {
+			m, isFound := movable.takeFirst(func(m Machine) bool { return sizes[m.Pool].canSpare(m) && m.Pool != s.Name })
+			if !isFound {
 				break
 			}
-			m := movable[index]
-			movable = slices.Delete(movable, index, index+1)
-			moves = append(moves, Move{Machine: m, Pool: s.Name, Reason: "the pool lacks machines"})
+			moves = append(moves, Move{Machine: m, Pool: s.Name})
 			sizes[m.Pool].transfer(m, s)
 		}
 	}
-	moves = append(moves, rebalance(v, sizes, moves)...)
+	moves = append(moves, rebalance(v, sizes, &busy)...)
 	standby := standbyPool(v)
 	if standby == "" {
 		return moves
@@ -147,7 +159,7 @@
 		if s.IsStandby || m.Idle < switchOffDelay || !s.canSpare(m) {
 			continue
 		}
-		moves = append(moves, Move{Machine: m, Pool: standby, Reason: "the machine is idle"})
+		moves = append(moves, Move{Machine: m, Pool: standby})
 		s.transfer(m, sizes[standby])
 	}
 	return moves
@@ -167,26 +179,22 @@
 // together exceed all machines. Without it the pool that peaked first would keep
 // them all. Machines without long-running tasks leave the pools that exceed their
 // fair share, once the short-lived work on them has ended.
-// planned are the moves planned before; their machines are left alone.
-func rebalance(v View, sizes map[string]*poolSize, planned []Move) (moves []Move) {
+func rebalance(v View, sizes map[string]*poolSize, busy *machineList) (moves []Move) {
 	leaving := leavingMachines(v)
-	candidates := slices.DeleteFunc(busyMachines(v), func(m Machine) bool {
-		return slices.ContainsFunc(planned, func(move Move) bool { return move.Machine.ID == m.ID })
-	})
 	for _, s := range sortByShortage(sizes) {
-		for _, m := range candidates {
+		canLeave := func(m Machine) bool {
 			source := sizes[m.Pool]
-			if s.shortage() <= 0 {
+			hasSurplus := !source.IsStandby && source.have > source.need+fairShareMargin
+			return hasSurplus && source != s && source.canSpareLabels(m) && leaving[m.Pool]*leavingDivisor < source.have
+		}
+		for s.shortage() > 0 {
+			m, isFound := busy.takeFirst(canLeave)
+			if !isFound {
 				break
 			}
-			isWithinShare := source.have <= source.need+fairShareMargin
-			if source == s || source.IsStandby || isWithinShare || !source.canSpareLabels(m) || leaving[m.Pool]*leavingDivisor >= source.have {
-				continue
-			}
-			moves = append(moves, Move{Machine: m, Pool: s.Name, Reason: "the pool has more than its share"})
+			moves = append(moves, Move{Machine: m, Pool: s.Name})
 			leaving[m.Pool]++
-			source.transfer(m, s)
-			candidates = slices.DeleteFunc(slices.Clone(candidates), func(other Machine) bool { return other.ID == m.ID })
+			sizes[m.Pool].transfer(m, s)
 		}
 	}
 	return moves
@@ -205,7 +213,7 @@
 
 // busyMachines returns the machines that run short-lived work only, those with the
 // fewest runs first.
-func busyMachines(v View) []Machine {
+func busyMachines(v View) machineList {
 	busy := slices.DeleteFunc(slices.Clone(v.Machines), func(m Machine) bool {
 		return m.State != cloud.Up || m.IsEngaged || !m.IsSurveyed || m.LongRunningRuns > 0 || m.Runs == 0
 	})
@@ -257,6 +265,14 @@
 	return s.IsStandby || m.isIdle() && s.have > s.need && s.canSpareLabels(m)
 }
 
+// transfer updates the sizes for the move of a machine to another pool.
+func (s *poolSize) transfer(m Machine, target *poolSize) {
+	s.have--
+	s.addLabels(m, -1)
+	target.have++
+	target.addLabels(m, 1)
+}
+
 // measurePools returns the sizes of all pools by name, scaled to the number of
 // machines. A pool's need is computed with the average capacity of all machines.
 func measurePools(v View) map[string]*poolSize {
@@ -292,8 +308,8 @@
 
 // movableMachines returns the machines that are free to move, cheapest first:
 // those that are switched off, then those that have been idle for longest.
-func movableMachines(v View, sizes map[string]*poolSize) []Machine {
-	var movable []Machine
+func movableMachines(v View, sizes map[string]*poolSize) machineList {
+	var movable machineList
 	for _, m := range v.Machines {
 		s := sizes[m.Pool]
 		if s == nil || m.State != cloud.Up || m.IsEngaged {
