Leave busy machines of unknown pools out of the planning of moves

Cause: measurePools and movableMachines skip machines whose pool is not among the configured ones, busyMachines did not, so rebalance read the sizes of a pool that has none and panicked. Ruled out: that the steward meets it today, as it calls a machine busy only after the owner of a configured pool has reported on its endpoint; but the planner promises to depend on its arguments only. Change: busyMachines skips them too. Figures: the new case of TestPlanMoves panics before the change and passes after; no other plan changes.

--- a/internal/plan/pools/pools.go
+++ b/internal/plan/pools/pools.go
@@ -137,7 +137,7 @@
 // off by a move to the standby pool. No machine is moved more than once.
 func PlanMoves(v View) []Move {
 	sizes := measurePools(v)
-	movable, busy := movableMachines(v, sizes), busyMachines(v)
+	movable, busy := movableMachines(v, sizes), busyMachines(v, sizes)
 	moves := planLabelMoves(v, sizes, &movable, &busy)
 	for _, s := range sortByShortage(sizes) {
 		for s.shortage() > 0 {
@@ -211,11 +211,11 @@
 	return leaving
 }
 
-// busyMachines returns the machines that run short-lived work only, those with the
-// fewest runs first.
-func busyMachines(v View) machineList {
+// busyMachines returns the machines of known pools that run short-lived work only, those
+// with the fewest runs first.
+func busyMachines(v View, sizes map[string]*poolSize) machineList {
 	busy := slices.DeleteFunc(slices.Clone(v.Machines), func(m Machine) bool {
-		return m.State != cloud.Up || m.IsEngaged || !m.IsSurveyed || m.LongRunningRuns > 0 || m.Runs == 0
+		return sizes[m.Pool] == nil || m.State != cloud.Up || m.IsEngaged || !m.IsSurveyed || m.LongRunningRuns > 0 || m.Runs == 0
 	})
 	slices.SortFunc(busy, func(a, b Machine) int {
 		return cmp.Or(cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.ID, b.ID))
--- a/internal/plan/pools/pools_test.go
+++ b/internal/plan/pools/pools_test.go
@@ -89,6 +89,13 @@
 				},
 				map[string]int{"second": 0},
 			},
+			"machines of a pool that is not configured stay in it": {
+				View{
+					Pools:    []Pool{newPool("first", 500000, 0), newPool("second", 500000, 0), off},
+					Machines: slices.Concat(newMachines("first", 36, 5, 0, 0), newMachines("second", 4, 5, 0, 0), newMachines("removed", 10, 1, 0, 0)),
+				},
+				map[string]int{"second": 8, "off": 0},
+			},
 		} {
 			moves := PlanMoves(c.view)
 			for to, n := range c.to {
