Let one listener accept the connections of both kinds between peers

The meshes for calls and for messages each had the same accept loop, the same set of open connections and the same check against a Close that comes first. They now share internal/mesh/inbound, which has all three.

The set of connections is closed as before, only that Close of the meshes waits for the serving of connections before it closes outgoing sessions.

--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/inbound"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
 )
 
@@ -84,16 +85,14 @@
 
 // Mesh makes calls to peers and serves calls from them. It is safe for concurrent use.
 type Mesh struct {
-	config   Config
-	listener net.Listener
-	wait     conc.WaitGroup
-	ctx      context.Context
-	cancel   context.CancelFunc
+	config  Config
+	inbound *inbound.Listener
+	wait    conc.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
-	// accepted holds the open connections from peers.
-	accepted map[net.Conn]struct{}
 }
 
 // peer is the outgoing side towards one address.
@@ -112,28 +111,21 @@
 
 // New starts listening for peers. Call Close to stop it.
 func New(config Config) (mesh *Mesh, err error) {
-	listener, err := net.Listen("tcp", config.Listen.String())
+	m := &Mesh{config: config, peers: make(map[netip.AddrPort]*peer)}
+	m.inbound, err = inbound.Listen(inbound.Config{Listen: config.Listen, RetryDelay: redialDelay, Serve: m.serveConn})
 	if err != nil {
 		return nil, err
 	}
-	m := &Mesh{
-		config: config, listener: listener,
-		peers: make(map[netip.AddrPort]*peer), accepted: make(map[net.Conn]struct{}),
-	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
-	m.wait.Go(m.accept)
+	m.inbound.Start()
 	return m, nil
 }
 
 // Close ends all sessions and waits until the requests being served have returned.
 func (m *Mesh) Close() {
 	m.cancel()
-	// Errors are ignored: a socket that fails to close is closed as the process exits.
-	_ = m.listener.Close()
+	m.inbound.Close()
 	m.mu.Lock()
-	for conn := range m.accepted {
-		_ = conn.Close()
-	}
 	for _, p := range m.peers {
 		p.closeSession(nil)
 	}
@@ -153,43 +145,8 @@
 	return config
 }
 
-func (m *Mesh) accept() {
-	for {
-		conn, err := m.listener.Accept()
-		if err != nil {
-			if m.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(redialDelay)
-			continue
-		}
-		m.wait.Go(func() { m.serveAccepted(conn) })
-	}
-}
-
-// serveAccepted serves a connection, unless the Mesh is being closed: Close may have
-// closed the accepted connections before.
-func (m *Mesh) serveAccepted(conn net.Conn) {
-	m.mu.Lock()
-	isClosing := m.ctx.Err() != nil
-	if !isClosing {
-		m.accepted[conn] = struct{}{}
-	}
-	m.mu.Unlock()
-	if isClosing {
-		_ = conn.Close()
-		return
-	}
-	m.serveConn(conn)
-}
-
+// serveConn serves the requests of a peer until its connection is closed.
 func (m *Mesh) serveConn(conn net.Conn) {
-	defer func() {
-		_ = conn.Close()
-		m.mu.Lock()
-		delete(m.accepted, conn)
-		m.mu.Unlock()
-	}()
 	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil {
 		return
--- a/internal/mesh/call/call_test.go
+++ b/internal/mesh/call/call_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(mesh.Close)
-	return mesh, mesh.listener.Addr().(*net.TCPAddr).AddrPort()
+	return mesh, mesh.inbound.Address()
 }
 
 // serveByCell answers at once, except that a request for the cell "slow" is answered
@@ -220,15 +220,7 @@
 	s.silenced = make(chan struct{})
 }
 
-func TestClose(t *testing.T) {
-	Convey("A connection that was accepted just before Close is not served, so Close does not wait for it", t, func() {
-		mesh, _ := newTestMesh(t, serveByCell(nil))
-		mesh.Close()
-		server, client := net.Pipe()
-		So(returnsWithin(func() { mesh.serveAccepted(server) }), ShouldBeTrue)
-		_, err := client.Read(make([]byte, 1))
-		So(err, ShouldNotBeNil)
-	})
+func TestRequestTimeout(t *testing.T) {
 	Convey("A stream that carries no request is closed after a time", t, func() {
 		_, address := newTestMesh(t, serveByCell(nil))
 		conn, err := net.Dial("tcp", address.String())
--- /dev/null
+++ b/internal/mesh/inbound/inbound.go
@@ -0,0 +1,126 @@
+// Package inbound accepts connections from peers and closes those that are open when
+// the process stops.
+package inbound
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Config sets up a Listener.
+type Config struct {
+	// Listen is the address on which connections are accepted.
+	Listen netip.AddrPort
+	// RetryDelay is the pause after a failed accept, for instance while all
+	// descriptors are in use.
+	RetryDelay time.Duration
+	// ReportFailure is called after each failed accept, unless it is nil.
+	ReportFailure func(err error)
+	// Serve handles a connection. It runs in a separate goroutine for each connection
+	// and has to return soon after the connection is closed.
+	Serve func(conn net.Conn)
+}
+
+// Listener accepts connections and holds the open ones. It is safe for concurrent use.
+type Listener struct {
+	config   Config
+	listener net.Listener
+	wait     conc.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
+}
+
+// Listen opens a port. Call Start to accept connections on it, and Close to stop.
+func Listen(config Config) (*Listener, error) {
+	listener, err := net.Listen("tcp", config.Listen.String())
+	if err != nil {
+		return nil, err
+	}
+	l := &Listener{config: config, listener: listener, open: make(map[net.Conn]struct{})}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l, nil
+}
+
+// Start starts accepting connections. It must be called once, before Close.
+func (l *Listener) Start() { l.wait.Go(l.accept) }
+
+// Address returns the address on which connections are accepted.
+func (l *Listener) Address() netip.AddrPort {
+	return l.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Disconnect closes the open connections. New ones are still accepted.
+func (l *Listener) Disconnect() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.open {
+		// Errors are ignored: a socket that fails to close is closed as the process exits.
+		_ = conn.Close()
+	}
+}
+
+// Close stops accepting, closes the open connections and waits until they are no
+// longer served.
+func (l *Listener) Close() {
+	l.cancel()
+	_ = l.listener.Close()
+	l.Disconnect()
+	l.wait.Wait()
+}
+
+func (l *Listener) accept() {
+	for {
+		conn, err := l.listener.Accept()
+		switch {
+		case err == nil:
+			l.wait.Go(func() { l.serve(conn) })
+		case errors.Is(err, net.ErrClosed):
+			return
+		default:
+			if l.config.ReportFailure != nil {
+				l.config.ReportFailure(err)
+			}
+			select {
+			case <-l.ctx.Done():
+			case <-time.After(l.config.RetryDelay):
+			}
+		}
+	}
+}
+
+// serve serves a connection until it is closed. It only closes it while the Listener is
+// being closed: Close may have closed the open connections before.
+func (l *Listener) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	if !l.add(conn) {
+		return
+	}
+	defer l.remove(conn)
+	l.config.Serve(conn)
+}
+
+// add adds a connection to the open ones, unless the Listener is being closed.
+func (l *Listener) add(conn net.Conn) (isAdded bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return false
+	}
+	l.open[conn] = struct{}{}
+	return true
+}
+
+func (l *Listener) remove(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, conn)
+}
--- a/internal/mesh/peer/mesh.go
+++ b/internal/mesh/peer/mesh.go
@@ -21,6 +21,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/inbound"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
 )
 
@@ -60,11 +61,11 @@
 
 // Mesh exchanges messages with all other entries. It is safe for concurrent use.
 type Mesh struct {
-	config   Config
-	listener net.Listener
-	wait     conc.WaitGroup
-	ctx      context.Context
-	cancel   context.CancelFunc
+	config  Config
+	inbound *inbound.Listener
+	wait    conc.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	sentBytes     atomic.Uint64
 	sentFrames    atomic.Uint64
@@ -73,8 +74,6 @@
 	mu sync.Mutex
 	// links holds the outgoing connections by address.
 	links map[netip.AddrPort]*link
-	// accepted holds the open connections from peers.
-	accepted map[net.Conn]struct{}
 }
 
 // link is the outgoing connection to one address, redialled whenever it breaks.
@@ -99,18 +98,15 @@
 // NewMesh starts listening for peers. Call SetAddresses to connect to others, and
 // Close to stop.
 func NewMesh(config Config) (mesh *Mesh, err error) {
-	listener, err := net.Listen("tcp", config.Listen.String())
+	m := &Mesh{config: config, links: make(map[netip.AddrPort]*link)}
+	m.inbound, err = inbound.Listen(inbound.Config{
+		Listen: config.Listen, RetryDelay: redialDelay, ReportFailure: m.reportAcceptFailure, Serve: m.serveConn,
+	})
 	if err != nil {
 		return nil, err
 	}
-	m := &Mesh{
-		config:   config,
-		listener: listener,
-		links:    make(map[netip.AddrPort]*link),
-		accepted: make(map[net.Conn]struct{}),
-	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
-	m.wait.Go(m.accept)
+	m.inbound.Start()
 	return m, nil
 }
 
@@ -119,7 +115,7 @@
 	if m.config.Advertise.IsValid() {
 		return m.config.Advertise
 	}
-	return m.listener.Addr().(*net.TCPAddr).AddrPort()
+	return m.inbound.Address()
 }
 
 // Counts returns the current totals.
@@ -211,12 +207,7 @@
 // Close closes all connections and waits for their goroutines to end.
 func (m *Mesh) Close() {
 	m.cancel()
-	_ = m.listener.Close()
-	m.mu.Lock()
-	for conn := range m.accepted {
-		_ = conn.Close()
-	}
-	m.mu.Unlock()
+	m.inbound.Close()
 	m.wait.Wait()
 }
 
@@ -355,51 +346,13 @@
 	return err
 }
 
-// accept accepts connections from peers until Close has closed the listener.
-func (m *Mesh) accept() {
-	for {
-		conn, err := m.listener.Accept()
-		if m.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			if err == nil {
-				_ = conn.Close()
-			}
-			return
-		}
-		if err != nil {
-			// For instance, all descriptors are in use.
-			event.PeerUnreachable.Log(m.config.Log, logrus.Fields{"address": m.Address(), "error": err})
-			select {
-			case <-m.ctx.Done():
-			case <-time.After(redialDelay):
-			}
-			continue
-		}
-		m.wait.Go(func() { m.serveAccepted(conn) })
-	}
-}
-
-// serveAccepted serves a connection, unless the Mesh is being closed: Close may have
-// closed the accepted connections before.
-func (m *Mesh) serveAccepted(conn net.Conn) {
-	m.mu.Lock()
-	isClosing := m.ctx.Err() != nil
-	if !isClosing {
-		m.accepted[conn] = struct{}{}
-	}
-	m.mu.Unlock()
-	if isClosing {
-		_ = conn.Close()
-		return
-	}
-	m.serveConn(conn)
-	m.mu.Lock()
-	delete(m.accepted, conn)
-	m.mu.Unlock()
+// reportAcceptFailure logs a failed accept, for instance while all descriptors are in use.
+func (m *Mesh) reportAcceptFailure(err error) {
+	event.PeerUnreachable.Log(m.config.Log, logrus.Fields{"address": m.Address(), "error": err})
 }
 
 // serveConn reads the streams of a connection from a peer until it is closed.
 func (m *Mesh) serveConn(conn net.Conn) {
-	defer conn.Close()
 	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil || m.ctx.Err() != nil {
 		return
--- a/internal/mesh/peer/mesh_test.go
+++ b/internal/mesh/peer/mesh_test.go
@@ -118,11 +118,7 @@
 			}), ShouldBeTrue)
 		},
 		"a link is dialled again after the peer closed the connection": func(a, b *testMesh) {
-			b.Mesh.mu.Lock()
-			for conn := range b.accepted {
-				conn.Close()
-			}
-			b.Mesh.mu.Unlock()
+			b.inbound.Disconnect()
 			So(waitUntil(func() bool {
 				a.Send("b", heartbeat(1))
 				return b.receivedCount() > 0
