Drop a reset of pending calls and a map of endpoints that nothing reads

connect resets the calls pending on a peer before it dials a new session, so closeSession needs not do it too: nothing reads the count while there is no session. SetEndpoints filled a map of the listed endpoints and never used it.

--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -62,10 +62,8 @@
 	o.post(func() {
 		now := boot.Now()
 		profiles := make([]jobs.Profile, len(registrations))
-		listed := make(map[string]bool, len(registrations))
 		for i, registration := range registrations {
 			profiles[i] = registration.Profile
-			listed[registration.Profile.ID] = true
 			p := o.pollers[registration.Profile.ID]
 			if p != nil && p.target.Address == registration.Address {
 				continue
--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -308,6 +308,6 @@
 	defer p.mu.Unlock()
 	if p.session != nil && (session == nil || p.session == session) {
 		_ = p.session.Close()
-		p.session, p.pending = nil, 0
+		p.session = nil
 	}
 }
