Share the set-up of the two tests of silent peers

Both built a server, a proxy that can go silent and a caller that has called once; newConnectedCaller does it for both, with the same assertion.

--- a/internal/mesh/call/call_test.go
+++ b/internal/mesh/call/call_test.go
@@ -98,13 +98,9 @@
 		So(slowErr, ShouldBeNil)
 	})
 	Convey("A session whose peer has gone silent is replaced after a call timed out", t, func() {
-		_, address := newTestMesh(t, serveByCell(nil))
-		proxy := newSilencer(t, address)
-		caller, _ := newTestMesh(t, nil)
-		err := callWithTimeout(caller, proxy.address, "fast", waitTimeout)
-		So(err, ShouldBeNil)
+		caller, proxy := newConnectedCaller(t)
 		proxy.silence()
-		err = callWithTimeout(caller, proxy.address, "fast", 100*time.Millisecond)
+		err := callWithTimeout(caller, proxy.address, "fast", 100*time.Millisecond)
 		So(err, ShouldNotBeNil)
 		err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
 		So(err, ShouldBeNil)
@@ -115,11 +111,7 @@
 	// isSent reports whether a call is sent, that is, does not fail with ErrNotSent.
 	isSent := func(err error) bool { return !errors.Is(err, ErrNotSent) }
 	Convey("While a peer is silent, calls to it are not sent and fail at once; afterwards they are served", t, func() {
-		_, address := newTestMesh(t, serveByCell(nil))
-		proxy := newSilencer(t, address)
-		caller, _ := newTestMesh(t, nil)
-		err := callWithTimeout(caller, proxy.address, "fast", waitTimeout)
-		So(err, ShouldBeNil)
+		caller, proxy := newConnectedCaller(t)
 		proxy.silence()
 		first := make(chan error, 1)
 		go func() {
@@ -128,7 +120,7 @@
 		}()
 		time.Sleep(2 * silenceLimit)
 		startedAt := time.Now()
-		err = callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+		err := callWithTimeout(caller, proxy.address, "fast", waitTimeout)
 		So(isSent(err), ShouldBeFalse)
 		So(time.Since(startedAt), ShouldBeLessThan, waitTimeout/2)
 		err = <-first
@@ -220,6 +212,17 @@
 	s.silenced = make(chan struct{})
 }
 
+// newConnectedCaller returns a mesh that has called a peer, and the proxy between both.
+func newConnectedCaller(t *testing.T) (caller *Mesh, proxy *silencer) {
+	t.Helper()
+	_, address := newTestMesh(t, serveByCell(nil))
+	proxy = newSilencer(t, address)
+	caller, _ = newTestMesh(t, nil)
+	err := callWithTimeout(caller, proxy.address, "fast", waitTimeout)
+	So(err, ShouldBeNil)
+	return caller, proxy
+}
+
 func TestRequestTimeout(t *testing.T) {
 	Convey("A stream that carries no request is closed after a time", t, func() {
 		_, address := newTestMesh(t, serveByCell(nil))
