--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -185,8 +185,8 @@
 
 // Append stores records. It retries until they are stored, the cell has another owner
 // (ErrDeposed), the context ends or the store reports an error that is neither
-// store.ErrRefused nor store.ErrUnanswered. After any error the records may have been
-// stored.
+// store.ErrRefused nor store.ErrIndeterminate. After any error the records may have been
+// stored, and the Journal must not be used any more.
 func (j *Journal) Append(ctx context.Context, records []jobs.Record) (err error) {
 	defer fault.Annotate(&err, "journal of cell %s", j.cell)
 	buffer := bytes.NewBuffer(j.segment)
