--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -16,7 +16,10 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/base/fault"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
@@ -48,12 +51,19 @@
 // Key returns the prefix of all store keys of a cell.
 func Key(cell string) string { return "cell/" + cell + "/" }
 
+// Config configures a Journal.
+type Config struct {
+	Client *store.Client
+	Cell   string
+	// Owner is the condition that this owner still owns the cell. Every write depends on
+	// it.
+	Owner store.Condition
+	Log   *logrus.Entry
+}
+
 // Journal writes the records of a cell. It is not safe for concurrent use.
 type Journal struct {
-	client *store.Client
-	cell   string
-	// owner is the condition that this owner still owns the cell.
-	owner store.Condition
+	config Config
 	// sequence is the number of the current segment, segment its content.
 	sequence int64
 	segment  []byte
@@ -69,15 +79,14 @@
 }
 
 // Load reads the stored state of a cell into target, which must be empty, and returns
-// a journal that continues after it. owner is the condition under which the journal
-// writes.
-func Load(ctx context.Context, client *store.Client, cell string, owner store.Condition, target *jobs.Cell, now time.Time) (journal *Journal, err error) {
-	defer fault.Annotate(&err, "state of cell %s", cell)
-	items, _, err := client.ReadAll(ctx, Key(cell), false)
+// a journal that continues after it.
+func Load(ctx context.Context, config Config, target *jobs.Cell, now time.Time) (journal *Journal, err error) {
+	defer fault.Annotate(&err, "state of cell %s", config.Cell)
+	items, readAt, err := config.Client.ReadAll(ctx, Key(config.Cell), false)
 	if err != nil {
 		return nil, err
 	}
-	j := &Journal{client: client, cell: cell, owner: owner}
+	j := &Journal{config: config}
 	firstSegment, err := j.restore(items, target, now)
 	if err != nil {
 		return nil, err
@@ -100,9 +109,28 @@
 		j.sequence = max(j.sequence, sequence+1)
 	}
 	target.FinishRestore()
+	j.logLoaded(items, firstSegment, readAt)
 	return j, nil
 }
 
+// logLoaded logs which snapshot and segments were loaded from items, which were read at
+// the store revision readAt.
+func (j *Journal) logLoaded(items []store.Item, firstSegment, readAt int64) {
+	fields := logrus.Fields{
+		"epoch": j.config.Owner.Revision, "from": firstSegment, "segments": len(j.fullSegments), "read": readAt,
+	}
+	for _, item := range items {
+		if item.Key == j.partKey(0) {
+			fields["snapshot"] = item.Revision
+		}
+	}
+	if len(j.fullSegments) > 0 {
+		fields["first"], _ = j.sequenceOf(j.fullSegments[0])
+		fields["last"] = j.sequence - 1
+	}
+	event.CellLoaded.Log(j.config.Log, fields)
+}
+
 // storedSnapshot is the content of the snapshot's parts, as compressed JSON.
 type storedSnapshot struct {
 	// FirstSegment is the number of the first segment that is not part of the
@@ -158,7 +186,7 @@
 
 // partKey returns the key of a part of the snapshot.
 func (j *Journal) partKey(number int) string {
-	key := Key(j.cell) + "state"
+	key := Key(j.config.Cell) + "state"
 	if number > 0 {
 		key += fmt.Sprintf("/%d", number)
 	}
@@ -166,13 +194,13 @@
 }
 
 func (j *Journal) segmentKey(sequence int64) string {
-	return fmt.Sprintf("%slog/%0*d", Key(j.cell), sequenceDigits, sequence)
+	return fmt.Sprintf("%slog/%0*d", Key(j.config.Cell), sequenceDigits, sequence)
 }
 
 // sequenceOf returns the number of the segment with a key; ok is false for other
 // keys.
 func (j *Journal) sequenceOf(key string) (sequence int64, ok bool) {
-	text, ok := strings.CutPrefix(key, Key(j.cell)+"log/")
+	text, ok := strings.CutPrefix(key, Key(j.config.Cell)+"log/")
 	if !ok {
 		return 0, false
 	}
@@ -188,7 +216,7 @@
 // store.ErrRefused nor store.ErrIndeterminate. After any error the records may have been
 // stored, and the Journal must not be used any more.
 func (j *Journal) Append(ctx context.Context, records []jobs.Record) (err error) {
-	defer fault.Annotate(&err, "journal of cell %s", j.cell)
+	defer fault.Annotate(&err, "journal of cell %s", j.config.Cell)
 	buffer := bytes.NewBuffer(j.segment)
 	encoder := json.NewEncoder(buffer)
 	for i := range records {
@@ -198,7 +226,7 @@
 	}
 	key := j.segmentKey(j.sequence)
 	change := store.Change{
-		If:   []store.Condition{j.owner, {Key: key, Revision: j.revision}},
+		If:   []store.Condition{j.config.Owner, {Key: key, Revision: j.revision}},
 		Puts: []store.Put{{Key: key, Value: buffer.Bytes()}},
 	}
 	revision, err := j.commitAndRemove(ctx, change)
@@ -224,7 +252,7 @@
 // snapshot must contain the records that have not been appended. It retries and fails
 // as Append does.
 func (j *Journal) WriteSnapshot(ctx context.Context, state jobs.Snapshot) (err error) {
-	defer fault.Annotate(&err, "snapshot of cell %s", j.cell)
+	defer fault.Annotate(&err, "snapshot of cell %s", j.config.Cell)
 	if j.revision > 0 {
 		j.fullSegments = append(j.fullSegments, j.segmentKey(j.sequence))
 		j.startSegment()
@@ -241,15 +269,17 @@
 	if err := writer.Close(); err != nil {
 		return err
 	}
-	change := store.Change{If: []store.Condition{j.owner}}
+	change := store.Change{If: []store.Condition{j.config.Owner}}
 	for part := range slices.Chunk(buffer.Bytes(), maxPartBytes) {
 		change.Puts = append(change.Puts, store.Put{Key: j.partKey(len(change.Puts)), Value: part})
 	}
 	j.obsolete = append(j.obsolete, j.fullSegments...)
 	j.fullSegments = nil
-	if _, err = j.commitAndRemove(ctx, change); err != nil {
+	revision, err := j.commitAndRemove(ctx, change)
+	if err != nil {
 		return err
 	}
+	event.SnapshotStored.Log(j.config.Log, logrus.Fields{"epoch": j.config.Owner.Revision, "from": j.sequence, "snapshot": revision})
 	j.logBytes, j.snapshotBytes = 0, uncompressed.size
 	return nil
 }
@@ -282,9 +312,17 @@
 // without an answer may have succeeded and make the next one conflict, so conflicts
 // are compared with the change itself.
 func (j *Journal) commit(ctx context.Context, change store.Change) (revision int64, err error) {
+	unanswered := 0
+	defer func() {
+		if unanswered > 0 {
+			event.WriteUnanswered.Log(j.config.Log, logrus.Fields{
+				"key": change.Puts[0].Key, "attempts": unanswered, "epoch": j.config.Owner.Revision, "revision": revision,
+			})
+		}
+	}()
 	for {
 		attemptCtx, cancel := context.WithTimeout(ctx, commitTimeout)
-		revision, err = j.client.Commit(attemptCtx, change)
+		revision, err = j.config.Client.Commit(attemptCtx, change)
 		cancel()
 		if err == nil {
 			return revision, nil
@@ -292,7 +330,10 @@
 		if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
 			return j.resolveConflict(conflict, change)
 		}
-		if !errors.Is(err, store.ErrRefused) && !errors.Is(err, store.ErrIndeterminate) {
+		switch {
+		case errors.Is(err, store.ErrIndeterminate):
+			unanswered++
+		case !errors.Is(err, store.ErrRefused):
 			return 0, err
 		}
 		select {
@@ -307,7 +348,7 @@
 // it, and ErrDeposed otherwise.
 func (j *Journal) resolveConflict(conflict *store.ConflictError, change store.Change) (revision int64, err error) {
 	for _, item := range conflict.Items {
-		if item.Key == j.owner.Key && item.Revision != j.owner.Revision {
+		if item.Key == j.config.Owner.Key && item.Revision != j.config.Owner.Revision {
 			return 0, ErrDeposed
 		}
 		if item.Key == change.Puts[0].Key && bytes.Equal(item.Value, change.Puts[0].Value) {
--- a/internal/cell/journal/journal_test.go
+++ b/internal/cell/journal/journal_test.go
@@ -1,13 +1,18 @@
 package journal
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
@@ -29,8 +34,16 @@
 // load reads the cell from the store under an ownership and returns its journal and
 // state.
 func load(t *testing.T, s *keyvalue.Store, owner store.Condition) (*Journal, *jobs.Cell) {
+	return loadLogged(t, s, owner, io.Discard)
+}
+
+// loadLogged is load with a journal that logs to a writer.
+func loadLogged(t *testing.T, s *keyvalue.Store, owner store.Condition, w io.Writer) (*Journal, *jobs.Cell) {
 	cell := jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()})
-	j, err := Load(context.Background(), s.Client(nil), "p", owner, cell, now)
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	j, err := Load(context.Background(), Config{Client: s.Client(nil), Cell: "p", Owner: owner, Log: logrus.NewEntry(log)}, cell, now)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -109,6 +122,49 @@
 	})
 }
 
+// logged returns the fields of the last line with an event number in a log, nil if there
+// is none.
+func logged(t *testing.T, log string, number int) (fields map[string]any) {
+	for line := range strings.Lines(log) {
+		var decoded map[string]any
+		if err := json.Unmarshal([]byte(line), &decoded); err != nil {
+			t.Fatal(err)
+		}
+		if decoded["event"] == float64(number) {
+			fields = decoded
+		}
+	}
+	return fields
+}
+
+func TestEventsOfStoredState(t *testing.T) {
+	Convey("The events show which snapshot an owner stored, which one the next loaded, and the attempts without an answer", t, func() {
+		s := keyvalue.New()
+		var log bytes.Buffer
+		j, cell := loadLogged(t, s, takeOwnership(t, s, "a"), &log)
+		attempts := 0
+		s.Defer(func(store.Change) bool {
+			attempts++
+			return attempts <= 2
+		})
+		So(j.Append(context.Background(), []jobs.Record{jobRecord(1)}), ShouldBeNil)
+		write := logged(t, log.String(), 628)
+		So(write["key"], ShouldEqual, j.segmentKey(0))
+		So(write["attempts"], ShouldEqual, 2)
+		So(write["revision"], ShouldEqual, j.revision)
+		So(j.WriteSnapshot(context.Background(), cell.Snapshot()), ShouldBeNil)
+		So(j.Append(context.Background(), []jobs.Record{jobRecord(2)}), ShouldBeNil)
+		loadLogged(t, s, takeOwnership(t, s, "b"), &log)
+		snapshot, state := logged(t, log.String(), 627), logged(t, log.String(), 626)
+		So(snapshot["from"], ShouldEqual, 1)
+		So(state["from"], ShouldEqual, snapshot["from"])
+		So(state["snapshot"], ShouldEqual, snapshot["snapshot"])
+		So(state["segments"], ShouldEqual, 1)
+		So(state["first"], ShouldEqual, 1)
+		So(state["last"], ShouldEqual, 1)
+	})
+}
+
 // randomText returns text that compresses badly.
 func randomText(random *rand.Rand, length int) string {
 	text := make([]byte, length)
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -142,7 +142,9 @@
 	defer close(o.done)
 	defer o.workers.Wait()
 	defer o.cancel()
-	o.journal, err = journal.Load(o.ctx, o.config.Store, o.config.Cell, o.config.Condition, o.cell, boot.Now())
+	o.journal, err = journal.Load(o.ctx, journal.Config{
+		Client: o.config.Store, Cell: o.config.Cell, Owner: o.config.Condition, Log: o.config.Log,
+	}, o.cell, boot.Now())
 	if err != nil {
 		return err
 	}
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -1,7 +1,7 @@
 // Package keyvalue is an in-memory stand-in for the metadata store, for tests. It has
 // keys with revisions, leases on the real clock, conditional changes and watches.
-// Tests can make calls fail, delay them, lose responses, compact the history and
-// expire leases.
+// Tests can make calls fail, delay them, lose responses, defer changes, compact the
+// history and expire leases.
 package keyvalue
 
 import (
@@ -32,6 +32,10 @@
 	delay     time.Duration
 	// isLost decides whether the response to a change is lost; nil for never.
 	isLost func(change store.Change) bool
+	// isDeferred decides whether a change is kept in deferred instead of being carried
+	// out; nil for never.
+	isDeferred func(change store.Change) bool
+	deferred   []store.Change
 }
 
 type lease struct {
@@ -67,6 +71,29 @@
 	s.isLost = isLost
 }
 
+// Defer makes the commits for which isDeferred returns true fail with
+// store.ErrIndeterminate and keeps them for ApplyDeferred. A nil function ends this. The
+// function is called with the store locked and must not call the store.
+func (s *Store) Defer(isDeferred func(change store.Change) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDeferred = isDeferred
+}
+
+// ApplyDeferred carries out the deferred commits whose conditions still hold, in the order
+// of their calls, drops the others, and returns how many it has carried out.
+func (s *Store) ApplyDeferred() (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, change := range s.deferred {
+		if s.apply(change) == nil {
+			count++
+		}
+	}
+	s.deferred = nil
+	return count
+}
+
 // Compact drops the history. Watches from an earlier revision fail with
 // store.ErrCompacted, and their callers have to read the keys again.
 func (s *Store) Compact() {
@@ -251,6 +278,22 @@
 	}
 	s := c.store
 	defer s.mu.Unlock()
+	if s.isDeferred != nil && s.isDeferred(change) {
+		s.deferred = append(s.deferred, change)
+		return 0, store.ErrIndeterminate
+	}
+	if err := s.apply(change); err != nil {
+		return 0, err
+	}
+	if s.isLost != nil && s.isLost(change) {
+		return 0, store.ErrIndeterminate
+	}
+	return s.revision, nil
+}
+
+// apply carries out a change at the next revision. The error is a *store.ConflictError if
+// a condition is not met, and store.ErrNotFound if a lease does not exist.
+func (s *Store) apply(change store.Change) error {
 	conflict := &store.ConflictError{}
 	isMet := true
 	for _, condition := range change.If {
@@ -262,11 +305,11 @@
 		isMet = isMet && item.Revision == condition.Revision
 	}
 	if !isMet {
-		return 0, conflict
+		return conflict
 	}
 	for _, p := range change.Puts {
 		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
-			return 0, store.ErrNotFound
+			return store.ErrNotFound
 		}
 	}
 	s.revision++
@@ -276,10 +319,7 @@
 	for _, key := range change.Remove {
 		s.remove(key)
 	}
-	if s.isLost != nil && s.isLost(change) {
-		return 0, store.ErrIndeterminate
-	}
-	return s.revision, nil
+	return nil
 }
 
 func (c *client) grant(_ context.Context, ttl time.Duration) (store.Lease, time.Duration, error) {
