--- a/internal/cell/journal/journal_test.go
+++ b/internal/cell/journal/journal_test.go
@@ -165,6 +165,67 @@
 	})
 }
 
+// TestLateSnapshotAttemptDiscardsRecords guards against an attempt at a snapshot that is
+// carried out after later snapshots and so brings an older state back.
+func TestLateSnapshotAttemptDiscardsRecords(t *testing.T) {
+	Convey("The next owner has all records although an attempt at an earlier snapshot is carried out late", t, func() {
+		s := keyvalue.New()
+		j, cell := load(t, s, takeOwnership(t, s, "a"))
+		accepted := 0
+		accept := func() {
+			record := jobRecord(accepted)
+			accepted++
+			cell.Apply(now, record)
+			So(j.Append(context.Background(), []jobs.Record{record}), ShouldBeNil)
+		}
+		accept()
+		attempts := 0
+		s.Defer(func(store.Change) bool {
+			attempts++
+			return attempts == 1
+		})
+		So(j.WriteSnapshot(context.Background(), cell.Snapshot()), ShouldBeNil)
+		So(attempts, ShouldEqual, 2)
+		accept()
+		So(j.WriteSnapshot(context.Background(), cell.Snapshot()), ShouldBeNil)
+		accept()
+		s.ApplyDeferred()
+		_, next := load(t, s, takeOwnership(t, s, "b"))
+		So(next.Active(), ShouldEqual, accepted)
+	})
+	Convey("Random attempts that are carried out late, at random times, lose no records", t, func() {
+		for seed := range uint64(200) {
+			random := rand.New(rand.NewPCG(seed, 23))
+			s := keyvalue.New()
+			accepted := 0
+			for owner := range 3 {
+				j, cell := load(t, s, takeOwnership(t, s, fmt.Sprintf("%d", owner)))
+				So(cell.Active(), ShouldEqual, accepted)
+				s.Defer(func(store.Change) bool { return random.IntN(3) == 0 })
+				for range 8 {
+					switch random.IntN(4) {
+					case 0:
+						So(j.WriteSnapshot(context.Background(), cell.Snapshot()), ShouldBeNil)
+					case 1:
+						s.ApplyDeferred()
+					default:
+						record := jobRecord(accepted)
+						// A segment is full after one record in three.
+						record.Job.Spec = strings.Repeat("x", random.IntN(maxSegmentBytes*3/2))
+						accepted++
+						cell.Apply(now, record)
+						So(j.Append(context.Background(), []jobs.Record{record}), ShouldBeNil)
+					}
+				}
+				s.Defer(nil)
+				s.ApplyDeferred()
+			}
+			_, last := load(t, s, takeOwnership(t, s, "last"))
+			So(last.Active(), ShouldEqual, accepted)
+		}
+	})
+}
+
 // randomText returns text that compresses badly.
 func randomText(random *rand.Rand, length int) string {
 	text := make([]byte, length)
