--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -1,6 +1,8 @@
 // Package journal stores the state of a cell in the metadata store, as a snapshot and
 // a log of the records since then, in a few keys. Every write is conditional on the
-// ownership of the cell, so an owner that has been replaced can write nothing.
+// ownership of the cell, so an owner that has been replaced can write nothing, and on
+// the revision of what it replaces, so that an attempt that the store carries out late
+// does nothing once a later write has succeeded.
 package journal
 
 import (
@@ -64,6 +66,11 @@
 // Journal writes the records of a cell. It is not safe for concurrent use.
 type Journal struct {
 	config Config
+	// head is the condition that the stored snapshot is the last one that was loaded or
+	// written. Its key is written together with each snapshot and holds snapshotNumber,
+	// so that a conflict does not return the snapshot itself.
+	head           store.Condition
+	snapshotNumber int64
 	// sequence is the number of the current segment, segment its content.
 	sequence int64
 	segment  []byte
@@ -86,7 +93,10 @@
 	if err != nil {
 		return nil, err
 	}
-	j := &Journal{config: config}
+	j := &Journal{config: config, head: store.Condition{Key: Key(config.Cell) + "head"}}
+	if err := j.restoreHead(items); err != nil {
+		return nil, err
+	}
 	firstSegment, err := j.restore(items, target, now)
 	if err != nil {
 		return nil, err
@@ -131,6 +141,21 @@
 	event.CellLoaded.Log(j.config.Log, fields)
 }
 
+// restoreHead sets the head from the keys of the cell. Entries of earlier versions have
+// stored none.
+func (j *Journal) restoreHead(items []store.Item) (err error) {
+	for _, item := range items {
+		if item.Key != j.head.Key {
+			continue
+		}
+		j.head.Revision = item.Revision
+		if j.snapshotNumber, err = strconv.ParseInt(string(item.Value), 10, 64); err != nil {
+			return fmt.Errorf("%s: %w", item.Key, err)
+		}
+	}
+	return nil
+}
+
 // storedSnapshot is the content of the snapshot's parts, as compressed JSON.
 type storedSnapshot struct {
 	// FirstSegment is the number of the first segment that is not part of the
@@ -229,6 +254,11 @@
 		If:   []store.Condition{j.config.Owner, {Key: key, Revision: j.revision}},
 		Puts: []store.Put{{Key: key, Value: buffer.Bytes()}},
 	}
+	if j.revision == 0 {
+		// Once a snapshot has removed the segment, its key is missing again. An attempt
+		// to create it that is carried out only then must fail.
+		change.If = append(change.If, j.head)
+	}
 	revision, err := j.commitAndRemove(ctx, change)
 	if err != nil {
 		return err
@@ -269,9 +299,13 @@
 	if err := writer.Close(); err != nil {
 		return err
 	}
-	change := store.Change{If: []store.Condition{j.config.Owner}}
+	number := j.snapshotNumber + 1
+	change := store.Change{
+		If:   []store.Condition{j.config.Owner, j.head},
+		Puts: []store.Put{{Key: j.head.Key, Value: strconv.AppendInt(nil, number, 10)}},
+	}
 	for part := range slices.Chunk(buffer.Bytes(), maxPartBytes) {
-		change.Puts = append(change.Puts, store.Put{Key: j.partKey(len(change.Puts)), Value: part})
+		change.Puts = append(change.Puts, store.Put{Key: j.partKey(len(change.Puts) - 1), Value: part})
 	}
 	j.obsolete = append(j.obsolete, j.fullSegments...)
 	j.fullSegments = nil
@@ -280,6 +314,7 @@
 		return err
 	}
 	event.SnapshotStored.Log(j.config.Log, logrus.Fields{"epoch": j.config.Owner.Revision, "from": j.sequence, "snapshot": revision})
+	j.head.Revision, j.snapshotNumber = revision, number
 	j.logBytes, j.snapshotBytes = 0, uncompressed.size
 	return nil
 }
