Do not serve a cell whose stored log is incomplete

Load took the first segment that it found as the next one, so an owner with a gap in its log started ended tasks again and answered that accepted jobs do not exist.

Evidence: TestIncompleteLogIsServed loads a log without its first or its middle segment; before the change Load returned no error for either.

Change: Load reports the gap. The owner logs event 638, keeps the ownership for 5 s without serving, so that entries do not take the cell over in a tight loop, and ends.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -84,6 +84,7 @@
 	SetupRejected          = define(635, logrus.ErrorLevel, "configuration or maintenance wave rejected")
 	EndpointInvalid        = define(636, logrus.WarnLevel, "endpoint registration cannot be decoded")
 	WatchRestarted         = define(637, logrus.InfoLevel, "watch restarted with a full read")
+	StateIncomplete        = define(638, logrus.ErrorLevel, "stored state of a cell is incomplete, the cell is not served")
 	EndpointUnresponsive   = define(640, logrus.WarnLevel, "endpoint does not answer")
 	EndpointResponsive     = define(641, logrus.InfoLevel, "endpoint answers again")
 	EndpointAdded          = define(642, logrus.InfoLevel, "endpoint added, or its address changed")
--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -29,6 +29,9 @@
 // ErrDeposed reports that the cell has another owner.
 var ErrDeposed = errors.New("the cell has another owner")
 
+// ErrIncomplete reports that segments are missing from the stored log of a cell.
+var ErrIncomplete = errors.New("the stored log is incomplete")
+
 const (
 	// maxSegmentBytes is the size from which a log segment counts as full. Each
 	// append rewrites its whole segment, so larger segments cost more bytes and
@@ -111,12 +114,15 @@
 			j.obsolete = append(j.obsolete, item.Key)
 			continue
 		}
+		if sequence != j.sequence {
+			return nil, fmt.Errorf("%w: %s is the next one after %s", ErrIncomplete, item.Key, j.segmentKey(j.sequence-1))
+		}
 		j.fullSegments = append(j.fullSegments, item.Key)
 		j.logBytes += len(item.Value)
 		if err := replay(item.Value, target, now); err != nil {
 			return nil, fmt.Errorf("%s: %w", item.Key, err)
 		}
-		j.sequence = max(j.sequence, sequence+1)
+		j.sequence = sequence + 1
 	}
 	target.FinishRestore()
 	j.logLoaded(items, firstSegment, readAt)
--- a/internal/cell/journal/journal_test.go
+++ b/internal/cell/journal/journal_test.go
@@ -241,6 +241,28 @@
 	})
 }
 
+// TestIncompleteLogIsServed guards against an owner that serves a state without the records
+// of a missing segment.
+func TestIncompleteLogIsServed(t *testing.T) {
+	missing := map[string]int64{"first": 0, "middle": 1}
+	for name, sequence := range missing {
+		Convey("A log whose segment is missing is not loaded: "+name, t, func() {
+			s := keyvalue.New()
+			j, _ := load(t, s, takeOwnership(t, s, "a"))
+			for i := range 3 {
+				record := jobRecord(i)
+				record.Job.Spec = strings.Repeat("x", maxSegmentBytes)
+				So(j.Append(context.Background(), []jobs.Record{record}), ShouldBeNil)
+			}
+			s.Remove(j.segmentKey(sequence))
+			cell := jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()})
+			_, err := Load(context.Background(), Config{Client: s.Client(nil), Cell: "p", Owner: takeOwnership(t, s, "b")}, cell, now)
+			So(errors.Is(err, ErrIncomplete), ShouldBeTrue)
+			So(err.Error(), ShouldContainSubstring, j.segmentKey(sequence+1))
+		})
+	}
+}
+
 // randomText returns text that compresses badly.
 func randomText(random *rand.Rand, length int) string {
 	text := make([]byte, length)
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -30,6 +30,9 @@
 	planInterval = 200 * time.Millisecond
 	// forgetInterval is how often expired jobs are purged from memory.
 	forgetInterval = 5 * time.Second
+	// incompleteDelay is how long the ownership of a cell whose log is incomplete is kept
+	// before it is given up, so that entries do not take the cell over in a tight loop.
+	incompleteDelay = 5 * time.Second
 	// slowWriteLimit is how long a journal write may be in progress before new jobs
 	// are rejected.
 	slowWriteLimit = 600 * time.Millisecond
@@ -145,6 +148,10 @@
 	o.journal, err = journal.Load(o.ctx, journal.Config{
 		Client: o.config.Store, Cell: o.config.Cell, Owner: o.config.Condition, Log: o.config.Log,
 	}, o.cell, boot.Now())
+	if errors.Is(err, journal.ErrIncomplete) {
+		event.StateIncomplete.Log(o.config.Log, logrus.Fields{"epoch": int64(o.epoch), "error": err.Error()})
+		sleep(o.ctx, incompleteDelay, nil)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"time"
@@ -13,25 +14,31 @@
 	"gitlab.com/chicorypin/chicorypin/internal/back/endpoint"
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/journal"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
 
-// newOwner returns a running owner of an empty cell and the store behind it.
-func newOwner(t *testing.T) (*Owner, *keyvalue.Store) {
+// newConfig returns the configuration of the owner of a cell in a store.
+func newConfig(t *testing.T, s *keyvalue.Store) Config {
 	const key = "live/owner/red"
-	s := keyvalue.New()
 	revision, err := s.Client(nil).Commit(context.Background(), store.Change{Puts: []store.Put{{Key: key}}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	o := New(Config{
+	return Config{
 		Cell: "red", Store: s.Client(nil), Endpoints: &endpoint.Client{}, Condition: store.Condition{Key: key, Revision: revision},
 		IsValid: func() bool { return true }, IsStoreUp: func() bool { return true },
 		Bounds: jobs.DefaultBounds(), OwnedSince: boot.Now(), Log: logrus.NewEntry(log), Scope: tally.NoopScope,
-	})
+	}
+}
+
+// newOwner returns a running owner of an empty cell and the store behind it.
+func newOwner(t *testing.T) (*Owner, *keyvalue.Store) {
+	s := keyvalue.New()
+	o := New(newConfig(t, s))
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -77,3 +84,21 @@
 		So(isStored, ShouldBeTrue)
 	})
 }
+
+func TestOwnerOfIncompleteState(t *testing.T) {
+	Convey("An owner of a cell whose log is incomplete serves nothing, keeps the cell for a time and ends at once when stopped", t, func() {
+		s := keyvalue.New()
+		s.Put("cell/red/log/000000000001", []byte(`{"cancel":"000000000000000a"}`))
+		o := New(newConfig(t, s))
+		ended := make(chan error, 1)
+		go func() { ended <- o.Run() }()
+		select {
+		case <-ended:
+			t.Fatal("the owner gave the cell up at once")
+		case <-time.After(100 * time.Millisecond):
+		}
+		So(o.IsServing(), ShouldBeFalse)
+		o.Stop()
+		So(errors.Is(<-ended, journal.ErrIncomplete), ShouldBeTrue)
+	})
+}
