Give the test of incomplete logs a log

Without the check in Load it failed in the logger; now its assertion fails (Expected: true, Actual: false, for both segments; run on without the check).

--- a/internal/cell/journal/journal_test.go
+++ b/internal/cell/journal/journal_test.go
@@ -40,16 +40,21 @@
 // loadLogged is load with a journal that logs to a writer.
 func loadLogged(t *testing.T, s *keyvalue.Store, owner store.Condition, w io.Writer) (*Journal, *jobs.Cell) {
 	cell := jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()})
-	log := logrus.New()
-	log.SetOutput(w)
-	log.SetFormatter(&logrus.JSONFormatter{})
-	j, err := Load(context.Background(), Config{Client: s.Client(nil), Cell: "p", Owner: owner, Log: logrus.NewEntry(log)}, cell, now)
+	j, err := Load(context.Background(), newConfig(s, owner, w), cell, now)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return j, cell
 }
 
+// newConfig returns the configuration of a journal that logs to a writer.
+func newConfig(s *keyvalue.Store, owner store.Condition, w io.Writer) Config {
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	return Config{Client: s.Client(nil), Cell: "p", Owner: owner, Log: logrus.NewEntry(log)}
+}
+
 // jobRecord returns the record of an accepted job.
 func jobRecord(number int) jobs.Record {
 	return jobs.Record{Job: &jobs.Job{
@@ -256,7 +261,7 @@
 			}
 			s.Remove(j.segmentKey(sequence))
 			cell := jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()})
-			_, err := Load(context.Background(), Config{Client: s.Client(nil), Cell: "p", Owner: takeOwnership(t, s, "b")}, cell, now)
+			_, err := Load(context.Background(), newConfig(s, takeOwnership(t, s, "b"), io.Discard), cell, now)
 			So(errors.Is(err, ErrIncomplete), ShouldBeTrue)
 			So(err.Error(), ShouldContainSubstring, j.segmentKey(sequence+1))
 		})
