Give each takeover of a cell a new epoch

Callers would see what an owner has stored disappear, or records of two owners mixed: if an owner ends with writes outstanding and the same process takes the cell again before its roster shows its own key, TakeOver met a conflict with the entry's own value and lease and returned the revision of that key. That is the epoch of the first owner too, so a write of the first that is carried out late, after the second has loaded the state, still met its condition. The same holds for an earlier attempt at a takeover whose answer was lost.

TakeOver now takes the key over again, conditional on the revision found in the conflict, so the epoch of each owner is new and no write under an earlier one is carried out after the takeover. An attempt without an answer depends on a revision that the key then no longer has.

Without the change TestTwoOwnersShareAnEpoch fails with

Expected '1' to be greater than '1' (but it wasn't)!

for the revision of the second takeover.

--- a/internal/cell/roster/roster.go
+++ b/internal/cell/roster/roster.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -330,9 +331,11 @@
 }
 
 // TakeOver tries to make this entry the owner of a cell, in place of the owner in the
-// view if there is one. It returns the condition for writes to the cell. The error is
-// nil only if the ownership is confirmed; after an error the cell may be owned all
-// the same.
+// view if there is one. It returns the condition for writes to the cell, whose revision is
+// new even if this process has owned the cell before: writes under the earlier ownership
+// that are carried out late must not meet the condition of the new owner. The error is
+// nil only if the ownership is confirmed; after an error the cell may be owned all the
+// same.
 func (r *Roster) TakeOver(ctx context.Context, cell string, lease store.Lease) (condition store.Condition, err error) {
 	r.mu.Lock()
 	self := r.self
@@ -342,23 +345,28 @@
 	if err != nil {
 		return store.Condition{}, err
 	}
-	key := ownerPrefix + cell
-	change := store.Change{
-		If:   []store.Condition{{Key: key, Revision: current.Revision}},
-		Puts: []store.Put{{Key: key, Value: value, Lease: lease}},
-	}
-	commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	revision, err := r.config.Client.Commit(commitCtx, change)
+	put := store.Put{Key: ownerPrefix + cell, Value: value, Lease: lease}
+	revision, err := r.replaceKey(ctx, put, current.Revision)
 	if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
-		// An earlier attempt whose answer was lost may have succeeded.
+		// The view may not show the ownership of an earlier attempt or owner of this
+		// process yet.
 		for _, item := range conflict.Items {
-			if item.Key == key && string(item.Value) == string(value) && item.Lease == lease {
-				return store.Condition{Key: key, Revision: item.Revision}, nil
+			if item.Key == put.Key && bytes.Equal(item.Value, value) && item.Lease == lease {
+				revision, err = r.replaceKey(ctx, put, item.Revision)
 			}
 		}
 	}
-	return store.Condition{Key: key, Revision: revision}, err
+	return store.Condition{Key: put.Key, Revision: revision}, err
+}
+
+// replaceKey writes a key if it has a revision, 0 if it does not exist, and returns the new
+// revision.
+func (r *Roster) replaceKey(ctx context.Context, put store.Put, revision int64) (next int64, err error) {
+	commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	return r.config.Client.Commit(commitCtx, store.Change{
+		If: []store.Condition{{Key: put.Key, Revision: revision}}, Puts: []store.Put{put},
+	})
 }
 
 // Release removes the ownership of a cell if it is still held at the revision of the
--- a/internal/cell/roster/roster_test.go
+++ b/internal/cell/roster/roster_test.go
@@ -158,3 +158,40 @@
 		So(err, ShouldBeNil)
 	})
 }
+
+// TestTwoOwnersShareAnEpoch guards against a second owner of one process that gets the
+// epoch of the first, under which writes of the first may still be carried out.
+func TestTwoOwnersShareAnEpoch(t *testing.T) {
+	Convey("Each takeover of a cell gets a new epoch, and late writes under the one before are not carried out", t, func() {
+		for name, c := range map[string]struct{ isAnswerLost, isViewCurrent bool }{
+			"before the roster shows the first": {false, false},
+			"after the roster shows the first":  {false, true},
+			"the answer to the first is lost":   {true, false},
+		} {
+			s := keyvalue.New()
+			client := s.Client(nil)
+			lease, _, err := client.Grant(context.Background(), time.Minute)
+			So(err, ShouldBeNil)
+			r := newRoster(member(0, 1), client)
+			s.LoseResponses(func(store.Change) bool { return c.isAnswerLost })
+			_, err = r.TakeOver(context.Background(), "a", lease)
+			SoMsg(name, err != nil, ShouldEqual, c.isAnswerLost)
+			s.LoseResponses(nil)
+			item, _ := s.Get(ownerPrefix + "a")
+			first := store.Condition{Key: item.Key, Revision: item.Revision}
+			s.Defer(func(store.Change) bool { return true })
+			_, err = client.Commit(context.Background(), store.Change{If: []store.Condition{first}, Puts: []store.Put{{Key: "cell/a/state"}}})
+			SoMsg(name, err, ShouldNotBeNil)
+			s.Defer(nil)
+			if c.isViewCurrent {
+				r.Update([]store.Item{item})
+			}
+			second, err := r.TakeOver(context.Background(), "a", lease)
+			SoMsg(name, err, ShouldBeNil)
+			SoMsg(name, second.Revision, ShouldBeGreaterThan, first.Revision)
+			SoMsg(name, s.ApplyDeferred(), ShouldEqual, 0)
+			item, _ = s.Get(ownerPrefix + "a")
+			SoMsg(name, second, ShouldResemble, store.Condition{Key: item.Key, Revision: item.Revision})
+		}
+	})
+}
