Store the steward's state on condition of the state before it

The next holder of the stewardship could maintain a machine of a wave twice, or order a machine whose order of the previous holder was still in progress. The state was written on condition of the stewardship alone, so an attempt that got no answer and was carried out after a later write brought an older list of maintained and ordered machines back.

Each write of the state is now also conditional on the state's last known revision, from loading it (0 if there is none), from the last commit, or from a conflict. After a conflict while the stewardship is held, the write is tried again on the revision found: only the holder writes under its stewardship, so its memory is newer than any earlier attempt. An attempt without an answer is void once a later one is stored.

Without the change TestLateStateForgetsMachines fails with

Expected: []string{"m0", "m1"} Actual: []string{"m0"}

for the machines that the next holder takes as maintained.

--- a/internal/cell/steward/state.go
+++ b/internal/cell/steward/state.go
@@ -27,6 +27,42 @@
 	Ordered []string `json:"ordered,omitempty"`
 }
 
+// maxCommitAttempts is the number of times a write is tried when the steward does not know
+// the revisions of the keys, because an earlier attempt got no answer.
+const maxCommitAttempts = 3
+
+// commit writes keys, provided that the stewardship is held and that each key has its last
+// known revision. Without the latter, an attempt that got no answer and is carried out late
+// could bring an older value back. After a conflict the revisions are known.
+func (s *Steward) commit(ctx context.Context, puts []store.Put) error {
+	change := store.Change{If: []store.Condition{s.config.Condition}, Puts: puts}
+	for _, put := range puts {
+		change.If = append(change.If, store.Condition{Key: put.Key, Revision: s.revisions[put.Key]})
+	}
+	revision, err := s.config.Store.Commit(ctx, change)
+	if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
+		for _, item := range conflict.Items {
+			s.revisions[item.Key] = item.Revision
+		}
+	}
+	if err != nil {
+		return err
+	}
+	for _, put := range puts {
+		s.revisions[put.Key] = revision
+	}
+	return nil
+}
+
+// isOutdated reports whether a commit failed although the stewardship is held, since a key
+// had another revision than the last known one.
+func (s *Steward) isOutdated(err error) bool {
+	conflict, ok := errors.AsType[*store.ConflictError](err)
+	return ok && slices.ContainsFunc(conflict.Items, func(item store.Item) bool {
+		return item.Key == s.config.Condition.Key && item.Revision == s.config.Condition.Revision
+	})
+}
+
 // loadState reads the state left by earlier holders of the stewardship. Machines that
 // they ordered recently get no orders for Config.QuietPeriod. It returns false if the
 // state cannot be read.
@@ -45,6 +81,7 @@
 		event.OperationFailed.Log(s.config.Log, logrus.Fields{"call": "steward state", "error": err.Error()})
 		return false
 	}
+	s.revisions[stateKey] = item.Revision
 	if saved.Maintained != nil {
 		s.maintained = saved.Maintained
 	}
@@ -79,9 +116,13 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		defer cancel()
-		_, err = s.config.Store.Commit(ctx, store.Change{
-			If: []store.Condition{s.config.Condition}, Puts: []store.Put{{Key: stateKey, Value: value}},
-		})
+		// Only this steward writes under its stewardship, so its state is newer than any
+		// that an earlier attempt has stored.
+		for range maxCommitAttempts {
+			if err = s.commit(ctx, []store.Put{{Key: stateKey, Value: value}}); !s.isOutdated(err) {
+				break
+			}
+		}
 	}
 	if err != nil {
 		s.mu.Lock()
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -126,6 +126,9 @@
 	quietUntil  map[string]time.Time
 	// idleSince is when each machine was first seen without runs.
 	idleSince map[string]time.Time
+	// revisions holds the last known store revision of each key that the steward writes. It
+	// is used by Run alone.
+	revisions map[string]int64
 	// labels is used by buildView alone, under its lock.
 	labels *pools.LabelHistory
 	// maxCPU is the largest capacity seen, used for machines whose capacity is
@@ -142,6 +145,7 @@
 		config: config, operations: make(map[string]*operation), maintained: make(map[int][]string),
 		published: make(map[int]bool), idleSince: make(map[string]time.Time),
 		lastOrdered: make(map[string]time.Time), quietUntil: make(map[string]time.Time), labels: pools.NewLabelHistory(),
+		revisions: make(map[string]int64),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
--- a/internal/cell/steward/steward_test.go
+++ b/internal/cell/steward/steward_test.go
@@ -364,3 +364,33 @@
 		So(len(f.cordonCalls), ShouldBeGreaterThanOrEqualTo, 3)
 	})
 }
+
+// TestLateStateForgetsMachines guards against an attempt to store the state that is carried
+// out after a later one and so hides from the next holder what was maintained and ordered.
+func TestLateStateForgetsMachines(t *testing.T) {
+	Convey("The next holder knows all maintained and ordered machines although an earlier attempt is carried out late", t, func() {
+		for name, isAppliedBetween := range map[string]bool{"after the later one": false, "before the later one": true} {
+			f := newFakeFleet(2)
+			w := f.newSteward(1, nil)
+			So(w.loadState(), ShouldBeTrue)
+			now := boot.Now()
+			So(w.saveState(now, nil), ShouldBeTrue)
+			f.store.Defer(func(store.Change) bool { return true })
+			w.maintained[1] = []string{"m0"}
+			So(w.saveState(now, nil), ShouldBeFalse)
+			f.store.Defer(nil)
+			if isAppliedBetween {
+				SoMsg(name, f.store.ApplyDeferred(), ShouldEqual, 1)
+			}
+			w.maintained[1] = []string{"m0", "m1"}
+			SoMsg(name, w.saveState(now, []*operation{{machine: "m1"}}), ShouldBeTrue)
+			f.store.ApplyDeferred()
+			next := f.newSteward(2, nil)
+			So(next.loadState(), ShouldBeTrue)
+			SoMsg(name, next.maintained[1], ShouldResemble, []string{"m0", "m1"})
+			SoMsg(name, next.isOrderDue(boot.Now(), &operation{machine: "m1"}), ShouldBeFalse)
+			// The next holder stores its state in place of the one that it has loaded.
+			SoMsg(name, next.saveState(now, nil), ShouldBeTrue)
+		}
+	})
+}
