Write a wave's status on condition of the status before it

An operator could see a maintenance wave as running again after it was shown as completed, and for good, since a status is written only when it changes. Statuses were written on condition of the stewardship alone: an attempt to write `running` that got no answer could be carried out after `completed`. A new holder that did not take the wave as completed, for instance since the list of machines had changed, replaced `completed` in the same way.

Each status is now written on condition of its key's last known revision, from the last commit or from a conflict while the stewardship is held, after which it is tried again. A status that the conflict shows as completed stays so and is recorded as published. As a condition is needed for each write, 15 statuses instead of 31 fit into a change.

Without the change TestLateWaveStatusReplacesCompleted fails with

Expected: "true" Actual: "false"

in both cases: for the late attempt after the later write, and for the next holder. TestManyWaves now also checks that no change exceeds store.MaxChangeSize, which the stand-in of the store accepts.

--- a/internal/cell/steward/state.go
+++ b/internal/cell/steward/state.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -145,13 +146,17 @@
 		return
 	}
 	due := s.dueWaveStatuses()
-	for chunk := range slices.Chunk(due, store.MaxChangeSize-1) {
+	for chunk := range slices.Chunk(due, maxStatusesPerChange) {
 		if !s.writeWaveStatuses(chunk) {
 			return
 		}
 	}
 }
 
+// maxStatusesPerChange is the number of statuses that fit into a change beside the condition
+// of the stewardship. Each takes a condition and a write.
+const maxStatusesPerChange = (store.MaxChangeSize - 1) / 2
+
 // waveStatus is the completion of a wave that has not been published yet.
 type waveStatus struct {
 	number      int
@@ -181,20 +186,55 @@
 	return due
 }
 
-// writeWaveStatuses writes statuses in one change, which must fit store.MaxChangeSize.
-// It returns false if that fails.
+// writeWaveStatuses writes statuses in one change; there must be at most
+// maxStatusesPerChange. A status that the store holds as completed, perhaps from an earlier
+// holder, stays so. It returns false if that fails.
 func (s *Steward) writeWaveStatuses(statuses []waveStatus) bool {
-	change := store.Change{If: []store.Condition{s.config.Condition}}
-	for _, status := range statuses {
-		key, value := s.config.EncodeStatus(status.number, status.isCompleted)
-		change.Puts = append(change.Puts, store.Put{Key: key, Value: value})
-	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	if _, err := s.config.Store.Commit(ctx, change); err != nil {
-		event.OperationFailed.Log(s.config.Log, logrus.Fields{"call": "wave status", "error": err.Error()})
-		return false
+	for range maxCommitAttempts {
+		puts := make([]store.Put, 0, len(statuses))
+		for _, status := range statuses {
+			key, value := s.config.EncodeStatus(status.number, status.isCompleted)
+			puts = append(puts, store.Put{Key: key, Value: value})
+		}
+		err := s.commit(ctx, puts)
+		if err == nil {
+			s.recordPublished(statuses)
+			return true
+		}
+		if !s.isOutdated(err) {
+			event.OperationFailed.Log(s.config.Log, logrus.Fields{"call": "wave status", "error": err.Error()})
+			return false
+		}
+		if statuses = s.skipCompleted(statuses, err); len(statuses) == 0 {
+			return true
+		}
 	}
+	event.OperationFailed.Log(s.config.Log, logrus.Fields{"call": "wave status", "error": "the statuses changed at each attempt"})
+	return false
+}
+
+// skipCompleted records the statuses that the store holds as completed, according to the
+// conflict err, as published and returns the others.
+func (s *Steward) skipCompleted(statuses []waveStatus, err error) (others []waveStatus) {
+	conflict, ok := errors.AsType[*store.ConflictError](err)
+	if !ok {
+		return statuses
+	}
+	for _, status := range statuses {
+		key, value := s.config.EncodeStatus(status.number, true)
+		if slices.ContainsFunc(conflict.Items, func(item store.Item) bool { return item.Key == key && bytes.Equal(item.Value, value) }) {
+			s.recordPublished([]waveStatus{{status.number, true}})
+		} else {
+			others = append(others, status)
+		}
+	}
+	return others
+}
+
+// recordPublished records statuses that the store holds.
+func (s *Steward) recordPublished(statuses []waveStatus) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, status := range statuses {
@@ -203,5 +243,4 @@
 			event.WaveCompleted.Log(s.config.Log, logrus.Fields{"wave": status.number})
 		}
 	}
-	return true
 }
--- a/internal/cell/steward/steward_test.go
+++ b/internal/cell/steward/steward_test.go
@@ -314,8 +314,14 @@
 			}
 			return list
 		}
+		largest := 0
+		f.store.LoseResponses(func(change store.Change) bool {
+			largest = max(largest, len(change.If)+len(change.Puts)+len(change.Remove))
+			return false
+		})
 		So(w.listMachines(boot.Now()), ShouldBeTrue)
 		w.publishWaveStatus()
+		So(largest, ShouldBeBetweenOrEqual, 1, store.MaxChangeSize)
 		for i := range waves {
 			_, isPublished := f.store.Get(fmt.Sprintf("status/%d", i))
 			So(isPublished, ShouldBeTrue)
@@ -394,3 +400,39 @@
 		}
 	})
 }
+
+// TestLateWaveStatusReplacesCompleted guards against an attempt to write that a wave is
+// running that is carried out after the wave was written as completed.
+func TestLateWaveStatusReplacesCompleted(t *testing.T) {
+	running, completed := []waveStatus{{1, false}, {2, false}}, []waveStatus{{1, true}, {2, false}}
+	Convey("A wave that was written as completed stays so although an earlier attempt is carried out late", t, func() {
+		for name, isAppliedBetween := range map[string]bool{"after the later one": false, "before the later one": true} {
+			f := newFakeFleet(2)
+			w := f.newSteward(1, nil)
+			f.store.Defer(func(store.Change) bool { return true })
+			SoMsg(name, w.writeWaveStatuses(running), ShouldBeFalse)
+			f.store.Defer(nil)
+			if isAppliedBetween {
+				SoMsg(name, f.store.ApplyDeferred(), ShouldEqual, 1)
+			}
+			SoMsg(name, w.writeWaveStatuses(completed), ShouldBeTrue)
+			f.store.ApplyDeferred()
+			SoMsg(name, f.waveStatus(), ShouldEqual, "true")
+		}
+	})
+	Convey("A holder that does not know that a wave is completed does not write it as running", t, func() {
+		f := newFakeFleet(2)
+		So(f.newSteward(1, nil).writeWaveStatuses(completed), ShouldBeTrue)
+		next := f.newSteward(2, nil)
+		So(next.writeWaveStatuses(running), ShouldBeTrue)
+		So(f.waveStatus(), ShouldEqual, "true")
+		So(next.published, ShouldResemble, map[int]bool{1: true, 2: false})
+	})
+	Convey("A holder that has lost the stewardship writes no status", t, func() {
+		f := newFakeFleet(2)
+		w := f.newSteward(1, nil)
+		f.newSteward(2, nil)
+		So(w.writeWaveStatuses(completed), ShouldBeFalse)
+		So(f.waveStatus(), ShouldBeEmpty)
+	})
+}
