Announce an entry on condition of the announcement before it

Other entries could go on treating a leaving entry as one that takes cells over, or miss an entry that is alive until its next lease. The member key was written without any condition. An announcement of before Leave that got no answer could be carried out after the one of Leave and hide it; one of an earlier process of the same name could replace the new process's under the old lease and was removed with that lease.

An announcement now depends on the last known revision of the member key, 0 at first, from the last commit or from a conflict, after which it is tried again. Value and revision are taken under one lock, so an announcement of before Leave never depends on a revision that came after it. Once the new process has announced itself, the key no longer has the revision that a late announcement of the earlier one depends on. A restart costs one write more while the old process's key exists.

Without the change TestLateAnnouncementReplacesMember fails with

Expected: true Actual: false

for IsLeaving after the late announcement, and for the presence of the new process's key after the old lease has ended.

--- a/internal/cell/roster/roster.go
+++ b/internal/cell/roster/roster.go
@@ -41,6 +41,9 @@
 	// shrinkGrace is how long entries whose leases expired together are expected to
 	// return.
 	shrinkGrace = 2 * time.Second
+	// maxAnnounceAttempts is the number of times an announcement is tried when it conflicts
+	// with an earlier one.
+	maxAnnounceAttempts = 3
 	// commitTimeout bounds one commit to the store.
 	commitTimeout = 700 * time.Millisecond
 )
@@ -93,10 +96,13 @@
 type Roster struct {
 	config Config
 
-	mu      sync.Mutex
-	self    Member
-	members map[string]Member
-	owners  map[string]Ownership
+	mu   sync.Mutex
+	self Member
+	// selfRevision is the last known store revision of this entry's member key, 0 if it
+	// did not exist.
+	selfRevision int64
+	members      map[string]Member
+	owners       map[string]Ownership
 	// unownedSince is when each cell without an owner was first seen so.
 	unownedSince map[string]time.Time
 	isLoaded     bool
@@ -305,20 +311,47 @@
 // that all entries choose the same one.
 func rendezvousHash(member, cell string) uint64 { return xxhash.Sum64String(member + "/" + cell) }
 
-// Announce writes this entry as a member under its lease.
-func (r *Roster) Announce(ctx context.Context, lease store.Lease) error {
+// Announce writes this entry as a member under its lease, in place of an announcement that
+// this process or an earlier one has written. Each announcement depends on the revision of
+// the key that it replaces, so that one without an answer is void after a later one.
+func (r *Roster) Announce(ctx context.Context, lease store.Lease) (err error) {
+	for range maxAnnounceAttempts {
+		err = r.announceOnce(ctx, lease)
+		if _, ok := errors.AsType[*store.ConflictError](err); !ok {
+			return err
+		}
+	}
+	return err
+}
+
+// announceOnce writes the member key if it has the last known revision. After a conflict
+// the revision is known.
+func (r *Roster) announceOnce(ctx context.Context, lease store.Lease) error {
+	// Both are read under one lock: a revision that was learned after Leave must not be
+	// the condition of a value from before.
 	r.mu.Lock()
-	self := r.self
+	self, revision := r.self, r.selfRevision
 	r.mu.Unlock()
 	value, err := json.Marshal(self)
 	if err != nil {
 		return err
 	}
-	commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	_, err = r.config.Client.Commit(commitCtx, store.Change{
-		Puts: []store.Put{{Key: memberPrefix + self.Name, Value: value, Lease: lease}},
-	})
+	put := store.Put{Key: memberPrefix + self.Name, Value: value, Lease: lease}
+	revision, err = r.replaceKey(ctx, put, revision)
+	conflict, isConflict := errors.AsType[*store.ConflictError](err)
+	if err != nil && !isConflict {
+		return err
+	}
+	if isConflict {
+		for _, item := range conflict.Items {
+			if item.Key == put.Key {
+				revision = item.Revision
+			}
+		}
+	}
+	r.mu.Lock()
+	r.selfRevision = revision
+	r.mu.Unlock()
 	return err
 }
 
--- a/internal/cell/roster/roster_test.go
+++ b/internal/cell/roster/roster_test.go
@@ -195,3 +195,75 @@
 		}
 	})
 }
+
+// TestLateAnnouncementReplacesMember guards against an announcement that is carried out after
+// a later one and so hides that the entry leaves, or that its new process is alive.
+func TestLateAnnouncementReplacesMember(t *testing.T) {
+	ctx := context.Background()
+	stored := func(s *keyvalue.Store) (m Member, lease store.Lease) {
+		item, isFound := s.Get(memberPrefix + "e0")
+		So(isFound, ShouldBeTrue)
+		So(json.Unmarshal(item.Value, &m), ShouldBeNil)
+		return m, item.Lease
+	}
+	for name, isAppliedBetween := range map[string]bool{"after the later one": false, "before the later one": true} {
+		Convey("The other entries see that an entry leaves although an earlier announcement is carried out "+name, t, func() {
+			s := keyvalue.New()
+			client := s.Client(nil)
+			lease, _, err := client.Grant(ctx, time.Minute)
+			So(err, ShouldBeNil)
+			r := newRoster(member(0, 1), client)
+			s.Defer(func(store.Change) bool { return true })
+			So(r.Announce(ctx, lease), ShouldNotBeNil)
+			s.Defer(nil)
+			if isAppliedBetween {
+				So(s.ApplyDeferred(), ShouldEqual, 1)
+			}
+			r.Leave()
+			So(r.Announce(ctx, lease), ShouldBeNil)
+			s.ApplyDeferred()
+			m, _ := stored(s)
+			So(m.IsLeaving, ShouldBeTrue)
+		})
+		Convey("A new process stays in the roster although an announcement of the earlier one is carried out "+name, t, func() {
+			s := keyvalue.New()
+			client := s.Client(nil)
+			oldLease, _, err := client.Grant(ctx, time.Minute)
+			So(err, ShouldBeNil)
+			newLease, _, err := client.Grant(ctx, time.Minute)
+			So(err, ShouldBeNil)
+			s.Defer(func(store.Change) bool { return true })
+			So(newRoster(member(0, 1), client).Announce(ctx, oldLease), ShouldNotBeNil)
+			s.Defer(nil)
+			if isAppliedBetween {
+				So(s.ApplyDeferred(), ShouldEqual, 1)
+			}
+			self := member(0, 1)
+			self.Incarnation = "next"
+			So(newRoster(self, client).Announce(ctx, newLease), ShouldBeNil)
+			s.ApplyDeferred()
+			So(client.Release(ctx, oldLease), ShouldBeNil)
+			m, lease := stored(s)
+			So(m.Incarnation, ShouldEqual, "next")
+			So(lease, ShouldEqual, newLease)
+		})
+	}
+	Convey("An entry announces itself again under a new lease after its key was removed with the old one", t, func() {
+		s := keyvalue.New()
+		client := s.Client(nil)
+		r := newRoster(member(0, 1), client)
+		for range 2 {
+			lease, _, err := client.Grant(ctx, time.Minute)
+			So(err, ShouldBeNil)
+			So(r.Announce(ctx, lease), ShouldBeNil)
+			_, storedLease := stored(s)
+			So(storedLease, ShouldEqual, lease)
+			So(client.Release(ctx, lease), ShouldBeNil)
+		}
+	})
+	Convey("An announcement that the store refuses fails", t, func() {
+		s := keyvalue.New()
+		s.SetDown(true)
+		So(newRoster(member(0, 1), s.Client(nil)).Announce(ctx, 0), ShouldNotBeNil)
+	})
+}
