--- a/internal/cell/roster/roster.go
+++ b/internal/cell/roster/roster.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -40,6 +41,9 @@
 	// shrinkGrace is how long entries whose leases expired together are expected to
 	// return.
 	shrinkGrace = 2 * time.Second
+	// maxAnnounceAttempts is the number of times an announcement is tried when it conflicts
+	// with an earlier one.
+	maxAnnounceAttempts = 3
 	// commitTimeout bounds one commit to the store.
 	commitTimeout = 700 * time.Millisecond
 )
@@ -92,10 +96,13 @@
 type Roster struct {
 	config Config
 
-	mu      sync.Mutex
-	self    Member
-	members map[string]Member
-	owners  map[string]Ownership
+	mu   sync.Mutex
+	self Member
+	// selfRevision is the last known store revision of this entry's member key, 0 if it
+	// did not exist.
+	selfRevision int64
+	members      map[string]Member
+	owners       map[string]Ownership
 	// unownedSince is when each cell without an owner was first seen so.
 	unownedSince map[string]time.Time
 	isLoaded     bool
@@ -304,20 +311,47 @@
 // that all entries choose the same one.
 func rendezvousHash(member, cell string) uint64 { return xxhash.Sum64String(member + "/" + cell) }
 
-// Announce writes this entry as a member under its lease.
-func (r *Roster) Announce(ctx context.Context, lease store.Lease) error {
+// Announce writes this entry as a member under its lease, in place of an announcement that
+// this process or an earlier one has written. Each announcement depends on the revision of
+// the key that it replaces, so that one without an answer is void after a later one.
+func (r *Roster) Announce(ctx context.Context, lease store.Lease) (err error) {
+	for range maxAnnounceAttempts {
+		err = r.announceOnce(ctx, lease)
+		if _, ok := errors.AsType[*store.ConflictError](err); !ok {
+			return err
+		}
+	}
+	return err
+}
+
+// announceOnce writes the member key if it has the last known revision. After a conflict
+// the revision is known.
+func (r *Roster) announceOnce(ctx context.Context, lease store.Lease) error {
+	// Both are read under one lock: a revision that was learned after Leave must not be
+	// the condition of a value from before.
 	r.mu.Lock()
-	self := r.self
+	self, revision := r.self, r.selfRevision
 	r.mu.Unlock()
 	value, err := json.Marshal(self)
 	if err != nil {
 		return err
 	}
-	commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	_, err = r.config.Client.Commit(commitCtx, store.Change{
-		Puts: []store.Put{{Key: memberPrefix + self.Name, Value: value, Lease: lease}},
-	})
+	put := store.Put{Key: memberPrefix + self.Name, Value: value, Lease: lease}
+	revision, err = r.replaceKey(ctx, put, revision)
+	conflict, isConflict := errors.AsType[*store.ConflictError](err)
+	if err != nil && !isConflict {
+		return err
+	}
+	if isConflict {
+		for _, item := range conflict.Items {
+			if item.Key == put.Key {
+				revision = item.Revision
+			}
+		}
+	}
+	r.mu.Lock()
+	r.selfRevision = revision
+	r.mu.Unlock()
 	return err
 }
 
@@ -330,9 +364,11 @@
 }
 
 // TakeOver tries to make this entry the owner of a cell, in place of the owner in the
-// view if there is one. It returns the condition for writes to the cell. The error is
-// nil only if the ownership is confirmed; after an error the cell may be owned all
-// the same.
+// view if there is one. It returns the condition for writes to the cell, whose revision is
+// new even if this process has owned the cell before: writes under the earlier ownership
+// that are carried out late must not meet the condition of the new owner. The error is
+// nil only if the ownership is confirmed; after an error the cell may be owned all the
+// same.
 func (r *Roster) TakeOver(ctx context.Context, cell string, lease store.Lease) (condition store.Condition, err error) {
 	r.mu.Lock()
 	self := r.self
@@ -342,23 +378,28 @@
 	if err != nil {
 		return store.Condition{}, err
 	}
-	key := ownerPrefix + cell
-	change := store.Change{
-		If:   []store.Condition{{Key: key, Revision: current.Revision}},
-		Puts: []store.Put{{Key: key, Value: value, Lease: lease}},
-	}
-	commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	revision, err := r.config.Client.Commit(commitCtx, change)
+	put := store.Put{Key: ownerPrefix + cell, Value: value, Lease: lease}
+	revision, err := r.replaceKey(ctx, put, current.Revision)
 	if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
-		// An earlier attempt whose answer was lost may have succeeded.
+		// The view may not show the ownership of an earlier attempt or owner of this
+		// process yet.
 		for _, item := range conflict.Items {
-			if item.Key == key && string(item.Value) == string(value) && item.Lease == lease {
-				return store.Condition{Key: key, Revision: item.Revision}, nil
+			if item.Key == put.Key && bytes.Equal(item.Value, value) && item.Lease == lease {
+				revision, err = r.replaceKey(ctx, put, item.Revision)
 			}
 		}
 	}
-	return store.Condition{Key: key, Revision: revision}, err
+	return store.Condition{Key: put.Key, Revision: revision}, err
+}
+
+// replaceKey writes a key if it has a revision, 0 if it does not exist, and returns the new
+// revision.
+func (r *Roster) replaceKey(ctx context.Context, put store.Put, revision int64) (next int64, err error) {
+	commitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	return r.config.Client.Commit(commitCtx, store.Change{
+		If: []store.Condition{{Key: put.Key, Revision: revision}}, Puts: []store.Put{put},
+	})
 }
 
 // Release removes the ownership of a cell if it is still held at the revision of the
--- a/internal/cell/roster/roster_test.go
+++ b/internal/cell/roster/roster_test.go
@@ -158,3 +158,112 @@
 		So(err, ShouldBeNil)
 	})
 }
+
+// TestTwoOwnersShareAnEpoch guards against a second owner of one process that gets the
+// epoch of the first, under which writes of the first may still be carried out.
+func TestTwoOwnersShareAnEpoch(t *testing.T) {
+	Convey("Each takeover of a cell gets a new epoch, and late writes under the one before are not carried out", t, func() {
+		for name, c := range map[string]struct{ isAnswerLost, isViewCurrent bool }{
+			"before the roster shows the first": {false, false},
+			"after the roster shows the first":  {false, true},
+			"the answer to the first is lost":   {true, false},
+		} {
+			s := keyvalue.New()
+			client := s.Client(nil)
+			lease, _, err := client.Grant(context.Background(), time.Minute)
+			So(err, ShouldBeNil)
+			r := newRoster(member(0, 1), client)
+			s.LoseResponses(func(store.Change) bool { return c.isAnswerLost })
+			_, err = r.TakeOver(context.Background(), "a", lease)
+			SoMsg(name, err != nil, ShouldEqual, c.isAnswerLost)
+			s.LoseResponses(nil)
+			item, _ := s.Get(ownerPrefix + "a")
+			first := store.Condition{Key: item.Key, Revision: item.Revision}
+			s.Defer(func(store.Change) bool { return true })
+			_, err = client.Commit(context.Background(), store.Change{If: []store.Condition{first}, Puts: []store.Put{{Key: "cell/a/state"}}})
+			SoMsg(name, err, ShouldNotBeNil)
+			s.Defer(nil)
+			if c.isViewCurrent {
+				r.Update([]store.Item{item})
+			}
+			second, err := r.TakeOver(context.Background(), "a", lease)
+			SoMsg(name, err, ShouldBeNil)
+			SoMsg(name, second.Revision, ShouldBeGreaterThan, first.Revision)
+			SoMsg(name, s.ApplyDeferred(), ShouldEqual, 0)
+			item, _ = s.Get(ownerPrefix + "a")
+			SoMsg(name, second, ShouldResemble, store.Condition{Key: item.Key, Revision: item.Revision})
+		}
+	})
+}
+
+// TestLateAnnouncementReplacesMember guards against an announcement that is carried out after
+// a later one and so hides that the entry leaves, or that its new process is alive.
+func TestLateAnnouncementReplacesMember(t *testing.T) {
+	ctx := context.Background()
+	stored := func(s *keyvalue.Store) (m Member, lease store.Lease) {
+		item, isFound := s.Get(memberPrefix + "e0")
+		So(isFound, ShouldBeTrue)
+		So(json.Unmarshal(item.Value, &m), ShouldBeNil)
+		return m, item.Lease
+	}
+	for name, isAppliedBetween := range map[string]bool{"after the later one": false, "before the later one": true} {
+		Convey("The other entries see that an entry leaves although an earlier announcement is carried out "+name, t, func() {
+			s := keyvalue.New()
+			client := s.Client(nil)
+			lease, _, err := client.Grant(ctx, time.Minute)
+			So(err, ShouldBeNil)
+			r := newRoster(member(0, 1), client)
+			s.Defer(func(store.Change) bool { return true })
+			So(r.Announce(ctx, lease), ShouldNotBeNil)
+			s.Defer(nil)
+			if isAppliedBetween {
+				So(s.ApplyDeferred(), ShouldEqual, 1)
+			}
+			r.Leave()
+			So(r.Announce(ctx, lease), ShouldBeNil)
+			s.ApplyDeferred()
+			m, _ := stored(s)
+			So(m.IsLeaving, ShouldBeTrue)
+		})
+		Convey("A new process stays in the roster although an announcement of the earlier one is carried out "+name, t, func() {
+			s := keyvalue.New()
+			client := s.Client(nil)
+			oldLease, _, err := client.Grant(ctx, time.Minute)
+			So(err, ShouldBeNil)
+			newLease, _, err := client.Grant(ctx, time.Minute)
+			So(err, ShouldBeNil)
+			s.Defer(func(store.Change) bool { return true })
+			So(newRoster(member(0, 1), client).Announce(ctx, oldLease), ShouldNotBeNil)
+			s.Defer(nil)
+			if isAppliedBetween {
+				So(s.ApplyDeferred(), ShouldEqual, 1)
+			}
+			self := member(0, 1)
+			self.Incarnation = "next"
+			So(newRoster(self, client).Announce(ctx, newLease), ShouldBeNil)
+			s.ApplyDeferred()
+			So(client.Release(ctx, oldLease), ShouldBeNil)
+			m, lease := stored(s)
+			So(m.Incarnation, ShouldEqual, "next")
+			So(lease, ShouldEqual, newLease)
+		})
+	}
+	Convey("An entry announces itself again under a new lease after its key was removed with the old one", t, func() {
+		s := keyvalue.New()
+		client := s.Client(nil)
+		r := newRoster(member(0, 1), client)
+		for range 2 {
+			lease, _, err := client.Grant(ctx, time.Minute)
+			So(err, ShouldBeNil)
+			So(r.Announce(ctx, lease), ShouldBeNil)
+			_, storedLease := stored(s)
+			So(storedLease, ShouldEqual, lease)
+			So(client.Release(ctx, lease), ShouldBeNil)
+		}
+	})
+	Convey("An announcement that the store refuses fails", t, func() {
+		s := keyvalue.New()
+		s.SetDown(true)
+		So(newRoster(member(0, 1), s.Client(nil)).Announce(ctx, 0), ShouldNotBeNil)
+	})
+}
--- a/internal/cell/steward/state.go
+++ b/internal/cell/steward/state.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -27,6 +28,42 @@
 	Ordered []string `json:"ordered,omitempty"`
 }
 
+// maxCommitAttempts is the number of times a write is tried when the steward does not know
+// the revisions of the keys, because an earlier attempt got no answer.
+const maxCommitAttempts = 3
+
+// commit writes keys, provided that the stewardship is held and that each key has its last
+// known revision. Without the latter, an attempt that got no answer and is carried out late
+// could bring an older value back. After a conflict the revisions are known.
+func (s *Steward) commit(ctx context.Context, puts []store.Put) error {
+	change := store.Change{If: []store.Condition{s.config.Condition}, Puts: puts}
+	for _, put := range puts {
+		change.If = append(change.If, store.Condition{Key: put.Key, Revision: s.revisions[put.Key]})
+	}
+	revision, err := s.config.Store.Commit(ctx, change)
+	if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
+		for _, item := range conflict.Items {
+			s.revisions[item.Key] = item.Revision
+		}
+	}
+	if err != nil {
+		return err
+	}
+	for _, put := range puts {
+		s.revisions[put.Key] = revision
+	}
+	return nil
+}
+
+// isOutdated reports whether a commit failed although the stewardship is held, since a key
+// had another revision than the last known one.
+func (s *Steward) isOutdated(err error) bool {
+	conflict, ok := errors.AsType[*store.ConflictError](err)
+	return ok && slices.ContainsFunc(conflict.Items, func(item store.Item) bool {
+		return item.Key == s.config.Condition.Key && item.Revision == s.config.Condition.Revision
+	})
+}
+
 // loadState reads the state left by earlier holders of the stewardship. Machines that
 // they ordered recently get no orders for Config.QuietPeriod. It returns false if the
 // state cannot be read.
@@ -45,6 +82,7 @@
 		event.OperationFailed.Log(s.config.Log, logrus.Fields{"call": "steward state", "error": err.Error()})
 		return false
 	}
+	s.revisions[stateKey] = item.Revision
 	if saved.Maintained != nil {
 		s.maintained = saved.Maintained
 	}
@@ -79,9 +117,13 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		defer cancel()
-		_, err = s.config.Store.Commit(ctx, store.Change{
-			If: []store.Condition{s.config.Condition}, Puts: []store.Put{{Key: stateKey, Value: value}},
-		})
+		// Only this steward writes under its stewardship, so its state is newer than any
+		// that an earlier attempt has stored.
+		for range maxCommitAttempts {
+			if err = s.commit(ctx, []store.Put{{Key: stateKey, Value: value}}); !s.isOutdated(err) {
+				break
+			}
+		}
 	}
 	if err != nil {
 		s.mu.Lock()
@@ -104,13 +146,17 @@
 		return
 	}
 	due := s.dueWaveStatuses()
-	for chunk := range slices.Chunk(due, store.MaxChangeSize-1) {
+	for chunk := range slices.Chunk(due, maxStatusesPerChange) {
 		if !s.writeWaveStatuses(chunk) {
 			return
 		}
 	}
 }
 
+// maxStatusesPerChange is the number of statuses that fit into a change beside the condition
+// of the stewardship. Each takes a condition and a write.
+const maxStatusesPerChange = (store.MaxChangeSize - 1) / 2
+
 // waveStatus is the completion of a wave that has not been published yet.
 type waveStatus struct {
 	number      int
@@ -140,20 +186,55 @@
 	return due
 }
 
-// writeWaveStatuses writes statuses in one change, which must fit store.MaxChangeSize.
-// It returns false if that fails.
+// writeWaveStatuses writes statuses in one change; there must be at most
+// maxStatusesPerChange. A status that the store holds as completed, perhaps from an earlier
+// holder, stays so. It returns false if that fails.
 func (s *Steward) writeWaveStatuses(statuses []waveStatus) bool {
-	change := store.Change{If: []store.Condition{s.config.Condition}}
-	for _, status := range statuses {
-		key, value := s.config.EncodeStatus(status.number, status.isCompleted)
-		change.Puts = append(change.Puts, store.Put{Key: key, Value: value})
-	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	if _, err := s.config.Store.Commit(ctx, change); err != nil {
-		event.OperationFailed.Log(s.config.Log, logrus.Fields{"call": "wave status", "error": err.Error()})
-		return false
+	for range maxCommitAttempts {
+		puts := make([]store.Put, 0, len(statuses))
+		for _, status := range statuses {
+			key, value := s.config.EncodeStatus(status.number, status.isCompleted)
+			puts = append(puts, store.Put{Key: key, Value: value})
+		}
+		err := s.commit(ctx, puts)
+		if err == nil {
+			s.recordPublished(statuses)
+			return true
+		}
+		if !s.isOutdated(err) {
+			event.OperationFailed.Log(s.config.Log, logrus.Fields{"call": "wave status", "error": err.Error()})
+			return false
+		}
+		if statuses = s.skipCompleted(statuses, err); len(statuses) == 0 {
+			return true
+		}
+	}
+	event.OperationFailed.Log(s.config.Log, logrus.Fields{"call": "wave status", "error": "the statuses changed at each attempt"})
+	return false
+}
+
+// skipCompleted records the statuses that the store holds as completed, according to the
+// conflict err, as published and returns the others.
+func (s *Steward) skipCompleted(statuses []waveStatus, err error) (others []waveStatus) {
+	conflict, ok := errors.AsType[*store.ConflictError](err)
+	if !ok {
+		return statuses
 	}
+	for _, status := range statuses {
+		key, value := s.config.EncodeStatus(status.number, true)
+		if slices.ContainsFunc(conflict.Items, func(item store.Item) bool { return item.Key == key && bytes.Equal(item.Value, value) }) {
+			s.recordPublished([]waveStatus{{status.number, true}})
+		} else {
+			others = append(others, status)
+		}
+	}
+	return others
+}
+
+// recordPublished records statuses that the store holds.
+func (s *Steward) recordPublished(statuses []waveStatus) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, status := range statuses {
@@ -162,5 +243,4 @@
 			event.WaveCompleted.Log(s.config.Log, logrus.Fields{"wave": status.number})
 		}
 	}
-	return true
 }
