--- a/internal/back/store/store.go
+++ b/internal/back/store/store.go
@@ -88,8 +88,8 @@
 // Client holds the calls of the store. Each call returns at the latest when its context
 // ends.
 type Client struct {
-	// Get reads a key. The error is ErrNotFound if the key does not exist; the item
-	// returned with it has the current revision of the store.
+	// Get reads a key. The error is ErrNotFound, with a zero item, if the key does not
+	// exist.
 	Get func(ctx context.Context, key string) (Item, error)
 	// Range reads the keys with a prefix that come after a key, in the order of keys.
 	// A stale read costs the store less, but its result may be seconds old.
