--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -151,7 +151,7 @@
 	o.isReady.Store(true)
 	event.CellServing.Log(o.config.Log, logrus.Fields{"jobs": o.cell.Active(), "epoch": int64(o.epoch)})
 	o.loop()
-	o.failPending(ErrIndeterminate)
+	runCallbacks(o.takeCallbacks(), ErrIndeterminate)
 	return o.runErr
 }
 
@@ -219,6 +219,7 @@
 	batch := o.cell.TakeBatch()
 	o.logEnds(batch.Ends)
 	if len(batch.Records) == 0 && (!o.isHandingOver || o.isFinalStored) {
+		runCallbacks(o.takeCallbacks(), nil)
 		o.handleStored(batch)
 		return 0
 	}
@@ -242,11 +243,11 @@
 
 // write stores a batch in the background: as a snapshot of the whole state if one is
 // due, otherwise as appended records. The callbacks registered so far run when the
-// write ends.
+// write ends. Those registered while it is in progress belong to changes that it does not
+// contain, so they wait for the next write.
 func (o *Owner) write(now time.Time, batch jobs.Batch) {
 	o.isWriting, o.writeStarted = true, now
-	callbacks := o.onStored
-	o.onStored = nil
+	callbacks := o.takeCallbacks()
 	var snapshot *jobs.Snapshot
 	isFinal := o.isHandingOver && !o.isFinalStored
 	if o.journal.IsSnapshotDue() || isFinal {
@@ -266,32 +267,20 @@
 			o.metrics.writeDuration.RecordDuration(took)
 			if err != nil {
 				o.abort(err)
-				for _, f := range callbacks {
-					f(ErrIndeterminate)
-				}
+				runCallbacks(callbacks, ErrIndeterminate)
 				return
 			}
-			for _, f := range callbacks {
-				f(nil)
-			}
+			runCallbacks(callbacks, nil)
 			o.isFinalStored = o.isFinalStored || isFinal
 			o.handleStored(batch)
 		})
 	})
 }
 
-// handleStored performs the actions that had to wait until a batch was stored: it
-// runs the registered callbacks if the batch needed no write and none is in progress,
-// sends start orders and logs finished jobs.
+// handleStored performs the actions that had to wait until a batch was stored: it sends
+// start orders and logs finished jobs.
 func (o *Owner) handleStored(batch jobs.Batch) {
 	now := boot.Now()
-	if !o.isWriting && len(batch.Records) == 0 {
-		callbacks := o.onStored
-		o.onStored = nil
-		for _, f := range callbacks {
-			f(nil)
-		}
-	}
 	for _, start := range o.cell.ConfirmStored(now, batch) {
 		o.sendStart(start)
 	}
@@ -307,12 +296,17 @@
 	o.cancel()
 }
 
-// failPending calls all registered callbacks with an error.
-func (o *Owner) failPending(err error) {
-	for _, f := range o.onStored {
+// takeCallbacks returns the registered callbacks and removes them.
+func (o *Owner) takeCallbacks() []func(err error) {
+	callbacks := o.onStored
+	o.onStored = nil
+	return callbacks
+}
+
+func runCallbacks(callbacks []func(err error), err error) {
+	for _, f := range callbacks {
 		f(err)
 	}
-	o.onStored = nil
 }
 
 // post queues a function for the loop and does not wait for it. The function is
--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"io"
+	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +22,11 @@
 
 // newOwner returns a running owner of an empty cell and the store behind it.
 func newOwner(t *testing.T) (*Owner, *keyvalue.Store) {
+	return newOwnerWith(t, func(*Config) {})
+}
+
+// newOwnerWith is newOwner with a configuration that modify has changed.
+func newOwnerWith(t *testing.T, modify func(config *Config)) (*Owner, *keyvalue.Store) {
 	const key = "live/owner/red"
 	s := keyvalue.New()
 	revision, err := s.Client(nil).Commit(context.Background(), store.Change{Puts: []store.Put{{Key: key}}})
@@ -27,11 +35,13 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	o := New(Config{
+	config := Config{
 		Cell: "red", Store: s.Client(nil), Endpoints: &endpoint.Client{}, Condition: store.Condition{Key: key, Revision: revision},
 		IsValid: func() bool { return true }, IsStoreUp: func() bool { return true },
 		Bounds: jobs.DefaultBounds(), OwnedSince: boot.Now(), Log: logrus.NewEntry(log), Scope: tally.NoopScope,
-	})
+	}
+	modify(&config)
+	o := New(config)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -77,3 +87,202 @@
 		So(isStored, ShouldBeTrue)
 	})
 }
+
+// snapshotGate holds the snapshots of a cell back until release is closed. Once the first
+// is stored, all later writes are refused.
+type snapshotGate struct {
+	// started is closed when the first snapshot is to be written.
+	started, release chan struct{}
+	isStored         atomic.Bool
+	// refused counts the writes after that.
+	refused atomic.Int32
+}
+
+func newSnapshotGate() *snapshotGate {
+	return &snapshotGate{started: make(chan struct{}), release: make(chan struct{})}
+}
+
+// install puts the gate in front of the commits of a client.
+func (g *snapshotGate) install(client *store.Client) {
+	commit := client.Commit
+	client.Commit = func(ctx context.Context, change store.Change) (int64, error) {
+		if g.isStored.Load() {
+			g.refused.Add(1)
+			return 0, store.ErrRefused
+		}
+		if change.Puts[0].Key != "cell/red/state" {
+			return commit(ctx, change)
+		}
+		close(g.started)
+		<-g.release
+		defer g.isStored.Store(true)
+		return commit(context.WithoutCancel(ctx), change)
+	}
+}
+
+// waitUntil waits until a condition holds, for at most 5 s.
+func waitUntil(isMet func() bool) (isInTime bool) {
+	for range 5000 {
+		if isMet() {
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
+
+// pendingCallbacks returns the number of callbacks that wait for the next write.
+func (o *Owner) pendingCallbacks() (count int) {
+	_ = o.runInLoop(context.Background(), func() { count = len(o.onStored) })
+	return count
+}
+
+// Requests that arrived during the final snapshot of a handover were answered as stored.
+func TestRequestDuringFinalSnapshotIsNotConfirmed(t *testing.T) {
+	Convey("A cancellation that the final snapshot does not contain is not confirmed with it", t, func() {
+		gate := newSnapshotGate()
+		o, _ := newOwnerWith(t, func(config *Config) { gate.install(config.Store) })
+		_, err := o.Submit(context.Background(), jobs.Job{
+			ID: "000000000000000a", Queue: "q", Attempts: 1, Steps: []jobs.Step{{Count: 1, LongRunning: true}},
+		})
+		So(err, ShouldBeNil)
+		isPrepared := make(chan struct{})
+		go func() {
+			defer close(isPrepared)
+			o.PrepareHandover(context.Background())
+		}()
+		<-gate.started
+		cancelled := make(chan error, 1)
+		go func() {
+			_, err := o.Cancel(context.Background(), "000000000000000a")
+			cancelled <- err
+		}()
+		So(waitUntil(func() bool { return o.pendingCallbacks() == 1 }), ShouldBeTrue)
+		close(gate.release)
+		<-isPrepared
+		o.Stop()
+		So(<-cancelled, ShouldEqual, ErrIndeterminate)
+	})
+}
+
+// endingEndpoint is an endpoint with two runs, the first of which ends as done when ended
+// is closed. A poll with a wait is held open until then.
+type endingEndpoint struct {
+	mu     sync.Mutex
+	clock  int64
+	starts []jobs.Start
+	ended  chan struct{}
+	// held counts the polls that are held open, listed those answered with the end.
+	held, listed int
+	// acknowledged is the highest end that was acknowledged.
+	acknowledged int64
+}
+
+func newEndingEndpoint() *endingEndpoint { return &endingEndpoint{ended: make(chan struct{})} }
+
+// client returns a client of the endpoint.
+func (e *endingEndpoint) client() *endpoint.Client {
+	return &endpoint.Client{Start: e.startRun, Poll: e.poll}
+}
+
+func (e *endingEndpoint) startRun(_ context.Context, _ endpoint.Target, _ endpoint.Epoch, order jobs.Start) endpoint.Receipt {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.clock++
+	e.starts = append(e.starts, order)
+	return endpoint.Receipt{Answer: jobs.Accepted, Clock: e.clock}
+}
+
+func (e *endingEndpoint) poll(ctx context.Context, target endpoint.Target, poll endpoint.Poll) (jobs.Listing, endpoint.Receipt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.acknowledged = max(e.acknowledged, poll.Seen)
+	if len(e.starts) == 2 && poll.Wait > 0 {
+		e.held++
+		e.mu.Unlock()
+		select {
+		case <-e.ended:
+		case <-ctx.Done():
+		}
+		e.mu.Lock()
+		e.held--
+	}
+	e.clock++
+	listing := jobs.Listing{Endpoint: target.ID, Born: 1, Clock: e.clock}
+	for i, start := range e.starts {
+		if i == 0 && e.isEnded() {
+			e.listed++
+			listing.Ended = []jobs.ListedEnd{{Number: 1, End: jobs.End{Task: start.Task, Run: start.Run, Outcome: jobs.Done}}}
+			continue
+		}
+		listing.Running = append(listing.Running, jobs.ListedRun{Task: start.Task, Run: start.Run})
+	}
+	return listing, endpoint.Receipt{Answer: jobs.Accepted, Clock: e.clock}
+}
+
+func (e *endingEndpoint) isEnded() bool {
+	select {
+	case <-e.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// registration returns the endpoint's entry in discovery with an address.
+func (e *endingEndpoint) registration(address string) []endpoint.Registration {
+	return []endpoint.Registration{{
+		Address: netip.MustParseAddrPort(address), Pool: "red",
+		Profile: jobs.Profile{ID: "e", Machine: "m", Capacity: jobs.Size{CPU: 1000, Memory: 1000}, Born: 1},
+	}}
+}
+
+// isPollHeld reports whether a poll is held open.
+func (e *endingEndpoint) isPollHeld() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held > 0
+}
+
+// isEndListed reports whether a poll was answered with the end.
+func (e *endingEndpoint) isEndListed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listed > 0
+}
+
+// seen returns the highest end that was acknowledged.
+func (e *endingEndpoint) seen() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.acknowledged
+}
+
+// Ends that were listed during the final snapshot of a handover were acknowledged.
+func TestEndDuringFinalSnapshotIsNotAcknowledged(t *testing.T) {
+	Convey("An end that the final snapshot does not contain is not acknowledged while its record is not stored", t, func() {
+		gate, e := newSnapshotGate(), newEndingEndpoint()
+		o, _ := newOwnerWith(t, func(config *Config) {
+			gate.install(config.Store)
+			config.Endpoints = e.client()
+		})
+		o.SetEndpoints(e.registration("127.0.0.1:1"))
+		So(waitUntil(func() bool {
+			// The job is rejected until the endpoint has answered a poll.
+			verdict, err := o.Submit(context.Background(), jobs.Job{
+				ID: "000000000000000a", Queue: "q", Attempts: 2, Steps: []jobs.Step{{Count: 2, Each: jobs.Size{CPU: 100, Memory: 10}}},
+			})
+			return err == nil && verdict.IsAccepted
+		}), ShouldBeTrue)
+		So(waitUntil(e.isPollHeld), ShouldBeTrue)
+		go o.PrepareHandover(context.Background())
+		<-gate.started
+		close(e.ended)
+		So(waitUntil(e.isEndListed), ShouldBeTrue)
+		So(waitUntil(func() bool { return o.pendingCallbacks() == 1 }), ShouldBeTrue)
+		close(gate.release)
+		// By then the next poll would have been sent.
+		So(waitUntil(func() bool { return gate.refused.Load() > 5 }), ShouldBeTrue)
+		So(e.seen(), ShouldEqual, 0)
+	})
+}
--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -148,7 +148,12 @@
 	stored := make(chan struct{})
 	err := o.runInLoop(ctx, func() {
 		o.handlePoll(p, listing, receipt)
-		o.onStored = append(o.onStored, func(error) { close(stored) })
+		o.onStored = append(o.onStored, func(err error) {
+			// After an error the owner ends, and with it the context.
+			if err == nil {
+				close(stored)
+			}
+		})
 	})
 	if err != nil {
 		return
