--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -137,6 +137,12 @@
 	return count
 }
 
+// isWriteStarted reports whether a write is in progress.
+func (o *Owner) isWriteStarted() (isWriting bool) {
+	_ = o.runInLoop(context.Background(), func() { isWriting = o.isWriting })
+	return isWriting
+}
+
 // Requests that arrived during the final snapshot of a handover were answered as stored.
 func TestRequestDuringFinalSnapshotIsNotConfirmed(t *testing.T) {
 	Convey("A cancellation that the final snapshot does not contain is not confirmed with it", t, func() {
@@ -251,6 +257,13 @@
 	return e.listed > 0
 }
 
+// isEndListedAgain reports whether more than one poll was answered with the end.
+func (e *endingEndpoint) isEndListedAgain() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listed > 1
+}
+
 // seen returns the highest end that was acknowledged.
 func (e *endingEndpoint) seen() int64 {
 	e.mu.Lock()
@@ -258,6 +271,19 @@
 	return e.acknowledged
 }
 
+// loadWith makes an owner start both runs and waits for that.
+func (e *endingEndpoint) loadWith(o *Owner) {
+	o.SetEndpoints(e.registration("127.0.0.1:1"))
+	So(waitUntil(func() bool {
+		// The job is rejected until the endpoint has answered a poll.
+		verdict, err := o.Submit(context.Background(), jobs.Job{
+			ID: "000000000000000a", Queue: "q", Attempts: 2, Steps: []jobs.Step{{Count: 2, Each: jobs.Size{CPU: 100, Memory: 10}}},
+		})
+		return err == nil && verdict.IsAccepted
+	}), ShouldBeTrue)
+	So(waitUntil(e.isPollHeld), ShouldBeTrue)
+}
+
 // Ends that were listed during the final snapshot of a handover were acknowledged.
 func TestEndDuringFinalSnapshotIsNotAcknowledged(t *testing.T) {
 	Convey("An end that the final snapshot does not contain is not acknowledged while its record is not stored", t, func() {
@@ -266,15 +292,7 @@
 			gate.install(config.Store)
 			config.Endpoints = e.client()
 		})
-		o.SetEndpoints(e.registration("127.0.0.1:1"))
-		So(waitUntil(func() bool {
-			// The job is rejected until the endpoint has answered a poll.
-			verdict, err := o.Submit(context.Background(), jobs.Job{
-				ID: "000000000000000a", Queue: "q", Attempts: 2, Steps: []jobs.Step{{Count: 2, Each: jobs.Size{CPU: 100, Memory: 10}}},
-			})
-			return err == nil && verdict.IsAccepted
-		}), ShouldBeTrue)
-		So(waitUntil(e.isPollHeld), ShouldBeTrue)
+		e.loadWith(o)
 		go o.PrepareHandover(context.Background())
 		<-gate.started
 		close(e.ended)
@@ -286,3 +304,21 @@
 		So(e.seen(), ShouldEqual, 0)
 	})
 }
+
+// The poller of an endpoint's new address acknowledged the ends that its predecessor had
+// listed, before they were stored.
+func TestMovedEndpointKeepsUnstoredEnds(t *testing.T) {
+	Convey("A change of an endpoint's address acknowledges no end whose record is not stored", t, func() {
+		e := newEndingEndpoint()
+		o, s := newOwnerWith(t, func(config *Config) { config.Endpoints = e.client() })
+		e.loadWith(o)
+		s.SetDown(true)
+		close(e.ended)
+		So(waitUntil(func() bool { return o.isWriteStarted() }), ShouldBeTrue)
+		o.SetEndpoints(e.registration("127.0.0.1:2"))
+		So(waitUntil(e.isEndListedAgain), ShouldBeTrue)
+		So(e.seen(), ShouldEqual, 0)
+		s.SetDown(false)
+		So(waitUntil(func() bool { return e.seen() == 1 }), ShouldBeTrue)
+	})
+}
--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -158,8 +158,8 @@
 	if err != nil {
 		return
 	}
-	// The next poll acknowledges the ended runs, after which the endpoint may forget
-	// them, so they must be stored first.
+	// Only then does the next poll acknowledge the ended runs. An earlier one would
+	// return them again at once.
 	select {
 	case <-stored:
 	case <-ctx.Done():
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -29,11 +29,13 @@
 	// start has not been sent yet.
 	used map[string]Size
 
-	// records, starts, finished and ends collect decisions until the next batch.
+	// records, starts, finished, ends and applied collect decisions until the next
+	// batch.
 	records  []Record
 	starts   []*run
 	finished []*job
 	ends     []RunEnd
+	applied  []endMark
 	// wanted is the size of the tasks that each client account could not start
 	// in the last planning pass because of its limit.
 	wanted map[string]Size
@@ -173,19 +175,34 @@
 	Ends     []RunEnd
 	starts   []*run
 	finished []*job
+	applied  []endMark
+}
+
+// endMark states that the run ends of an endpoint's incarnation were applied up to a
+// number.
+type endMark struct {
+	endpoint *Endpoint
+	born     int64
+	number   int64
 }
 
 // TakeBatch returns the decisions made since the last call. Once its records are
 // stored, the caller passes the batch to ConfirmStored.
 func (c *Cell) TakeBatch() Batch {
-	b := Batch{Records: c.records, Ends: c.ends, starts: c.starts, finished: c.finished}
-	c.records, c.ends, c.starts, c.finished = nil, nil, nil, nil
+	b := Batch{Records: c.records, Ends: c.ends, starts: c.starts, finished: c.finished, applied: c.applied}
+	c.records, c.ends, c.starts, c.finished, c.applied = nil, nil, nil, nil, nil
 	return b
 }
 
-// ConfirmStored confirms that the records of a batch are stored. It makes the final
-// states of the batch's jobs visible to Status and returns the starts to order now.
+// ConfirmStored confirms that the records of a batch and of all earlier ones are stored.
+// It makes the final states of the batch's jobs visible to Status, lets polls acknowledge
+// the run ends that were applied, and returns the starts to order now.
 func (c *Cell) ConfirmStored(now time.Time, b Batch) []Start {
+	for _, mark := range b.applied {
+		if e := mark.endpoint; e.born == mark.born {
+			e.storedEnd = max(e.storedEnd, mark.number)
+		}
+	}
 	for _, j := range b.finished {
 		j.storedState = j.state
 	}
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -235,6 +235,47 @@
 	})
 }
 
+// Ends were acknowledged as soon as they were applied, before their records were stored.
+func TestUnstoredEndsAreNotAcknowledged(t *testing.T) {
+	newLoaded := func() (b *testbed, starts []Start) {
+		b = newTestbed(1)
+		b.submit(firstID, batchStep(2, 100))
+		return b, b.planAndAccept()
+	}
+	acknowledged := func(b *testbed) int64 {
+		poll, _ := b.cell.NextPoll(b.now, endpointName(0))
+		return poll.Seen
+	}
+	Convey("A poll acknowledges the ends of which the batch is stored", t, func() {
+		b, starts := newLoaded()
+		b.listEnd(0, starts[0].Task, 1, Done)
+		So(acknowledged(b), ShouldEqual, 0)
+		batch := b.cell.TakeBatch()
+		b.listEnd(0, starts[1].Task, 1, Done)
+		So(acknowledged(b), ShouldEqual, 0)
+		b.cell.ConfirmStored(b.now, batch)
+		So(acknowledged(b), ShouldEqual, 1)
+		b.planAndStore()
+		So(acknowledged(b), ShouldEqual, 2)
+	})
+	Convey("An end that is listed again before its batch is stored is applied once", t, func() {
+		b, starts := newLoaded()
+		b.listEnd(0, starts[0].Task, 1, Failed)
+		b.ends[endpointName(0)] = 0
+		b.listEnd(0, starts[0].Task, 1, Failed)
+		So(b.cell.TakeBatch().Records, ShouldHaveLength, 1)
+	})
+	Convey("Ends of an earlier incarnation acknowledge nothing to the present one", t, func() {
+		b, starts := newLoaded()
+		b.listEnd(0, starts[0].Task, 1, Done)
+		batch := b.cell.TakeBatch()
+		b.born, b.clock = 2, 5
+		b.answerPoll(0)
+		b.cell.ConfirmStored(b.now, batch)
+		So(acknowledged(b), ShouldEqual, 0)
+	})
+}
+
 func TestFailures(t *testing.T) {
 	Convey("A failed run counts once, even if its end is listed again to the next owner (rotavert mix 179610111350)", t, func() {
 		b := newTestbed(1)
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -238,7 +238,7 @@
 		} else {
 			o.cell.MarkUnresponsive(e.id)
 		}
-		// The next poll acknowledges the listed ends, so they must be stored first.
+		// The next poll acknowledges the listed ends once they are stored.
 		o.onStored = append(o.onStored, func() {
 			w.after(pollInterval, func() { o.pollLoop(e) })
 		})
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -57,8 +57,9 @@
 	// grantUntil is the latest expiry of all grants ordered so far, on the
 	// endpoint's clock.
 	grantUntil int64
-	// recordedEnd is the number of the last run end that was recorded.
-	recordedEnd int64
+	// appliedEnd is the number of the last run end that was applied, storedEnd that of
+	// the last one whose records are stored.
+	appliedEnd, storedEnd int64
 	// cordonUntil is the time before which no new work is placed here.
 	cordonUntil time.Time
 	// consecutiveFailures counts the runs that failed or stalled since the last
@@ -141,7 +142,8 @@
 // start was accepted, because the answer does not identify the incarnation. Such a
 // run is kept until the next listing shows whether it exists.
 func (c *Cell) handleRestart(e *Endpoint, born int64) {
-	e.born, e.lastClock, e.listedClock, e.recordedEnd, e.grantUntil = born, 0, 0, 0, 0
+	e.born, e.lastClock, e.listedClock, e.grantUntil = born, 0, 0, 0
+	e.appliedEnd, e.storedEnd = 0, 0
 	e.isReached, e.isUnresponsive, e.orphanUsage = false, false, Size{}
 	e.consecutiveFailures, e.failedProbes, e.suspectUntil = 0, 0, time.Time{}
 	for _, r := range sortedRuns(e) {
@@ -276,8 +278,8 @@
 	// IsNeeded reports that the endpoint has to be polled now, to list its runs or
 	// to extend its grant.
 	IsNeeded bool
-	// Seen is the number of the last run end that was recorded. With the poll, the
-	// owner acknowledges all ends up to it.
+	// Seen is the number of the last run end whose records are stored. With the poll,
+	// the owner acknowledges all ends up to it, and the endpoint may forget them.
 	Seen int64
 	// Until is the expiry of the grant on the endpoint's clock, in milliseconds;
 	// 0 leaves the grant as it is.
@@ -300,14 +302,13 @@
 func (e *Endpoint) isListingDue() bool { return !e.isReached || e.isUnresponsive }
 
 // NextPoll returns the next poll of an endpoint; isKnown is false if the cell has no
-// such endpoint. The caller must have stored the records of all run ends up to
-// Poll.Seen before it sends the poll.
+// such endpoint.
 func (c *Cell) NextPoll(now time.Time, id string) (poll Poll, isKnown bool) {
 	e := c.endpoints[id]
 	if e == nil {
 		return Poll{}, false
 	}
-	poll.Seen = e.recordedEnd
+	poll.Seen = e.storedEnd
 	if e.isListingDue() {
 		poll.IsNeeded, poll.IsUrgent = true, true
 	}
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -37,13 +37,7 @@
 			orphans = append(orphans, Stop{Endpoint: e.ID, Task: row.Task, Run: row.Run, Reason: "not ordered by this owner"})
 		}
 	}
-	for _, row := range l.Ended {
-		if row.Number <= e.recordedEnd {
-			continue
-		}
-		e.recordedEnd = row.Number
-		c.recordEnd(now, e, row.End)
-	}
+	c.applyEnds(now, e, l.Ended)
 	for _, r := range sortedRuns(e) {
 		switch {
 		case present[r.task.name]:
@@ -57,6 +51,22 @@
 	return orphans
 }
 
+// applyEnds applies the listed ends that have not been applied yet. The endpoint lists an
+// end until it is acknowledged, which is possible once the next batch is stored.
+func (c *Cell) applyEnds(now time.Time, e *Endpoint, ends []ListedEnd) {
+	isNew := false
+	for _, row := range ends {
+		if row.Number <= e.appliedEnd {
+			continue
+		}
+		e.appliedEnd, isNew = row.Number, true
+		c.recordEnd(now, e, row.End)
+	}
+	if isNew {
+		c.applied = append(c.applied, endMark{endpoint: e, born: e.born, number: e.appliedEnd})
+	}
+}
+
 // isAbsent reports whether a run that a listing contains neither as running nor as
 // ended can be neither running on the endpoint nor started later. clock is the
 // endpoint's clock in the listing, isFirst whether it is the first to this owner.
