--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -276,6 +276,64 @@
 	})
 }
 
+// Runs whose ends did not fit into a listing were taken to be lost and started again.
+func TestOmittedEnds(t *testing.T) {
+	task := TaskName{Job: firstID}.String()
+	other := ListedEnd{Number: 1, End: End{Task: TaskName{Job: secondID}.String(), Run: 1, Outcome: Done}}
+	own := ListedEnd{Number: 2, End: End{Task: task, Run: 1, Outcome: Done}}
+	// list applies a listing without running tasks, a moment later.
+	list := func(b *testbed, mayOmit bool, ends ...ListedEnd) {
+		b.advance(100 * time.Millisecond)
+		b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(0), Born: b.born, Clock: b.clock, Ended: ends, MayOmitEnds: mayOmit})
+	}
+	// newStarted returns a cell with a started task, and newInherited the next owner's.
+	newStarted := func(answer Answer) *testbed {
+		b := newTestbed(1)
+		b.submit(firstID, batchStep(1, 100))
+		b.cell.StartAnswered(b.now, b.planAndStore()[0], answer, b.clock)
+		return b
+	}
+	newInherited := func() *testbed {
+		b := newStarted(Accepted)
+		state := b.cell.Snapshot()
+		b.cell = New(Config{Bounds: DefaultBounds(), Inherited: b.now})
+		b.cell.Restore(b.now, state)
+		b.cell.FinishRestore()
+		b.setEndpoints(1, false)
+		return b
+	}
+	for name, newBed := range map[string]func() *testbed{
+		"of this owner":           func() *testbed { return newStarted(Accepted) },
+		"of the previous owner":   newInherited,
+		"whose start is not sure": func() *testbed { return newStarted(Unanswered) },
+	} {
+		Convey("A run "+name+" whose end may have been omitted is neither lost nor stopped", t, func() {
+			b := newBed()
+			list(b, true, other)
+			So(b.cell.Stops(b.now), ShouldBeEmpty)
+			So(b.planAndStore(), ShouldBeEmpty)
+			list(b, false, own)
+			So(b.planAndStore(), ShouldBeEmpty)
+			state, _ := b.cell.Status(firstID)
+			So(state, ShouldEqual, Completed)
+		})
+	}
+	Convey("The next listing without omissions shows that a run is lost", t, func() {
+		for name, b := range map[string]*testbed{"of this owner": newStarted(Accepted), "of the previous owner": newInherited()} {
+			list(b, true, other)
+			list(b, false)
+			SoMsg(name, b.planAndStore(), ShouldHaveLength, 1)
+		}
+	})
+	Convey("The first listing without omissions shows that an inherited run is lost, even if its stop was answered later", t, func() {
+		b := newInherited()
+		list(b, true, other)
+		b.cell.StopAnswered(b.now, Stop{Endpoint: endpointName(0), Task: task, Run: 1}, Accepted, b.clock+1000)
+		list(b, false)
+		So(b.planAndStore(), ShouldHaveLength, 1)
+	})
+}
+
 func TestFailures(t *testing.T) {
 	Convey("A failed run counts once, even if its end is listed again to the next owner (rotavert mix 179610111350)", t, func() {
 		b := newTestbed(1)
--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -38,6 +38,9 @@
 	Endpoints int
 	Capacity  jobs.Size
 	PerRack   int
+	// MaxListedEnds is the number of ends that an endpoint lists at a time; with 0 it
+	// lists all.
+	MaxListedEnds int
 	// Limits holds the limits of client accounts; others have none.
 	Limits map[string]jobs.Size
 	// Work returns how long a run of a task takes on a healthy endpoint, 0 for a
--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -264,7 +264,11 @@
 		}
 		l.Running = append(l.Running, jobs.ListedRun{Task: r.task, Run: r.number, Percent: min(percent, 100)})
 	}
-	for _, r := range e.endedRuns {
+	ended := e.endedRuns
+	if limit := e.world.config.MaxListedEnds; limit > 0 && len(ended) >= limit {
+		ended, l.MayOmitEnds = ended[:limit], true
+	}
+	for _, r := range ended {
 		l.Ended = append(l.Ended, r.ListedEnd)
 	}
 	return l, jobs.Accepted
--- a/jobs/emulator/world_test.go
+++ b/jobs/emulator/world_test.go
@@ -79,6 +79,8 @@
 		Seed: rapid.Uint64().Draw(t, "seed"), Endpoints: 6, PerRack: 2,
 		Capacity: jobs.Size{CPU: 8000, Memory: 8000},
 		Limits:   map[string]jobs.Size{"red": {CPU: 12000, Memory: 20000}},
+		// The limit is small, so that listings often omit ends.
+		MaxListedEnds: rapid.SampledFrom([]int{0, 2}).Draw(t, "ends"),
 		Work: func(w *World, task string) (time.Duration, bool) {
 			name, _ := jobs.ParseTaskName(task)
 			if job, ok := w.oracle.job(name.Job); ok && job.Steps[name.Step].LongRunning {
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -45,6 +45,8 @@
 	// isReached reports whether the endpoint has listed its runs under this
 	// owner's epoch, after which it refuses the orders of earlier owners.
 	isReached bool
+	// isFullyListed reports whether one of those listings omitted no ends.
+	isFullyListed bool
 	// lastContact is when the endpoint last answered, lastClock the endpoint's
 	// clock in that answer, in milliseconds since its start.
 	lastContact time.Time
@@ -144,7 +146,7 @@
 func (c *Cell) handleRestart(e *Endpoint, born int64) {
 	e.born, e.lastClock, e.listedClock, e.grantUntil = born, 0, 0, 0
 	e.appliedEnd, e.storedEnd = 0, 0
-	e.isReached, e.isUnresponsive, e.orphanUsage = false, false, Size{}
+	e.isReached, e.isFullyListed, e.isUnresponsive, e.orphanUsage = false, false, false, Size{}
 	e.consecutiveFailures, e.failedProbes, e.suspectUntil = 0, 0, time.Time{}
 	for _, r := range sortedRuns(e) {
 		switch {
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -25,7 +25,6 @@
 	if l.Clock < e.listedClock {
 		return nil
 	}
-	isFirst := !e.isReached
 	e.listedClock, e.isReached, e.isUnresponsive = l.Clock, true, false
 	e.recordContact(now, l.Clock)
 	present := make(map[string]bool, len(l.Running))
@@ -38,17 +37,29 @@
 		}
 	}
 	c.applyEnds(now, e, l.Ended)
+	// A run that is not listed may be among the ends that were omitted.
+	if !l.MayOmitEnds {
+		c.checkAbsent(e, l.Clock, present)
+	}
+	return orphans
+}
+
+// checkAbsent handles the runs of an endpoint that a listing without omissions, at the
+// endpoint's clock, contains neither as running nor as ended. present holds the names of
+// the tasks that run.
+func (c *Cell) checkAbsent(e *Endpoint, clock int64, present map[string]bool) {
+	isFirst := !e.isFullyListed
+	e.isFullyListed = true
 	for _, r := range sortedRuns(e) {
 		switch {
 		case present[r.task.name]:
-		case r.isAbsent(l.Clock, isFirst):
+		case r.isAbsent(clock, isFirst):
 			c.counts.Lost++
 			c.removeRun(r)
-		case r.phase == unconfirmed && l.Clock > r.phaseClock:
+		case r.phase == unconfirmed && clock > r.phaseClock:
 			c.stopRun(r, "start was not answered and has not been carried out")
 		}
 	}
-	return orphans
 }
 
 // applyEnds applies the listed ends that have not been applied yet. The endpoint lists an
@@ -67,9 +78,10 @@
 	}
 }
 
-// isAbsent reports whether a run that a listing contains neither as running nor as
-// ended can be neither running on the endpoint nor started later. clock is the
-// endpoint's clock in the listing, isFirst whether it is the first to this owner.
+// isAbsent reports whether a run that a listing without omissions contains neither as
+// running nor as ended can be neither running on the endpoint nor started later. clock is
+// the endpoint's clock in the listing, isFirst whether it is the first such listing to
+// this owner.
 func (r *run) isAbsent(clock int64, isFirst bool) bool {
 	switch r.phase {
 	case running:
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -62,8 +62,11 @@
 	// start.
 	Clock   int64
 	Running []ListedRun
-	// Ended are the ends of runs that the owner has not acknowledged yet.
-	Ended []ListedEnd
+	// Ended are the ends of runs that the owner has not acknowledged yet, in ascending
+	// order. MayOmitEnds reports that there may be further ones, which the endpoint
+	// lists once these are acknowledged.
+	Ended       []ListedEnd
+	MayOmitEnds bool
 }
 
 // ListedRun is a run that an endpoint lists as running.
