--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -76,6 +76,7 @@
 	CellLoaded             = define(626, logrus.InfoLevel, "state of a cell loaded")
 	SnapshotStored         = define(627, logrus.InfoLevel, "snapshot of a cell stored")
 	WriteUnanswered        = define(628, logrus.WarnLevel, "write of a cell had attempts without an answer")
+	CellEndedUnstored      = define(629, logrus.InfoLevel, "cell ended with records that were not stored")
 	StoreUnreachable       = define(630, logrus.WarnLevel, "store unreachable")
 	StoreReachable         = define(631, logrus.InfoLevel, "store reachable again")
 	SessionExpired         = define(632, logrus.WarnLevel, "store session expired")
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -101,6 +101,9 @@
 	// writeStarted is when the write in progress began; it counts only if isWriting.
 	writeStarted time.Time
 	isWriting    bool
+	// unconfirmedRecords is the number of records in the write in progress, or in the
+	// one that failed.
+	unconfirmedRecords int
 	// isCycleDue is set by events and the ticker since the last planning cycle.
 	isCycleDue bool
 	// isPaused is set while the ownership is not certain; nothing is planned then.
@@ -151,6 +154,7 @@
 	o.isReady.Store(true)
 	event.CellServing.Log(o.config.Log, logrus.Fields{"jobs": o.cell.Active(), "epoch": int64(o.epoch)})
 	o.loop()
+	o.logUnstored()
 	runCallbacks(o.takeCallbacks(), ErrIndeterminate)
 	return o.runErr
 }
@@ -246,7 +250,7 @@
 // write ends. Those registered while it is in progress belong to changes that it does not
 // contain, so they wait for the next write.
 func (o *Owner) write(now time.Time, batch jobs.Batch) {
-	o.isWriting, o.writeStarted = true, now
+	o.isWriting, o.writeStarted, o.unconfirmedRecords = true, now, len(batch.Records)
 	callbacks := o.takeCallbacks()
 	var snapshot *jobs.Snapshot
 	isFinal := o.isHandingOver && !o.isFinalStored
@@ -270,6 +274,7 @@
 				runCallbacks(callbacks, ErrIndeterminate)
 				return
 			}
+			o.unconfirmedRecords = 0
 			runCallbacks(callbacks, nil)
 			o.isFinalStored = o.isFinalStored || isFinal
 			o.handleStored(batch)
@@ -296,6 +301,15 @@
 	o.cancel()
 }
 
+// logUnstored logs the end of an owner whose last records are not stored, as far as it
+// knows. It is called once, after the loop.
+func (o *Owner) logUnstored() {
+	count := o.unconfirmedRecords + len(o.cell.TakeBatch().Records)
+	if count > 0 {
+		event.CellEndedUnstored.Log(o.config.Log, logrus.Fields{"records": count, "epoch": int64(o.epoch)})
+	}
+}
+
 // takeCallbacks returns the registered callbacks and removes them.
 func (o *Owner) takeCallbacks() []func(err error) {
 	callbacks := o.onStored
--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -1,9 +1,11 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -322,3 +324,31 @@
 		So(waitUntil(func() bool { return e.seen() == 1 }), ShouldBeTrue)
 	})
 }
+
+func TestUnstoredRecordsAreLogged(t *testing.T) {
+	for name, isDown := range map[string]bool{"An owner that ends": false, "An owner that ends while the store is down": true} {
+		Convey(name+" logs how many records are not stored, if any", t, func() {
+			log := &bytes.Buffer{}
+			o, s := newOwnerWith(t, func(config *Config) { config.Log.Logger.SetOutput(log) })
+			_, err := o.Submit(context.Background(), jobs.Job{
+				ID: "000000000000000a", Queue: "q", Attempts: 1, Steps: []jobs.Step{{Count: 1, LongRunning: true}},
+			})
+			So(err, ShouldBeNil)
+			s.SetDown(isDown)
+			cancelled := make(chan struct{})
+			go func() {
+				defer close(cancelled)
+				_, _ = o.Cancel(context.Background(), "000000000000000a")
+			}()
+			if isDown {
+				So(waitUntil(o.isWriteStarted), ShouldBeTrue)
+			} else {
+				<-cancelled
+			}
+			o.Stop()
+			<-cancelled
+			So(strings.Count(log.String(), "records that were not stored"), ShouldEqual, map[bool]int{false: 0, true: 1}[isDown])
+			So(strings.Contains(log.String(), "records=1"), ShouldEqual, isDown)
+		})
+	}
+}
