--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -148,13 +148,18 @@
 	stored := make(chan struct{})
 	err := o.runInLoop(ctx, func() {
 		o.handlePoll(p, listing, receipt)
-		o.onStored = append(o.onStored, func(error) { close(stored) })
+		o.onStored = append(o.onStored, func(err error) {
+			// After an error the owner ends, and with it the context.
+			if err == nil {
+				close(stored)
+			}
+		})
 	})
 	if err != nil {
 		return
 	}
-	// The next poll acknowledges the ended runs, after which the endpoint may forget
-	// them, so they must be stored first.
+	// Only then does the next poll acknowledge the ended runs. An earlier one would
+	// return them again at once.
 	select {
 	case <-stored:
 	case <-ctx.Done():
