--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -276,6 +276,48 @@
 	})
 }
 
+// A restarted endpoint, which counts its ends anew, was sent the number of the last stored
+// end of its earlier incarnation and forgot ends that no owner had seen.
+func TestRestartedEndpointKeepsItsEnds(t *testing.T) {
+	Convey("An end after an unnoticed restart is not acknowledged by a number from before it", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, batchStep(2, 100))
+		starts := b.planAndAccept()
+		b.listEnd(0, starts[0].Task, 1, Done)
+		So(b.planAndStore(), ShouldBeEmpty)
+		// The endpoint restarts. A poll fails, and the start of the second task, which was
+		// under way, reaches the new incarnation, where the run ends at once.
+		b.cell.MarkUnresponsive(endpointName(0))
+		ends := []ListedEnd{{Number: 1, End: End{Task: starts[1].Task, Run: 1, Outcome: Done}}}
+		for born, clock := int64(2), int64(500); clock < 1000; clock += 100 {
+			b.now = b.now.Add(100 * time.Millisecond)
+			poll, _ := b.cell.NextPoll(b.now, endpointName(0))
+			if poll.Seen >= 1 {
+				ends = nil
+			}
+			b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(0), Born: born, Clock: clock, Ended: ends})
+			for _, stop := range b.cell.Stops(b.now) {
+				b.cell.StopAnswered(b.now, stop, Accepted, clock)
+			}
+			So(b.planAndStore(), ShouldBeEmpty)
+		}
+		state, _ := b.cell.Status(firstID)
+		So(state, ShouldEqual, Completed)
+	})
+	Convey("Acknowledgements go on once an endpoint that did not answer has listed its runs", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, batchStep(2, 100))
+		starts := b.planAndAccept()
+		b.listEnd(0, starts[0].Task, 1, Done)
+		b.planAndStore()
+		b.cell.MarkUnresponsive(endpointName(0))
+		b.advance(100 * time.Millisecond)
+		b.answerPoll(0, ListedRun{Task: starts[1].Task, Run: 1})
+		poll, _ := b.cell.NextPoll(b.now, endpointName(0))
+		So(poll.Seen, ShouldEqual, 1)
+	})
+}
+
 // Runs whose ends did not fit into a listing were taken to be lost and started again.
 func TestOmittedEnds(t *testing.T) {
 	task := TaskName{Job: firstID}.String()
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -312,7 +312,9 @@
 	}
 	poll.Seen = e.storedEnd
 	if e.isListingDue() {
-		poll.IsNeeded, poll.IsUrgent = true, true
+		// The endpoint may have restarted and count its ends anew, so the poll
+		// acknowledges none.
+		poll.IsNeeded, poll.IsUrgent, poll.Seen = true, true, 0
 	}
 	isPollAllowed := e.suspectUntil.IsZero() || !now.Before(e.suspectUntil)
 	if now.Sub(e.lastContact) >= idlePollInterval && isPollAllowed {
