--- a/internal/daemon/fleet/watch_test.go
+++ b/internal/daemon/fleet/watch_test.go
@@ -12,7 +12,10 @@
 
 func TestWavesAfterInterruptedWatch(t *testing.T) {
 	Convey("A wave that was removed while the watch was interrupted is dropped, and the others keep the time they were first seen", t, func() {
-		d := newSystem(t, 1).entries[0].daemon
+		s := newSystem(t, 1)
+		d := s.entries[0].daemon
+		// The daemon's own first read of the keys would drop the waves of the test.
+		So(s.eventually(5*time.Second, func() bool { return d.setup.Load() != nil }), ShouldBeTrue)
 		first, second := store.Item{Key: "op/wave/1", Revision: 1000}, store.Item{Key: "op/wave/2", Revision: 1001}
 		d.replaceOperatorKeys([]store.Item{first, second})
 		So(d.currentWaves(), ShouldHaveLength, 2)
