Acknowledge no ends after an answer with an earlier clock

The new part of TestRestartedEndpointKeepsItsEnds failed before (Expected: 0, Actual: 1). An answer with an earlier clock now makes the next poll urgent and acknowledge nothing; answers that were merely overtaken cost one listing of known ends.

--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -45,6 +45,9 @@
 	// isReached reports whether the endpoint has listed its runs under this
 	// owner's epoch, after which it refuses the orders of earlier owners.
 	isReached bool
+	// mayHaveRestarted is set by an answer with an earlier clock, until the endpoint lists
+	// its runs.
+	mayHaveRestarted bool
 	// isFullyListed reports whether one of those listings omitted no ends.
 	isFullyListed bool
 	// lastContact is when the endpoint last answered, lastClock the endpoint's
@@ -146,7 +149,7 @@
 func (c *Cell) handleRestart(e *Endpoint, born int64) {
 	e.born, e.lastClock, e.listedClock, e.grantUntil = born, 0, 0, 0
 	e.appliedEnd, e.storedEnd = 0, 0
-	e.isReached, e.isFullyListed, e.isUnresponsive, e.orphanUsage = false, false, false, Size{}
+	e.isReached, e.isFullyListed, e.isUnresponsive, e.mayHaveRestarted, e.orphanUsage = false, false, false, false, Size{}
 	e.consecutiveFailures, e.failedProbes, e.suspectUntil = 0, 0, time.Time{}
 	for _, r := range sortedRuns(e) {
 		switch {
@@ -200,12 +203,14 @@
 	return e.lastClock + int64(max(elapsed, 0))
 }
 
-// recordContact records an answer that carried the endpoint's clock. Answers that
-// arrive out of order are ignored.
+// recordContact records an answer that carried the endpoint's clock. An earlier clock
+// than the last one comes from a restarted endpoint or from an answer that was overtaken.
 func (e *Endpoint) recordContact(now time.Time, clock int64) {
-	if clock >= e.lastClock {
-		e.lastClock, e.lastContact = clock, now
+	if clock < e.lastClock {
+		e.mayHaveRestarted = true
+		return
 	}
+	e.lastClock, e.lastContact = clock, now
 }
 
 // extendGrant returns the expiry of a new grant, on the endpoint's clock in
@@ -300,8 +305,10 @@
 }
 
 // isListingDue reports whether the endpoint has yet to list its runs, either to
-// this owner at all or since it last failed to answer.
-func (e *Endpoint) isListingDue() bool { return !e.isReached || e.isUnresponsive }
+// this owner at all, since it last failed to answer, or since it may have restarted.
+func (e *Endpoint) isListingDue() bool {
+	return !e.isReached || e.isUnresponsive || e.mayHaveRestarted
+}
 
 // NextPoll returns the next poll of an endpoint; isKnown is false if the cell has no
 // such endpoint.
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -27,6 +27,7 @@
 	}
 	e.listedClock, e.isReached, e.isUnresponsive = l.Clock, true, false
 	e.recordContact(now, l.Clock)
+	e.mayHaveRestarted = false
 	present := make(map[string]bool, len(l.Running))
 	e.orphanUsage = Size{}
 	for _, row := range l.Running {
