Do not serve a cell whose lease expired during its takeover

An entry could answer for a cell that another entry owned, so 410 for jobs that the other had accepted, until its first write failed.

Cause: the response to a takeover may arrive after the lease under which the key was written has expired. onLeaseLost stops the owners that exist then, and this one was started later. It asks the session whether its ownership is certain, and with the next lease the session says so. A steward that is started so would cordon machines beside its successor (read, not run: these tests have no cloud).

Change: an owner or a steward is started only if the session still has the lease of the takeover, compared under the lock under which onLeaseLost removes the owners.

--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/netip"
 	"sync"
@@ -382,22 +383,24 @@
 			delete(d.takingOver, cell)
 			d.mu.Unlock()
 		}()
-		condition, err := d.roster.TakeOver(context.Background(), cell, d.session.Lease())
+		lease := d.session.Lease()
+		condition, err := d.roster.TakeOver(context.Background(), cell, lease)
 		if err != nil {
 			event.OperationFailed.Log(d.log, logrus.Fields{"call": "take", "cell": cell, "error": err.Error()})
 			return
 		}
 		if cell == stewardCell {
-			d.startSteward(condition)
+			d.startSteward(condition, lease)
 			return
 		}
-		d.startOwner(cell, condition)
+		d.startOwner(cell, condition, lease)
 	})
 }
 
 // startOwner runs the owner of a cell in the background. The condition is the
-// ownership key of the cell, whose revision is the epoch.
-func (d *Daemon) startOwner(cell string, condition store.Condition) {
+// ownership key of the cell, whose revision is the epoch, and lease the one of the key. It
+// does nothing if the lease has expired.
+func (d *Daemon) startOwner(cell string, condition store.Condition, lease store.Lease) {
 	event.CellTakenOver.Log(d.log, logrus.Fields{"cell": cell, "epoch": condition.Revision})
 	o := owner.New(owner.Config{
 		Cell: cell, Store: d.store, Endpoints: d.platform.Endpoints, Condition: condition,
@@ -407,6 +410,12 @@
 		Scope: d.config.Scope.Tagged(map[string]string{"cell": cell}),
 	})
 	d.mu.Lock()
+	// onLeaseLost stops the owners that were added before under the same lock.
+	if d.session.Lease() != lease {
+		d.mu.Unlock()
+		event.CellLost.Log(d.log, logrus.Fields{"cell": cell, "epoch": condition.Revision, "reason": errLeaseExpired.Error()})
+		return
+	}
 	previous := d.owners[cell]
 	d.owners[cell] = o
 	d.mu.Unlock()
@@ -432,6 +441,10 @@
 	d.directory.publish()
 }
 
+// errLeaseExpired reports that an ownership key was removed with its lease before the
+// owner or steward was started. It would count as valid under the next lease.
+var errLeaseExpired = errors.New("the lease of the store session expired during the takeover")
+
 // isStoreUp reports whether the last renewal of the session is recent enough to show
 // that the store answers.
 func (d *Daemon) isStoreUp() bool { return boot.Now().Sub(d.session.LastContact()) < maxRenewalAge }
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -20,6 +20,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
 	"gitlab.com/chicorypin/chicorypin/internal/back/endpoint"
+	"gitlab.com/chicorypin/chicorypin/internal/back/store"
 	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
 	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
 	"gitlab.com/chicorypin/chicorypin/internal/model/setup"
@@ -40,6 +41,8 @@
 	entries []*entry
 	// isRelayAllowed lets entries relay calls to the store for each other.
 	isRelayAllowed bool
+	// wrapStore changes the client of the store that an entry uses; nil leaves it as it is.
+	wrapStore func(e *entry, client *store.Client)
 }
 
 // entry is a running daemon of a system.
@@ -159,10 +162,14 @@
 		defer e.mu.Unlock()
 		return !e.isDisconnected
 	}
+	client := s.store.Client(isReachable)
+	if s.wrapStore != nil {
+		s.wrapStore(e, client)
+	}
 	daemon, err := New(Config{
 		Settings: settings, Clock: timer.New(), Log: logrus.NewEntry(logger), Scope: tally.NoopScope,
 		Platform: Platform{
-			Store: s.store.Client(isReachable), Endpoints: s.workers.Client(), Codec: submitter.NewCodec(), ReadyPath: "/ready",
+			Store: client, Endpoints: s.workers.Client(), Codec: submitter.NewCodec(), ReadyPath: "/ready",
 			OperatorPrefix: "op/", ConfigKey: "op/config", WavePrefix: "op/wave/", EndpointPrefix: "servers/",
 			DecodeConfig: testConfig, DecodeEndpoint: testEndpoint,
 			DecodeWave: func([]byte) (cloud.Wave, error) { return cloud.Wave{}, nil },
--- a/internal/daemon/fleet/steward.go
+++ b/internal/daemon/fleet/steward.go
@@ -22,8 +22,9 @@
 const stewardCell = "~steward"
 
 // startSteward runs the steward in the background until it ends. The condition is the
-// ownership key of the stewardship, whose revision is the epoch.
-func (d *Daemon) startSteward(condition store.Condition) {
+// ownership key of the stewardship, whose revision is the epoch, and lease the one of the
+// key. It does nothing if the lease has expired.
+func (d *Daemon) startSteward(condition store.Condition, lease store.Lease) {
 	event.StewardAcquired.Log(d.log, logrus.Fields{"epoch": condition.Revision})
 	s := steward.New(steward.Config{
 		Store: d.store, Cloud: d.platform.Cloud,
@@ -35,6 +36,11 @@
 		CPU: d.endpointCPU, Log: d.log,
 	})
 	d.mu.Lock()
+	if d.session.Lease() != lease {
+		d.mu.Unlock()
+		event.StewardLost.Log(d.log, logrus.Fields{"epoch": condition.Revision, "reason": errLeaseExpired.Error()})
+		return
+	}
 	d.steward = s
 	d.mu.Unlock()
 	d.workers.Go(func() {
