Ignore the clock in answers of an endpoint's earlier incarnation

What callers saw: after an endpoint had restarted under its ID, an answer that its earlier incarnation had given to a start or stop, and that arrived late, set the endpoint's clock far ahead. The endpoint counted as out of contact, so it got no work until its own clock had reached that value, and a run whose start was so answered was not seen to be absent.

TestAnswerOfEarlierIncarnationKeepsEndpointIdle failed before (Expected: 2010, Actual: 600010; 10 and 600010 for a stop).

Orders now carry the incarnation that was known when they were given. If the endpoint has restarted since, an accepted start is settled by the next listing, as one without an answer is, and the answer to a stop is ignored, so the stop is given again.

--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -219,6 +219,7 @@
 		until := e.extendGrant(now, c.config.Bounds)
 		start := Start{
 			Endpoint: e.ID, Task: r.task.name, Run: r.number, Spec: j.Spec, Saved: r.task.checkpoint, Until: until,
+			Born: e.born,
 		}
 		if held, ok := r.task.step.tickets[e.ID]; ok {
 			start.Ticket = held.text
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -336,6 +336,57 @@
 	})
 }
 
+// The clock of a restarted endpoint's earlier incarnation, in a late answer, kept the endpoint
+// out of use until the new clock had reached it.
+func TestAnswerOfEarlierIncarnationKeepsEndpointIdle(t *testing.T) {
+	const earlierClock = 600000
+	newRestarted := func() (b *testbed, start Start) {
+		b = newTestbed(1)
+		b.clock = earlierClock
+		b.answerPoll(0)
+		b.submit(firstID, batchStep(1, 100))
+		start = b.planAndStore()[0]
+		b.born, b.clock = 2, 10
+		b.setEndpoints(1, false)
+		return b, start
+	}
+	for name, answer := range map[string]Answer{"accepted": Accepted, "refused": NoRoom} {
+		Convey("A start that the earlier incarnation "+name+" is placed again on the new one", t, func() {
+			b, start := newRestarted()
+			b.cell.StartAnswered(b.now, start, answer, earlierClock+10)
+			var running []ListedRun
+			for range 20 {
+				b.advance(100 * time.Millisecond)
+				b.answerPoll(0, running...)
+				for _, s := range b.cell.Stops(b.now) {
+					b.cell.StopAnswered(b.now, s, Accepted, b.clock)
+				}
+				for _, next := range b.planAndAccept() {
+					running = append(running, ListedRun{Task: next.Task, Run: next.Run})
+				}
+			}
+			So(b.cell.endpoints[endpointName(0)].lastClock, ShouldEqual, b.clock)
+			So(running, ShouldResemble, []ListedRun{{Task: start.Task, Run: 2}})
+		})
+	}
+	Convey("A stop that the earlier incarnation answered is given again", t, func() {
+		b, start := newRestarted()
+		b.cell.StartAnswered(b.now, start, Unanswered, 0)
+		b.answerPoll(0, ListedRun{Task: start.Task, Run: 1})
+		So(b.cell.Cancel(b.now, firstID), ShouldBeTrue)
+		stop := b.cell.Stops(b.now)[0]
+		stop.Born = 1
+		b.cell.StopAnswered(b.now, stop, Accepted, earlierClock+10)
+		So(b.cell.endpoints[endpointName(0)].lastClock, ShouldEqual, b.clock)
+		b.advance(stopRetryInterval)
+		b.answerPoll(0)
+		So(b.cell.Stops(b.now), ShouldBeEmpty)
+		b.planAndStore()
+		state, _ := b.cell.Status(firstID)
+		So(state, ShouldEqual, Cancelled)
+	})
+}
+
 // Runs whose ends did not fit into a listing were taken to be lost and started again.
 func TestOmittedEnds(t *testing.T) {
 	task := TaskName{Job: firstID}.String()
@@ -388,7 +439,7 @@
 	Convey("The first listing without omissions shows that an inherited run is lost, even if its stop was answered later", t, func() {
 		b := newInherited()
 		list(b, true, other)
-		b.cell.StopAnswered(b.now, Stop{Endpoint: endpointName(0), Task: task, Run: 1}, Accepted, b.clock+1000)
+		b.cell.StopAnswered(b.now, Stop{Endpoint: endpointName(0), Task: task, Run: 1, Born: b.born}, Accepted, b.clock+1000)
 		list(b, false)
 		So(b.planAndStore(), ShouldHaveLength, 1)
 	})
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -34,7 +34,7 @@
 		present[row.Task] = true
 		if !c.applyListedRun(now, e, l.Clock, row) {
 			e.orphanUsage = e.orphanUsage.Plus(c.orphanSize(e, row.Task))
-			orphans = append(orphans, Stop{Endpoint: e.ID, Task: row.Task, Run: row.Run, Reason: "not ordered by this owner"})
+			orphans = append(orphans, Stop{Endpoint: e.ID, Task: row.Task, Run: row.Run, Born: e.born, Reason: "not ordered by this owner"})
 		}
 	}
 	c.applyEnds(now, e, l.Ended)
@@ -240,17 +240,21 @@
 	if e == nil {
 		return
 	}
-	if clock > 0 {
+	isPresent := s.Born == e.born
+	if clock > 0 && isPresent {
 		e.recordContact(now, clock)
 	}
 	r := e.runs[s.Task]
 	if r == nil || r.number != s.Run || r.phase != ordered {
 		return
 	}
-	switch answer {
-	case Accepted:
+	switch {
+	case answer == Accepted && isPresent:
 		r.phase, r.phaseClock, r.confirmedAt, r.progressedAt = running, clock, now, now
-	case Unanswered:
+	case answer == Accepted:
+		// Either incarnation may have accepted the start; the next listing decides.
+		r.phase, r.phaseClock = unconfirmed, e.lastClock
+	case answer == Unanswered:
 		// The start may have been carried out and only its answer lost; the next
 		// listing decides.
 		r.phase, r.phaseClock = unconfirmed, e.lastClock
@@ -288,10 +292,11 @@
 }
 
 // StopAnswered applies the answer to a stop. clock is the endpoint's clock in the
-// answer, in milliseconds, 0 if there is none.
+// answer, in milliseconds, 0 if there is none. An answer to a stop that was given before
+// the endpoint restarted is ignored; the stop is given again.
 func (c *Cell) StopAnswered(now time.Time, s Stop, answer Answer, clock int64) {
 	e := c.endpoints[s.Endpoint]
-	if e == nil {
+	if e == nil || s.Born != e.born {
 		return
 	}
 	if clock > 0 {
@@ -323,7 +328,7 @@
 				continue
 			}
 			r.stopSentAt = now
-			stops = append(stops, Stop{Endpoint: e.ID, Task: r.task.name, Run: r.number, Reason: r.stopReason})
+			stops = append(stops, Stop{Endpoint: e.ID, Task: r.task.name, Run: r.number, Born: e.born, Reason: r.stopReason})
 		}
 	}
 	return stops
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -104,6 +104,9 @@
 	Ticket string
 	// Until is the expiry of the grant on the endpoint's clock, in milliseconds.
 	Until int64
+	// Born is the start time of the endpoint's incarnation that was known when the order
+	// was given. It is not sent to the endpoint.
+	Born int64
 }
 
 // Stop is an order to stop a run.
@@ -111,6 +114,8 @@
 	Endpoint string
 	Task     string
 	Run      int
+	// Born is the same as in Start.
+	Born int64
 	// Reason is for logs only; it is not sent to the endpoint.
 	Reason string
 }
