--- a/internal/back/store/store.go
+++ b/internal/back/store/store.go
@@ -23,6 +23,9 @@
 	ErrCompacted = errors.New("the store has dropped this history")
 )
 
+// errEmptyPage reports a page without items that is not the last one.
+var errEmptyPage = errors.New("the store returned an empty page and has more")
+
 // ConflictError reports that a condition of a Change was not met. Nothing was written.
 type ConflictError struct {
 	// Items holds the current state of the keys of the conditions. Keys that do not
@@ -122,9 +125,12 @@
 			revision = page.Revision
 		}
 		items = append(items, page.Items...)
-		if !page.HasMore || len(page.Items) == 0 {
+		if !page.HasMore {
 			return items, revision, nil
 		}
+		if len(page.Items) == 0 {
+			return nil, 0, errEmptyPage
+		}
 		after = page.Items[len(page.Items)-1].Key
 	}
 }
--- a/internal/back/store/store_test.go
+++ b/internal/back/store/store_test.go
@@ -98,3 +98,18 @@
 		So(eventually(hasValue("a/1", "")), ShouldBeTrue)
 	})
 }
+
+// TestReadEndsAtEmptyPage guards against a read that returns some of the keys as if they were
+// all.
+func TestReadEndsAtEmptyPage(t *testing.T) {
+	Convey("An empty page that is not the last one is an error", t, func() {
+		client := keyvalue.New().Client(nil)
+		pages := []store.Page{{Items: []store.Item{{Key: "a"}}, HasMore: true}, {HasMore: true}}
+		client.Range = func(context.Context, string, string, bool) (page store.Page, err error) {
+			page, pages = pages[0], pages[1:]
+			return page, nil
+		}
+		_, _, err := client.ReadAll(context.Background(), "", false)
+		So(err, ShouldNotBeNil)
+	})
+}
