Report a lost ownership when a cell's keys change while they are read

Load now looks at the ownership before it reports a gap. TestDeposedOwnerReportsIncompleteLog failed before (Expected: true, Actual: false).

A conflict settles a write only if it shows that the ownership holds; a conflict without the ownership's item counted as one that shows it. The stores we know always return it.

--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -115,6 +115,9 @@
 			continue
 		}
 		if sequence != j.sequence {
+			if err := j.checkOwner(ctx); err != nil {
+				return nil, err
+			}
 			return nil, fmt.Errorf("%w: %s is the next one after %s", ErrIncomplete, item.Key, j.segmentKey(j.sequence-1))
 		}
 		j.fullSegments = append(j.fullSegments, item.Key)
@@ -129,6 +132,16 @@
 	return j, nil
 }
 
+// checkOwner returns ErrDeposed if the cell has another owner, whose snapshots may remove
+// segments while they are read.
+func (j *Journal) checkOwner(ctx context.Context) error {
+	item, err := j.config.Client.Get(ctx, j.config.Owner.Key)
+	if errors.Is(err, store.ErrNotFound) || err == nil && item.Revision != j.config.Owner.Revision {
+		return ErrDeposed
+	}
+	return err
+}
+
 // logLoaded logs which snapshot and segments were loaded from items, which were read at
 // the store revision readAt.
 func (j *Journal) logLoaded(items []store.Item, firstSegment, readAt int64) {
@@ -388,15 +401,16 @@
 // resolveConflict returns the revision of the change if an earlier attempt has stored
 // it, and ErrDeposed otherwise.
 func (j *Journal) resolveConflict(conflict *store.ConflictError, change store.Change) (revision int64, err error) {
+	isOwner := false
 	for _, item := range conflict.Items {
-		if item.Key == j.config.Owner.Key && item.Revision != j.config.Owner.Revision {
-			return 0, ErrDeposed
+		if item.Key == j.config.Owner.Key {
+			isOwner = item.Revision == j.config.Owner.Revision
 		}
 		if item.Key == change.Puts[0].Key && bytes.Equal(item.Value, change.Puts[0].Value) {
 			revision = item.Revision
 		}
 	}
-	if revision == 0 {
+	if !isOwner || revision == 0 {
 		return 0, ErrDeposed
 	}
 	return revision, nil
--- a/internal/cell/journal/journal_test.go
+++ b/internal/cell/journal/journal_test.go
@@ -268,6 +268,19 @@
 	}
 }
 
+// TestDeposedOwnerReportsIncompleteLog guards against an owner that takes the removal of
+// segments by the next owner for a fault of the store.
+func TestDeposedOwnerReportsIncompleteLog(t *testing.T) {
+	Convey("A gap that is read after the cell was taken over is not reported as an incomplete log", t, func() {
+		s := keyvalue.New()
+		s.Put(Key("p")+"log/000000000001", []byte(`{"cancel":"1"}`))
+		owner := takeOwnership(t, s, "a")
+		takeOwnership(t, s, "b")
+		_, err := Load(context.Background(), newConfig(s, owner, io.Discard), jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()}), now)
+		So(errors.Is(err, ErrDeposed), ShouldBeTrue)
+	})
+}
+
 // randomText returns text that compresses badly.
 func randomText(random *rand.Rand, length int) string {
 	text := make([]byte, length)
