Log the units in use and lent of each entry when an apply of a test fails

The failure message of apply names the entries that are behind, but not why they are. It now logs the revisions that each entry knows and has in force, and the units that it uses and has lent.

--- a/internal/proof/system/process_test.go
+++ b/internal/proof/system/process_test.go
@@ -371,11 +371,23 @@
 	revision := c.dump(e).Config
 	status, err := c.callOperator(e, http.MethodPut, fmt.Sprintf("/config?revision=%d", revision), []byte(config), &applied)
 	if err != nil || status != http.StatusOK {
+		c.logRevisions()
 		c.t.Fatalf("apply: status %d, response %+v, error %v", status, applied, err)
 	}
 	c.appliedRevision = max(c.appliedRevision, applied.Revision)
 }
 
+// logRevisions logs what determines which revisions each entry has in force: those that
+// it knows, and the units that it uses and has lent.
+func (c *cluster) logRevisions() {
+	c.t.Helper()
+	for _, e := range c.entries {
+		d := c.dump(e)
+		c.t.Logf("%s, process %q: config %d, table %d, in force %+v, pending tables %d, suspect %t, platform reached %t, age %s, holders %v, teams %+v",
+			e.settings.Name, d.Entry, d.Config, d.Table.Revision(), d.InForce, len(d.Table.Tables), d.Suspect, d.Reached, d.Age, d.Table.Holders, d.Teams)
+	}
+}
+
 // awaitReady waits until all entries are connected to each other and hold slices, and
 // each has its table in force.
 func (c *cluster) awaitReady() {
