Accept a change that is based on a config received from a peer

An operator's change was refused with 409, "the document was changed meanwhile: revision 2 was read, 2 is current", though nobody else had written. Seen once in TestOlderStoreNeverWins, in a run of the whole package beside other jobs.

An entry that has the newest config from a peer, before its watch reports it, still knows the platform's version of the config before. Its write is compared with that version and conflicts with the very config that the change is based on. The entry now writes once more, with the version found, if the config found has the ID of the base; any other config is refused as before.

That the failed run had this cause is inferred: its 409 came with all entries at revision 2 and no other writer.

--- a/internal/daemon/entry/change.go
+++ b/internal/daemon/entry/change.go
@@ -53,6 +53,8 @@
 type StaleRevisionError struct {
 	Read    uint64 `json:"read"`
 	Current uint64 `json:"current"`
+	// conflict is the conflict in the platform that revealed the change, if any.
+	conflict *platform.ConflictError
 }
 
 // Error implements error.
@@ -163,7 +165,7 @@
 // apply is Apply for a document that has been parsed and checked.
 func (e *Entry) apply(ctx context.Context, baseRevision uint64, parsed document.Document) (applied Applied, err error) {
 	e.mu.Lock()
-	current, version := e.state.config.Revision, e.state.storedConfig.version
+	current, baseID, version := e.state.config.Revision, e.state.config.ID, e.state.storedConfig.version
 	history := e.state.barrier.Limits()
 	behind := e.state.barrier.MembersBehind(e.state.barrier.Newest())
 	e.mu.Unlock()
@@ -177,7 +179,11 @@
 	if err != nil {
 		return Applied{}, err
 	}
-	if err = e.writeConfig(ctx, written, version); err != nil {
+	err = e.writeConfig(ctx, written, version)
+	if baseVersion, ok := conflictWithBase(err, baseID); ok {
+		err = e.writeConfig(ctx, written, baseVersion)
+	}
+	if err != nil {
 		return Applied{}, err
 	}
 	return e.AwaitInForce(ctx, written.Revision), nil
@@ -202,11 +208,23 @@
 		if conflict.Current.Version > 0 {
 			e.applyConfig(conflict.Current.Data, conflict.Current.Version)
 		}
-		return &StaleRevisionError{Read: config.Revision - 1, Current: e.state.config.Revision}
+		return &StaleRevisionError{Read: config.Revision - 1, Current: e.state.config.Revision, conflict: conflict}
 	}
 	return &UnreachableError{Err: err}
 }
 
+// conflictWithBase reports whether a write failed because the platform holds the config
+// that the change was based on, with the given ID, at another version than expected, and
+// returns that version. This happens if a peer has sent the config before the platform.
+func conflictWithBase(err error, baseID string) (version int64, ok bool) {
+	var stale *StaleRevisionError
+	if !errors.As(err, &stale) || stale.conflict == nil {
+		return 0, false
+	}
+	stored, _, err := document.ParseConfig(stale.conflict.Current.Data)
+	return stale.conflict.Current.Version, err == nil && stored.ID == baseID
+}
+
 // AwaitInForce waits until the config revision is in force at every entry that
 // may be serving, or the context ends.
 func (e *Entry) AwaitInForce(ctx context.Context, revision uint64) Applied {
