Never lower an allocation below the use of a cell that needs more

When the limit of a client account is lowered while a cell uses more than the new limit and more tasks of the account wait, clients could together exceed the limit later: another cell takes what the first one still uses, once the limit is raised again or through an entry that has not read the lower limit yet.

A cell that needs more than its allocation got the target, which is capped at the limit, also if that is below the allocation; the use was not considered. A target below the allocation is now handled by the case that lowers allocations, which keeps the use, and that case no longer raises one.

--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -330,10 +330,10 @@
 		reserve := limit / reserveDivisor
 		target := min(wanted+reserve, limit)
 		switch {
-		case !isKnown, wanted > allocation:
+		case !isKnown, wanted > allocation && target > allocation:
 			return min(target, allocation+max(limit-sum, 0))
 		case allocation > target+limit/excessDivisor, sum > limit && allocation > max(used, target):
-			return max(target, used)
+			return min(max(target, used), allocation)
 		}
 		return allocation
 	}
--- a/internal/cell/ledger/ledger_test.go
+++ b/internal/cell/ledger/ledger_test.go
@@ -197,6 +197,28 @@
 	})
 }
 
+// TestLoweredLimitLowersAllocationBelowUse guards against an allocation that is set below
+// the use when a cell needs more than a limit that was lowered.
+func TestLoweredLimitLowersAllocationBelowUse(t *testing.T) {
+	Convey("Two cells stay within the limit when it was lowered below the use of one and raised again", t, func() {
+		s := keyvalue.New()
+		one, two := New(s.Client(nil), discardLog()), New(s.Client(nil), discardLog())
+		one.SetSetup(setupWithLimit(1000))
+		two.SetSetup(setupWithLimit(1000))
+		first := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 800}}}}
+		So(one.Balance(context.Background(), []Cell{first}), ShouldBeNil)
+		allocation, _ := one.Allocation("c0", "a")
+		So(allocation.CPU, ShouldEqual, 900)
+		first.Needs = map[string]jobs.Need{"a": {Used: jobs.Size{CPU: 900}, Wanted: jobs.Size{CPU: 100}}}
+		one.SetSetup(setupWithLimit(500))
+		So(one.Balance(context.Background(), []Cell{first}), ShouldBeNil)
+		second := Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 1000}}}}
+		So(two.Balance(context.Background(), []Cell{second}), ShouldBeNil)
+		taken, _ := two.Allocation("c1", "a")
+		So(taken.CPU, ShouldEqual, 100)
+	})
+}
+
 // TestAllocationsNeverExceedLimits runs random sequences of ownership changes, changing
 // needs, lost answers, writes that are carried out late and changed limits on two
 // entries. The total use, with each cell within its allocation, must never exceed the
