Read the use again before an allocation is lowered

Clients of an account could together use more than its limit: a cell with 1000 of a limit of 1000 and no work starts work for 1000 while the document is read again (up to 700 ms), its allocation is then lowered to 100 as its needs were collected before that, and another cell takes the rest.

Balance now reads the needs itself. If it is to lower an allocation, it first puts the lower one in force for the cell (pending), reads the needs again and computes the document anew; no allocation is lowered below the use read then, nor below the pending allocation, up to which the use may rise until the write. Pending stays in force until Balance returns, also after a conflict, so the needs are read at most twice.

This is enough as the owner checks the allocation and counts the run in one planning pass of its loop (checkAccountLimit, attach), before the placement is stored, and reads its needs in the same loop. A pass that met the old allocation has ended by then, and later ones meet the lower one.

A cell whose needs cannot be read is left out as before, but this is logged. Overlapping calls of Balance wait for each other, since the pending document is kept between its steps.

TestAllocationsNeverExceedLimits now lets work arrive and start during each call.

The other tests change only in how they pass the needs.

--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -39,12 +39,17 @@
 // allocations holds the resources allocated to each cell, by client account and cell.
 type allocations map[string]map[string]jobs.Size
 
-// Cell is a cell owned by this entry, with the condition of its ownership and its
-// needs by client account.
+// Cell is a cell owned by this entry, with the condition of its ownership.
 type Cell struct {
 	Name      string
 	Condition store.Condition
-	Needs     map[string]jobs.Need
+	// Needs returns the present needs by client account. A run counts as used once its
+	// placement is decided, before it is stored. Each decision that is based on an
+	// allocation of before the call must be in the result.
+	Needs func(ctx context.Context) (map[string]jobs.Need, error)
+
+	// needs is the last result of Needs.
+	needs map[string]jobs.Need
 }
 
 // Ledger keeps the allocations of the cells that this entry owns. It is safe for
@@ -55,6 +60,9 @@
 	// effective is what the cells of this entry may use now.
 	effective atomic.Pointer[allocations]
 
+	// balancing is held during Balance. It is locked before mu.
+	balancing sync.Mutex
+
 	mu sync.Mutex
 	// stored is the document as last read or written, at revision.
 	stored   allocations
@@ -67,7 +75,9 @@
 	// may use nothing.
 	loadedEpochs map[string]int64
 	accounts     map[string]setup.Account
-	// pending is the document that is being written, nil if none is.
+	// pending is the document that is being written or is about to be, nil if none is. The
+	// use of an owned cell does not exceed the greater of its allocation there and the use
+	// in its needs.
 	pending allocations
 	// unanswered holds the lowest allocations of the writes at revision that got no
 	// answer, nil if there are none. The store may carry one of them out as long as the
@@ -180,11 +190,15 @@
 	}
 }
 
-// Balance adjusts the allocations of the cells that this entry owns to their needs.
+// Balance adjusts the allocations of the cells that this entry owns to their needs. Needs
+// are read once, and again if allocations are to be lowered.
 // cells must be all of them: a cell that is left out is dropped, and the document is
 // read again when the cell is next passed. After an error other than a conflict it is
 // unknown whether the document has changed, so it is read again by the next call.
 func (l *Ledger) Balance(ctx context.Context, cells []Cell) (err error) {
+	l.balancing.Lock()
+	defer l.balancing.Unlock()
+	cells = l.readNeeds(ctx, cells)
 	owned := make(map[string]int64, len(cells))
 	for _, cell := range cells {
 		owned[cell.Name] = cell.Condition.Revision
@@ -204,8 +218,16 @@
 			return err
 		}
 	}
+	defer l.clearPending()
+	isReread := false
 	for range maxBalanceAttempts {
 		next, isDue := l.propose(cells)
+		if !isReread && l.restrict(cells, next) {
+			// The cells may have started work since their needs were read.
+			isReread = true
+			cells = l.readNeeds(ctx, cells)
+			next, isDue = l.propose(cells)
+		}
 		if !isDue {
 			return nil
 		}
@@ -224,6 +246,48 @@
 	return err
 }
 
+// readNeeds returns the cells with their present needs. A cell whose needs cannot be read
+// is left out: its owner has just stopped, and the next one reports its own needs.
+func (l *Ledger) readNeeds(ctx context.Context, cells []Cell) (known []Cell) {
+	for _, cell := range cells {
+		needs, err := cell.Needs(ctx)
+		if err != nil {
+			event.OperationFailed.Log(l.log, logrus.Fields{"call": "needs", "cell": cell.Name, "error": err.Error()})
+			continue
+		}
+		cell.needs = needs
+		known = append(known, cell)
+	}
+	return known
+}
+
+// restrict puts the lower allocations of next in force before they are written, if it
+// lowers an allocation of the cells, and reports whether it does.
+func (l *Ledger) restrict(cells []Cell, next allocations) (isLowered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name := range l.accounts {
+		for _, cell := range cells {
+			isLowered = isLowered || !l.stored[name][cell.Name].Fits(next[name][cell.Name])
+		}
+	}
+	if isLowered {
+		l.pending = next
+		l.publish()
+	}
+	return isLowered
+}
+
+// clearPending ends the restriction by the document that was being written.
+func (l *Ledger) clearPending() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pending != nil {
+		l.pending = nil
+		l.publish()
+	}
+}
+
 // dropLostCells withdraws the allocations of cells that are no longer owned under the
 // epoch for which the document was read; owned holds the epochs of the present ones. It
 // reports whether the document has to be read before the next write.
@@ -247,7 +311,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, cell := range cells {
-		for name, need := range cell.Needs {
+		for name, need := range cell.needs {
 			account, isKnown := l.accounts[name]
 			wanted := need.Used.Plus(need.Wanted)
 			if isKnown && !need.Wanted.IsZero() && !wanted.Fits(scaleToLimit(current[name][cell.Name], account.Limit, jobs.Size{})) {
@@ -304,7 +368,7 @@
 			next[name] = make(map[string]jobs.Size)
 		}
 		for _, cell := range cells {
-			if l.adjust(next[name], account.Limit, cell, cell.Needs[name]) {
+			if l.adjust(next[name], account.Limit, cell, cell.needs[name], l.pending[name][cell.Name]) {
 				isDue = true
 			}
 		}
@@ -315,15 +379,16 @@
 // adjust updates the allocation of one cell in row, which holds the allocations of
 // one account by cell. A new cell, or one that needs more, gets what the limit
 // leaves, up to its need and the reserve; excess is returned. An allocation is never
-// set below the use when it is lowered.
-func (l *Ledger) adjust(row map[string]jobs.Size, limit jobs.Size, cell Cell, need jobs.Need) (isChanged bool) {
+// set below the use when it is lowered, nor below the pending allocation, up to which the
+// use may have risen since the needs were read.
+func (l *Ledger) adjust(row map[string]jobs.Size, limit jobs.Size, cell Cell, need jobs.Need, pending jobs.Size) (isChanged bool) {
 	var sum jobs.Size
 	for _, allocation := range row {
 		sum = sum.Plus(allocation)
 	}
 	allocation, isKnown := row[cell.Name]
 	used, wanted := need.Used, need.Used.Plus(need.Wanted)
-	adjustOne := func(allocation, limit, sum, used, wanted int64) int64 {
+	adjustOne := func(allocation, limit, sum, used, wanted, pending int64) int64 {
 		if limit == 0 {
 			return 0
 		}
@@ -333,14 +398,14 @@
 		case !isKnown, wanted > allocation && target > allocation:
 			return min(target, allocation+max(limit-sum, 0))
 		case allocation > target+limit/excessDivisor, sum > limit && allocation > max(used, target):
-			return min(max(target, used), allocation)
+			return min(max(target, used, pending), allocation)
 		}
 		return allocation
 	}
 	next := jobs.Size{
-		CPU:    adjustOne(allocation.CPU, limit.CPU, sum.CPU, used.CPU, wanted.CPU),
-		Memory: adjustOne(allocation.Memory, limit.Memory, sum.Memory, used.Memory, wanted.Memory),
-		GPUs:   adjustOne(allocation.GPUs, limit.GPUs, sum.GPUs, used.GPUs, wanted.GPUs),
+		CPU:    adjustOne(allocation.CPU, limit.CPU, sum.CPU, used.CPU, wanted.CPU, pending.CPU),
+		Memory: adjustOne(allocation.Memory, limit.Memory, sum.Memory, used.Memory, wanted.Memory, pending.Memory),
+		GPUs:   adjustOne(allocation.GPUs, limit.GPUs, sum.GPUs, used.GPUs, wanted.GPUs, pending.GPUs),
 	}
 	if isKnown && next == allocation {
 		return false
@@ -351,8 +416,8 @@
 
 // commit writes the document, provided that it has not changed and that this entry
 // still owns the cells. After a conflict the stored document is replaced by the one
-// in the conflict. The lower allocations of a write without an answer stay in force until
-// the document has another revision.
+// in the conflict. The lower allocations stay in force until pending is cleared, those of
+// a write without an answer until the document has another revision.
 func (l *Ledger) commit(ctx context.Context, cells []Cell, next allocations) error {
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -374,7 +439,6 @@
 	revision, err := l.client.Commit(commitCtx, change)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pending = nil
 	defer l.publish()
 	if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
 		if decodeErr := l.applyConflict(conflict); decodeErr != nil {
--- a/internal/cell/ledger/ledger_test.go
+++ b/internal/cell/ledger/ledger_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/sirupsen/logrus"
@@ -36,21 +39,29 @@
 	return store.Condition{Key: "owner/" + cell, Revision: revision}
 }
 
+// needsOf returns a function that reports the processor time that the client account "a"
+// uses and wants.
+func needsOf(used, wanted int64) func(context.Context) (map[string]jobs.Need, error) {
+	return func(context.Context) (map[string]jobs.Need, error) {
+		return map[string]jobs.Need{"a": {Used: jobs.Size{CPU: used}, Wanted: jobs.Size{CPU: wanted}}}, nil
+	}
+}
+
 func TestLedger(t *testing.T) {
 	Convey("A cell that needs more gets what the allocations of the others leave of the limit", t, func() {
 		s := keyvalue.New()
 		one, two := New(s.Client(nil), discardLog()), New(s.Client(nil), discardLog())
 		one.SetSetup(setupWithLimit(1000))
 		two.SetSetup(setupWithLimit(1000))
-		first := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 600}}}}
-		second := Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 900}}}}
+		first := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: needsOf(0, 600)}
+		second := Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: needsOf(0, 900)}
 		So(one.Balance(context.Background(), []Cell{first}), ShouldBeNil)
 		So(two.Balance(context.Background(), []Cell{second}), ShouldBeNil)
 		allocation, _ := one.Allocation("c0", "a")
 		So(allocation.CPU, ShouldEqual, 700)
 		allocation, _ = two.Allocation("c1", "a")
 		So(allocation.CPU, ShouldEqual, 300)
-		first.Needs = map[string]jobs.Need{"a": {Used: jobs.Size{CPU: 100}}}
+		first.Needs = needsOf(100, 0)
 		So(one.Balance(context.Background(), []Cell{first}), ShouldBeNil)
 		So(two.Balance(context.Background(), []Cell{second}), ShouldBeNil)
 		allocation, _ = two.Allocation("c1", "a")
@@ -68,7 +79,7 @@
 		s := keyvalue.New()
 		l := New(s.Client(nil), discardLog())
 		l.SetSetup(setupWithLimit(1000))
-		So(l.Balance(context.Background(), []Cell{{Name: "c0", Condition: takeOwnership(s, "c0")}}), ShouldBeNil)
+		So(l.Balance(context.Background(), []Cell{{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: needsOf(0, 0)}}), ShouldBeNil)
 		allocation, _ := l.Allocation("c0", "a")
 		So(allocation.Memory, ShouldEqual, unbounded)
 	})
@@ -79,10 +90,10 @@
 		s := keyvalue.New()
 		l := New(s.Client(nil), discardLog())
 		l.SetSetup(setupWithLimit(1000))
-		c := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 900}}}}
+		c := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: needsOf(0, 900)}
 		So(l.Balance(context.Background(), []Cell{c}), ShouldBeNil)
 		s.LoseResponses(func(store.Change) bool { return true })
-		c.Needs = map[string]jobs.Need{"a": {Used: jobs.Size{CPU: 100}}}
+		c.Needs = needsOf(100, 0)
 		So(l.Balance(context.Background(), []Cell{c}), ShouldNotBeNil)
 		lowered, _ := l.Allocation("c0", "a")
 		So(lowered.CPU, ShouldBeLessThan, 900)
@@ -94,7 +105,7 @@
 		s := keyvalue.New()
 		l := New(s.Client(nil), discardLog())
 		l.SetSetup(setupWithLimit(1000))
-		first, second := Cell{Name: "c0", Condition: takeOwnership(s, "c0")}, Cell{Name: "c1", Condition: takeOwnership(s, "c1")}
+		first, second := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: needsOf(0, 0)}, Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: needsOf(0, 0)}
 		So(l.Balance(context.Background(), []Cell{first, second}), ShouldBeNil)
 		allocation, _ := l.Allocation("c0", "a")
 		So(allocation.CPU, ShouldBeGreaterThan, 0)
@@ -115,11 +126,11 @@
 	returnWithoutAnswer := func(s *keyvalue.Store, needs ...int64) (l *Ledger, c Cell) {
 		l = New(s.Client(nil), discardLog())
 		l.SetSetup(setupWithLimit(1000))
-		c = Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 950}}}}
+		c = Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: needsOf(0, 950)}
 		So(l.Balance(context.Background(), []Cell{c}), ShouldBeNil)
 		s.Defer(isLedgerWrite)
 		for _, wanted := range needs {
-			c.Needs = map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: wanted}}}
+			c.Needs = needsOf(0, wanted)
 			So(l.Balance(context.Background(), []Cell{c}), ShouldNotBeNil)
 		}
 		return l, c
@@ -127,7 +138,7 @@
 	Convey("Two cells stay within the limit when a write is carried out after the document was read again", t, func() {
 		s := keyvalue.New()
 		one, first := returnWithoutAnswer(s, 0)
-		first.Needs = map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 950}}}
+		first.Needs = needsOf(0, 950)
 		// Whether this reports an error depends on whether it writes.
 		_ = one.Balance(context.Background(), []Cell{first})
 		inUse, _ := one.Allocation("c0", "a")
@@ -135,7 +146,7 @@
 		s.Defer(nil)
 		two := New(s.Client(nil), discardLog())
 		two.SetSetup(setupWithLimit(1000))
-		second := Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 1000}}}}
+		second := Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: needsOf(0, 1000)}
 		So(two.Balance(context.Background(), []Cell{second}), ShouldBeNil)
 		taken, _ := two.Allocation("c1", "a")
 		So(inUse.CPU+taken.CPU, ShouldBeLessThanOrEqualTo, 1000)
@@ -161,7 +172,7 @@
 		}
 		l.client = &refusing
 		isDown = true
-		c.Needs = nil
+		c.Needs = needsOf(0, 0)
 		So(l.Balance(context.Background(), []Cell{c}), ShouldNotBeNil)
 		allocation, _ := l.Allocation("c0", "a")
 		So(allocation.CPU, ShouldEqual, 1000)
@@ -177,10 +188,10 @@
 		So(allocation.CPU, ShouldEqual, 100)
 		other := New(s.Client(nil), discardLog())
 		other.SetSetup(setupWithLimit(1000))
-		second := Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 100}}}}
+		second := Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: needsOf(0, 100)}
 		So(other.Balance(context.Background(), []Cell{second}), ShouldBeNil)
 		So(s.ApplyDeferred(), ShouldEqual, 0)
-		c.Needs = map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 950}}}
+		c.Needs = needsOf(0, 950)
 		So(l.Balance(context.Background(), []Cell{c}), ShouldBeNil)
 		allocation, _ = l.Allocation("c0", "a")
 		So(allocation.CPU, ShouldEqual, 1000)
@@ -189,7 +200,7 @@
 		s := keyvalue.New()
 		l, c := returnWithoutAnswer(s, 0)
 		s.Defer(nil)
-		c.Needs = map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 950}}}
+		c.Needs = needsOf(0, 950)
 		So(l.Balance(context.Background(), []Cell{c}), ShouldBeNil)
 		allocation, _ := l.Allocation("c0", "a")
 		So(allocation.CPU, ShouldEqual, 1000)
@@ -205,35 +216,143 @@
 		one, two := New(s.Client(nil), discardLog()), New(s.Client(nil), discardLog())
 		one.SetSetup(setupWithLimit(1000))
 		two.SetSetup(setupWithLimit(1000))
-		first := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 800}}}}
+		first := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: needsOf(0, 800)}
 		So(one.Balance(context.Background(), []Cell{first}), ShouldBeNil)
 		allocation, _ := one.Allocation("c0", "a")
 		So(allocation.CPU, ShouldEqual, 900)
-		first.Needs = map[string]jobs.Need{"a": {Used: jobs.Size{CPU: 900}, Wanted: jobs.Size{CPU: 100}}}
+		first.Needs = needsOf(900, 100)
 		one.SetSetup(setupWithLimit(500))
 		So(one.Balance(context.Background(), []Cell{first}), ShouldBeNil)
-		second := Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: map[string]jobs.Need{"a": {Wanted: jobs.Size{CPU: 1000}}}}
+		second := Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: needsOf(0, 1000)}
 		So(two.Balance(context.Background(), []Cell{second}), ShouldBeNil)
 		taken, _ := two.Allocation("c1", "a")
 		So(taken.CPU, ShouldEqual, 100)
 	})
 }
 
+// clientCalling returns a client of the store that calls f with the name of the call before
+// and after each Get and Commit.
+func clientCalling(s *keyvalue.Store, f func(call string)) *store.Client {
+	client := s.Client(nil)
+	calling := *client
+	calling.Get = func(ctx context.Context, key string) (store.Item, error) {
+		f("Get")
+		defer f("Get")
+		return client.Get(ctx, key)
+	}
+	calling.Commit = func(ctx context.Context, change store.Change) (int64, error) {
+		f("Commit")
+		defer f("Commit")
+		return client.Commit(ctx, change)
+	}
+	return &calling
+}
+
+// TestStartsDuringBalanceExceedLimit guards against an allocation that is lowered below
+// what the cell has started since its needs were read.
+func TestStartsDuringBalanceExceedLimit(t *testing.T) {
+	for name, calls := range map[string][]string{
+		"after its needs were read":       {"Needs 1"},
+		"while the document is read":      {"Get"},
+		"after its needs were read again": {"Needs 2"},
+		"while the document is written":   {"Commit"},
+		"during each call":                {"Needs 1", "Get", "Needs 2", "Commit"},
+	} {
+		Convey("Two cells stay within the limit when one starts work "+name, t, func() {
+			s := keyvalue.New()
+			var l *Ledger
+			var used int64
+			reads := 0
+			start := func(call string) {
+				if reads > 0 && slices.Contains(calls, call) {
+					allocation, _ := l.Allocation("c0", "a")
+					used = max(used, allocation.CPU)
+				}
+			}
+			l = New(clientCalling(s, start), discardLog())
+			l.SetSetup(setupWithLimit(1000))
+			first := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: needsOf(0, 1000)}
+			So(l.Balance(context.Background(), []Cell{first}), ShouldBeNil)
+			first.Needs = func(ctx context.Context) (map[string]jobs.Need, error) {
+				reads++
+				defer start(fmt.Sprintf("Needs %d", reads))
+				return needsOf(used, 0)(ctx)
+			}
+			// The document is read again for a cell that is new to the entry.
+			second := Cell{Name: "c2", Condition: takeOwnership(s, "c2"), Needs: needsOf(0, 0)}
+			So(l.Balance(context.Background(), []Cell{first, second}), ShouldBeNil)
+			So(used, ShouldBeGreaterThan, 0)
+			other := New(s.Client(nil), discardLog())
+			other.SetSetup(setupWithLimit(1000))
+			third := Cell{Name: "c1", Condition: takeOwnership(s, "c1"), Needs: needsOf(0, 1000)}
+			So(other.Balance(context.Background(), []Cell{third}), ShouldBeNil)
+			taken, _ := other.Allocation("c1", "a")
+			So(used+taken.CPU, ShouldBeLessThanOrEqualTo, 1000)
+			So(reads, ShouldEqual, 2)
+		})
+	}
+	Convey("Needs are read once if no allocation is lowered", t, func() {
+		s := keyvalue.New()
+		l := New(s.Client(nil), discardLog())
+		l.SetSetup(setupWithLimit(1000))
+		reads := 0
+		c := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: func(ctx context.Context) (map[string]jobs.Need, error) {
+			reads++
+			return needsOf(0, 500)(ctx)
+		}}
+		So(l.Balance(context.Background(), []Cell{c}), ShouldBeNil)
+		So(reads, ShouldEqual, 1)
+	})
+	Convey("An allocation is not lowered if the needs cannot be read again", t, func() {
+		s := keyvalue.New()
+		l := New(s.Client(nil), discardLog())
+		l.SetSetup(setupWithLimit(1000))
+		c := Cell{Name: "c0", Condition: takeOwnership(s, "c0"), Needs: needsOf(0, 1000)}
+		So(l.Balance(context.Background(), []Cell{c}), ShouldBeNil)
+		reads := 0
+		c.Needs = func(ctx context.Context) (map[string]jobs.Need, error) {
+			if reads++; reads > 1 {
+				return nil, errors.New("the owner has stopped")
+			}
+			return needsOf(0, 0)(ctx)
+		}
+		So(l.Balance(context.Background(), []Cell{c}), ShouldBeNil)
+		So(reads, ShouldEqual, 2)
+		allocation, _ := l.Allocation("c0", "a")
+		So(allocation.CPU, ShouldEqual, 1000)
+	})
+}
+
 // TestAllocationsNeverExceedLimits runs random sequences of ownership changes, changing
-// needs, lost answers, writes that are carried out late and changed limits on two
-// entries. The total use, with each cell within its allocation, must never exceed the
-// highest limit set so far.
+// needs, starts during the calls of Balance, lost answers, writes that are carried out
+// late and changed limits on two entries. The total use, with each cell within its
+// allocation, must never exceed the highest limit set so far.
 func TestAllocationsNeverExceedLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := keyvalue.New()
-		entries := []*Ledger{New(s.Client(nil), discardLog()), New(s.Client(nil), discardLog())}
 		limit, highest := int64(1000), int64(1000)
-		for _, l := range entries {
-			l.SetSetup(setupWithLimit(limit))
-		}
 		owner := map[string]int{}
 		conditions := map[string]store.Condition{}
 		used, wanted := map[string]int64{}, map[string]int64{}
+		var entries [2]*Ledger
+		run := func(c string) {
+			allocation, _ := entries[owner[c]].Allocation(c, "a")
+			used[c] = max(used[c], min(allocation.CPU, wanted[c]))
+		}
+		// arriving is what each cell comes to want during the calls of Balance.
+		var arriving int64
+		arrive := func(entry int) {
+			for c, holder := range owner {
+				if holder == entry {
+					wanted[c] = max(wanted[c], arriving)
+					run(c)
+				}
+			}
+		}
+		for i := range entries {
+			entries[i] = New(clientCalling(s, func(string) { arrive(i) }), discardLog())
+			entries[i].SetSetup(setupWithLimit(limit))
+		}
 		take := func(cell string, entry int) {
 			owner[cell], conditions[cell] = entry, takeOwnership(s, cell)
 		}
@@ -245,11 +364,7 @@
 			"take": func(t *rapid.T) { take(cell(t), rapid.IntRange(0, 1).Draw(t, "entry")) },
 			"want": func(t *rapid.T) { wanted[cell(t)] = rapid.Int64Range(0, 1200).Draw(t, "wanted") },
 			"end":  func(t *rapid.T) { used[cell(t)] = 0 },
-			"run": func(t *rapid.T) {
-				c := cell(t)
-				allocation, _ := entries[owner[c]].Allocation(c, "a")
-				used[c] = max(used[c], min(allocation.CPU, wanted[c]))
-			},
+			"run":  func(t *rapid.T) { run(cell(t)) },
 			"lose": func(t *rapid.T) {
 				isLost := rapid.Bool().Draw(t, "lost")
 				s.LoseResponses(func(store.Change) bool { return isLost })
@@ -268,10 +383,14 @@
 			},
 			"balance": func(t *rapid.T) {
 				entry := rapid.IntRange(0, 1).Draw(t, "entry")
+				arriving = rapid.SampledFrom([]int64{0, 0, 100, 1000}).Draw(t, "arriving")
 				var cells []Cell
-				for c, holder := range owner {
-					if holder == entry {
-						needs := map[string]jobs.Need{"a": {Used: jobs.Size{CPU: used[c]}, Wanted: jobs.Size{CPU: max(wanted[c]-used[c], 0)}}}
+				for _, c := range slices.Sorted(maps.Keys(owner)) {
+					if owner[c] == entry {
+						needs := func(ctx context.Context) (map[string]jobs.Need, error) {
+							defer arrive(entry)
+							return needsOf(used[c], max(wanted[c]-used[c], 0))(ctx)
+						}
 						cells = append(cells, Cell{Name: c, Condition: conditions[c], Needs: needs})
 					}
 				}
@@ -300,7 +419,7 @@
 			entries[i] = New(s.Client(nil), discardLog())
 			entries[i].SetSetup(setupWithLimit(limit))
 			name := fmt.Sprintf("c%d", i)
-			cells[i] = Cell{Name: name, Condition: takeOwnership(s, name)}
+			cells[i] = Cell{Name: name, Condition: takeOwnership(s, name), Needs: needsOf(0, 0)}
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"serve": func(t *rapid.T) {
@@ -309,7 +428,7 @@
 				isDeferred := rapid.Bool().Draw(t, "deferred")
 				s.Defer(func(store.Change) bool { return isDeferred })
 				used[i] = min(used[i], wanted)
-				cells[i].Needs = map[string]jobs.Need{"a": {Used: jobs.Size{CPU: used[i]}, Wanted: jobs.Size{CPU: wanted - used[i]}}}
+				cells[i].Needs = needsOf(used[i], wanted-used[i])
 				// After a failure the allocation is unchanged or lower.
 				_ = entries[i].Balance(context.Background(), cells[i:i+1])
 				allocation, _ := entries[i].Allocation(cells[i].Name, "a")
--- a/internal/daemon/fleet/request.go
+++ b/internal/daemon/fleet/request.go
@@ -277,12 +277,7 @@
 		if !o.IsServing() {
 			continue
 		}
-		needs, err := o.Needs(ctx)
-		if err != nil {
-			// The owner has just stopped; the next one reports its own needs.
-			continue
-		}
-		cells = append(cells, ledger.Cell{Name: cell, Condition: o.Condition(), Needs: needs})
+		cells = append(cells, ledger.Cell{Name: cell, Condition: o.Condition(), Needs: o.Needs})
 	}
 	if err := d.ledger.Balance(ctx, cells); err != nil {
 		event.OperationFailed.Log(d.log, logrus.Fields{"call": "ledger", "error": err.Error()})
