Send an acknowledged number only until the endpoint has forgotten its ends

The new part of TestRestartedEndpointKeepsItsEnds failed before (Expected: 0, Actual: 1, as the poll after the acknowledgement still carried it). A poll now carries a number only if the last listing had ends.

--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -317,7 +317,8 @@
 		So(poll.IsNeeded, ShouldBeTrue)
 		Convey("until it has listed its runs", func() {
 			b.advance(100 * time.Millisecond)
-			b.answerPoll(0, ListedRun{Task: starts[1].Task, Run: 1})
+			b.ends[endpointName(0)] = 0
+			b.listEnd(0, starts[0].Task, 1, Done)
 			poll, _ := b.cell.NextPoll(b.now, endpointName(0))
 			So(poll.Seen, ShouldEqual, 1)
 		})
@@ -330,10 +331,28 @@
 		b.planAndStore()
 		b.cell.MarkUnresponsive(endpointName(0))
 		b.advance(100 * time.Millisecond)
-		b.answerPoll(0, ListedRun{Task: starts[1].Task, Run: 1})
+		b.ends[endpointName(0)] = 0
+		b.listEnd(0, starts[0].Task, 1, Done)
 		poll, _ := b.cell.NextPoll(b.now, endpointName(0))
 		So(poll.Seen, ShouldEqual, 1)
 	})
+	Convey("No number is sent any more once the endpoint has forgotten the ends up to it", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, batchStep(2, 100))
+		starts := b.planAndAccept()
+		b.listEnd(0, starts[0].Task, 1, Done)
+		b.planAndStore()
+		poll, _ := b.cell.NextPoll(b.now, endpointName(0))
+		So(poll.Seen, ShouldEqual, 1)
+		b.answerPoll(0, ListedRun{Task: starts[1].Task, Run: 1})
+		// From now on a restart may go unnoticed for any time.
+		poll, _ = b.cell.NextPoll(b.now, endpointName(0))
+		So(poll.Seen, ShouldEqual, 0)
+		b.listEnd(0, starts[1].Task, 1, Done)
+		b.planAndStore()
+		poll, _ = b.cell.NextPoll(b.now, endpointName(0))
+		So(poll.Seen, ShouldEqual, 2)
+	})
 }
 
 // The clock of a restarted endpoint's earlier incarnation, in a late answer, kept the endpoint
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -63,8 +63,9 @@
 	// endpoint's clock.
 	grantUntil int64
 	// appliedEnd is the number of the last run end that was applied, storedEnd that of
-	// the last one whose records are stored.
-	appliedEnd, storedEnd int64
+	// the last one whose records are stored, listedEnd that of the last one in the last
+	// listing, 0 if it had none.
+	appliedEnd, storedEnd, listedEnd int64
 	// cordonUntil is the time before which no new work is placed here.
 	cordonUntil time.Time
 	// consecutiveFailures counts the runs that failed or stalled since the last
@@ -148,7 +149,7 @@
 // run is kept until the next listing shows whether it exists.
 func (c *Cell) handleRestart(e *Endpoint, born int64) {
 	e.born, e.lastClock, e.listedClock, e.grantUntil = born, 0, 0, 0
-	e.appliedEnd, e.storedEnd = 0, 0
+	e.appliedEnd, e.storedEnd, e.listedEnd = 0, 0, 0
 	e.isReached, e.isFullyListed, e.isUnresponsive, e.mayHaveRestarted, e.orphanUsage = false, false, false, false, Size{}
 	e.consecutiveFailures, e.failedProbes, e.suspectUntil = 0, 0, time.Time{}
 	for _, r := range sortedRuns(e) {
@@ -285,8 +286,9 @@
 	// IsNeeded reports that the endpoint has to be polled now, to list its runs or
 	// to extend its grant.
 	IsNeeded bool
-	// Seen is the number of the last run end whose records are stored. With the poll,
-	// the owner acknowledges all ends up to it, and the endpoint may forget them.
+	// Seen is the number of the last run end whose records are stored, 0 if the endpoint
+	// listed none of those ends any more. With the poll, the owner acknowledges all ends
+	// up to it, and the endpoint may forget them.
 	Seen int64
 	// Until is the expiry of the grant on the endpoint's clock, in milliseconds;
 	// 0 leaves the grant as it is.
@@ -317,7 +319,9 @@
 	if e == nil {
 		return Poll{}, false
 	}
-	poll.Seen = e.storedEnd
+	// If the endpoint has restarted unnoticed, its ends are numbered anew. So a number is
+	// sent only until the endpoint has forgotten the ends up to it.
+	poll.Seen = min(e.storedEnd, e.listedEnd)
 	if e.isListingDue() {
 		// The endpoint may have restarted and count its ends anew, so the poll
 		// acknowledges none.
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -67,7 +67,9 @@
 // end until it is acknowledged, which is possible once the next batch is stored.
 func (c *Cell) applyEnds(now time.Time, e *Endpoint, ends []ListedEnd) {
 	isNew := false
+	e.listedEnd = 0
 	for _, row := range ends {
+		e.listedEnd = row.Number
 		if row.Number <= e.appliedEnd {
 			continue
 		}
