--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -45,11 +45,11 @@
 	// isReached reports whether the endpoint has listed its runs under this
 	// owner's epoch, after which it refuses the orders of earlier owners.
 	isReached bool
+	// isFullyListed reports whether one of those listings omitted no ends.
+	isFullyListed bool
 	// mayHaveRestarted is set by an answer with an earlier clock, until the endpoint lists
 	// its runs.
 	mayHaveRestarted bool
-	// isFullyListed reports whether one of those listings omitted no ends.
-	isFullyListed bool
 	// lastContact is when the endpoint last answered, lastClock the endpoint's
 	// clock in that answer, in milliseconds since its start.
 	lastContact time.Time
@@ -287,7 +287,7 @@
 	// to extend its grant.
 	IsNeeded bool
 	// Seen is the number of the last run end whose records are stored, 0 if the endpoint
-	// listed none of those ends any more. With the poll, the owner acknowledges all ends
+	// has forgotten these ends or may have restarted. With the poll, the owner acknowledges all ends
 	// up to it, and the endpoint may forget them.
 	Seen int64
 	// Until is the expiry of the grant on the endpoint's clock, in milliseconds;
