Serve until the load balancer has noticed that an entry leaves

What callers saw: requests cut (EOF, reset) when the load balancer noticed a planned stop later than the linger time.

Cause: a leaving entry served for a fixed linger time, then closed its listener and all idle connections, whether requests still arrived or not. Requests that were on their way were lost.

Change: the entry serves until no request has arrived for the linger time, for a quarter of the stop time at most (what is left is for the requests accepted last), and each response closes its connection, so that callers with open connections leave too. If requests still arrive at the end, it is logged.

TestStoppedKeepAlive shows the closed connections.

Not covered: callers that never notice. A connection that reaches the listener in the moment of its close is reset.

--- a/internal/daemon/entry/settings.go
+++ b/internal/daemon/entry/settings.go
@@ -49,8 +49,9 @@
 	// TTL is how long the platform keeps this entry registered without a
 	// renewal of its lease.
 	TTL document.Duration `json:"ttl,omitempty"`
-	// Linger is how long a leaving entry still accepts requests, so that the
-	// load balancer can notice first.
+	// Linger is how long no request must have arrived before a leaving entry stops
+	// accepting them, so that the load balancer can notice first. The entry waits
+	// for that for a quarter of Stop at most, or for Linger if that is longer.
 	Linger document.Duration `json:"linger,omitempty"`
 	// Stop bounds how long a leaving entry takes to shut down, Linger included.
 	Stop document.Duration `json:"stop,omitempty"`
--- a/internal/daemon/entry/shutdown.go
+++ b/internal/daemon/entry/shutdown.go
@@ -13,16 +13,18 @@
 	// idlePollInterval is how often a leaving entry checks whether its work has
 	// ended.
 	idlePollInterval = 50 * time.Millisecond
+	// lingerDivisor is the part of the stop time, one in lingerDivisor, for which a
+	// leaving entry accepts requests at most. The remainder is for those accepted last.
+	lingerDivisor = 4
 	// returnTimeout bounds how long a leaving entry waits for borrowed units to
 	// be returned to their lenders.
 	returnTimeout = 5 * time.Second
 )
 
 // leave ends the service without cutting off a request. It reports the entry as
-// not ready, accepts requests for the linger time until the load balancer has
-// noticed, waits for the open requests, returns borrowed units to their lenders
-// and releases the slice. All of it takes at most the stop time of the
-// settings.
+// not ready, accepts requests until the load balancer has noticed, waits for the
+// open requests, returns borrowed units to their lenders and releases the slice.
+// All of it takes at most the stop time of the settings.
 func (e *Entry) leave() {
 	event.ShuttingDown.Log(e.log, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Stop))
@@ -34,7 +36,8 @@
 	e.mu.Unlock()
 	e.teams.StopLending()
 	e.slots.StopLending()
-	sleep(ctx, time.Duration(e.settings.Linger))
+	e.listener.StopKeepAlive()
+	e.serveUntilQuiet(ctx)
 	if err := e.callerServer.Shutdown(ctx); err != nil {
 		e.log.WithError(err).Warn("requests still open at the end of the stop time")
 	}
@@ -51,6 +54,25 @@
 	event.WorkEnded.Log(e.log, logrus.Fields{"idle": isIdle})
 }
 
+// serveUntilQuiet returns when no request has arrived for the linger time, and after
+// a part of the stop time at the latest.
+func (e *Entry) serveUntilQuiet(ctx context.Context) {
+	linger := time.Duration(e.settings.Linger)
+	ctx, cancel := context.WithTimeout(ctx, max(linger, time.Duration(e.settings.Stop)/lingerDivisor))
+	defer cancel()
+	received, quietSince := e.listener.Received(), e.config.Clock.Now()
+	isQuiet := waitUntil(ctx, func() bool {
+		now := e.config.Clock.Now()
+		if latest := e.listener.Received(); latest != received {
+			received, quietSince = latest, now
+		}
+		return now.Sub(quietSince) >= linger
+	})
+	if !isQuiet {
+		e.log.Warn("requests still arrive at the end of the time for the load balancer to notice")
+	}
+}
+
 // waitUntil polls the condition until it is true or the context ends, and
 // reports whether it was true.
 func waitUntil(ctx context.Context, isDone func() bool) bool {
--- a/internal/front/caller/input_test.go
+++ b/internal/front/caller/input_test.go
@@ -192,3 +192,27 @@
 		So(maxRunning, ShouldEqual, 3)
 	})
 }
+
+func TestStoppedKeepAlive(t *testing.T) {
+	Convey("Once keep-alive has been stopped, every response closes its connection", t, func() {
+		fx := newFixture(t, fixtureOptions{}, newFakeMinion(t, respondOK))
+		send := func(key string) *http.Response {
+			r, err := http.NewRequest(http.MethodGet, fx.server.URL+"/publish/week", nil)
+			So(err, ShouldBeNil)
+			r.Header.Set("Authorization", "Bearer "+key)
+			response, err := http.DefaultClient.Do(r)
+			So(err, ShouldBeNil)
+			So(response.Body.Close(), ShouldBeNil)
+			return response
+		}
+		So(send(gateKey).Close, ShouldBeFalse)
+		received := fx.listener.Received()
+		fx.listener.StopKeepAlive()
+		answered, refused := send(gateKey), send("no-such-key")
+		So(answered.StatusCode, ShouldEqual, http.StatusOK)
+		So(answered.Close, ShouldBeTrue)
+		So(refused.StatusCode, ShouldEqual, http.StatusUnauthorized)
+		So(refused.Close, ShouldBeTrue)
+		So(fx.listener.Received(), ShouldEqual, received+1)
+	})
+}
--- a/internal/front/caller/listener.go
+++ b/internal/front/caller/listener.go
@@ -69,6 +69,9 @@
 	bodyMemory   *semaphore.Weighted
 	attemptCount atomic.Uint64
 	openRequests atomic.Int64
+	// received counts the requests for a service.
+	received           atomic.Uint64
+	isKeepAliveStopped atomic.Bool
 	// detached tracks attempts that continue after their callers have disconnected.
 	detached conc.WaitGroup
 
@@ -93,6 +96,14 @@
 // OpenRequests returns the number of requests being served.
 func (l *Listener) OpenRequests() int64 { return l.openRequests.Load() }
 
+// Received returns the number of requests for a service since the start. Requests that
+// name no service or have no valid key do not count.
+func (l *Listener) Received() uint64 { return l.received.Load() }
+
+// StopKeepAlive makes callers open new connections: from now on each response closes its
+// connection.
+func (l *Listener) StopKeepAlive() { l.isKeepAliveStopped.Store(true) }
+
 // request is an authenticated request to a service.
 type request struct {
 	service  *document.Service
@@ -110,6 +121,7 @@
 		l.writeRefusal(w, refusal)
 		return
 	}
+	l.received.Add(1)
 	body, release, refusal := l.readBody(w, r, resolved.service)
 	if refusal != nil {
 		l.writeRefusal(w, refusal)
@@ -128,9 +140,18 @@
 	if refusal.Status == http.StatusMethodNotAllowed {
 		w.Header().Set("Allow", strings.Join(allowedMethods, ", "))
 	}
+	l.announceClose(w)
 	refusal.write(w)
 }
 
+// announceClose sets the header field that closes the connection after the response if
+// keep-alive has been stopped.
+func (l *Listener) announceClose(w http.ResponseWriter) {
+	if l.isKeepAliveStopped.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // allowedMethods are the methods that are forwarded to minions.
 var allowedMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 
--- a/internal/front/caller/run.go
+++ b/internal/front/caller/run.go
@@ -216,6 +216,7 @@
 			header[name] = values
 		}
 	}
+	l.announceClose(w)
 	if response.Stream == nil {
 		response.finish(attemptCompleted)
 		header.Set("Content-Length", contentLength(r, response))
--- a/internal/proof/system/failure_test.go
+++ b/internal/proof/system/failure_test.go
@@ -413,6 +413,27 @@
 	})
 }
 
+// TestStopNoticedLate guards against requests that are cut because they arrive after the
+// linger time.
+func TestStopNoticedLate(t *testing.T) {
+	Convey("Given a load balancer that notices late, an entry stops without cutting a request", t, func() {
+		c := newCluster(t, twoCentres)
+		c.apply(c.entries[0], twoTeamDocument(teamLimit))
+		c.awaitInstances()
+		l := c.startLoad("gate", gateKey, "/publish/week?run=1", 40)
+		time.Sleep(time.Second)
+		stopped := c.entries[0]
+		l.keepEntries(3 * time.Duration(stopped.settings.Linger))
+		So(stopped.stop(), ShouldBeTrue)
+		time.Sleep(time.Second)
+		results := l.stop()
+		Println(tallyResults(results))
+		So(cutRequests(results), ShouldBeEmpty)
+		So(tallyResults(results)["not-run"], ShouldEqual, 0)
+		So(c.audit(results), ShouldBeEmpty)
+	})
+}
+
 // unitsLentTo returns how many units and slots all entries together record as lent to
 // the named entry.
 func (c *cluster) unitsLentTo(name string) (total uint32) {
--- a/internal/proof/system/load_test.go
+++ b/internal/proof/system/load_test.go
@@ -40,6 +40,8 @@
 	mu           sync.Mutex
 	results      []result
 	readyEntries []*entryProcess
+	// keepUntil is when readyEntries may be replaced again.
+	keepUntil time.Time
 }
 
 // startLoad starts a load generator that keeps the given number of requests open. The
@@ -90,7 +92,17 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.readyEntries = ready
+	if time.Now().After(l.keepUntil) {
+		l.readyEntries = ready
+	}
+}
+
+// keepEntries keeps the list of ready entries for the given time, like a load balancer
+// that is late to notice a change.
+func (l *loadGenerator) keepEntries(duration time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keepUntil = time.Now().Add(duration)
 }
 
 // pickEntry returns the entry for a request in round-robin order, or nil if none is
