Leave no claim on units behind

What callers saw: for 45 s after an entry had left, a client account could not reach its limit: one entry alone got 9 of 10 units (TestReplaceAllEntries passes then, as it waits up to 60 s).

Cause, from the dumps of a run that stalled: a lender still had a claim of the entry that was gone, with 0 units lent. A borrower that wants units which the lender cannot spare has a claim to its fair part. A leaving entry waited until its lenders counted no units as lent, so it could end with a Want unmet, or sent and not yet answered, and its demand, which decays, could send another. The lender kept the claim for the term of a loan and the longest run time, as if work might run on it.

Ruled out: units lent (the dump shows 0), shares of an older table (all in force).

Change: after its last request a leaving entry stops borrowing, and waits for the answers to Wants without items, but not for lenders silent for a term. A claim beyond the lent units ends with its term.

Evidence: two new cases of TestChangesAreSentPromptly fail before, pass now.

--- a/internal/daemon/entry/shutdown.go
+++ b/internal/daemon/entry/shutdown.go
@@ -41,11 +41,13 @@
 	if err := e.callerServer.Shutdown(ctx); err != nil {
 		e.log.WithError(err).Warn("requests still open at the end of the stop time")
 	}
+	e.teams.StopBorrowing()
+	e.slots.StopBorrowing()
 	isIdle := waitUntil(ctx, func() bool { return e.teams.IsIdle() && e.slots.IsIdle() })
 	// A lender that does not learn of the return counts its units as lent until
 	// its loans expire.
 	returnContext, cancelReturn := context.WithTimeout(ctx, returnTimeout)
-	waitUntil(returnContext, func() bool { return !e.teams.HasBorrowed() && !e.slots.HasBorrowed() })
+	waitUntil(returnContext, func() bool { return !e.teams.IsBorrowing() && !e.slots.IsBorrowing() })
 	cancelReturn()
 	if isIdle {
 		e.releaseSlice(ctx)
--- a/units/account.go
+++ b/units/account.go
@@ -169,11 +169,15 @@
 	return used+a.lentTotal() <= share
 }
 
-// expireLendings removes lendings that expired more than maxRunTime ago. Work
-// that a borrower started before the expiry must have ended by then.
+// expireLendings removes what expired lendings claim beyond their units, and the units
+// maxRunTime later. Work that a borrower started before the expiry must have ended by
+// then.
 func (a *Account) expireLendings(now time.Time, maxRunTime time.Duration) {
 	for borrower, l := range a.lent {
-		if now.After(l.expiry.Add(maxRunTime)) {
+		if now.After(l.expiry) {
+			l.want = l.units
+		}
+		if l.units == 0 && l.want == 0 || now.After(l.expiry.Add(maxRunTime)) {
 			delete(a.lent, borrower)
 		}
 	}
--- a/units/borrow.go
+++ b/units/borrow.go
@@ -31,7 +31,8 @@
 	// isOutstanding is true until the newest Want has been answered.
 	isOutstanding bool
 	sent          time.Time
-	// renewed is when the newest answered Want was sent.
+	// renewed is when the newest answered Want was sent, or the first one if none was
+	// answered.
 	renewed time.Time
 	// backoffFactor multiplies Config.Interval. It is a plain number, not a time.
 	backoffFactor time.Duration
@@ -127,7 +128,7 @@
 	if s == nil {
 		// Sequences start at the current time in nanoseconds, so that they
 		// increase even if the state of this lender was dropped before.
-		s = &lenderState{isIdle: true, backoffFactor: 1, sequence: uint64(now.Sub(l.created))}
+		s = &lenderState{isIdle: true, backoffFactor: 1, renewed: now, sequence: uint64(now.Sub(l.created))}
 		l.lenders[lender] = s
 	}
 	if s.isOutstanding && now.Sub(s.sent) < l.config.Timeout {
@@ -172,6 +173,9 @@
 	waiting := uint32(max(a.waiting.Load(), 0))
 	current := float64(a.Used() + waiting)
 	a.demand = max(current, a.demand*demandDecayFactor)
+	if l.isBorrowingStopped {
+		a.demand = 0
+	}
 	limit, used := a.owned.load()
 	need := saturatingSub(uint32(a.demand), max(limit, used))
 
--- a/units/ledger.go
+++ b/units/ledger.go
@@ -78,12 +78,13 @@
 	index atomic.Pointer[map[string]*Account]
 
 	// mu guards the fields below.
-	mu               sync.Mutex
-	isLendingStopped bool
-	accounts         map[string]*Account
-	peers            []string
-	lenders          map[string]*lenderState
-	borrowers        map[string]*borrowerState
+	mu                 sync.Mutex
+	isLendingStopped   bool
+	isBorrowingStopped bool
+	accounts           map[string]*Account
+	peers              []string
+	lenders            map[string]*lenderState
+	borrowers          map[string]*borrowerState
 }
 
 // borrowerState is the state of the requests received from one borrower: the
@@ -213,16 +214,25 @@
 	return true
 }
 
-// HasBorrowed returns whether any lender counts units as lent to this member,
-// according to the last exchange of messages with it.
-func (l *Ledger) HasBorrowed() bool {
+// StopBorrowing stops borrowing: no more units are requested, and borrowed units are
+// returned once they are free. Call it when the member starts no more work. It cannot
+// be undone.
+func (l *Ledger) StopBorrowing() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, a := range l.accounts {
-		for _, loan := range *a.loans.Load() {
-			if loan.lenderCount > 0 {
-				return true
-			}
+	l.isBorrowingStopped = true
+}
+
+// IsBorrowing returns whether a lender may count units as lent to this member, or as
+// wanted by it: it has not yet answered a Want without items. A lender that has not
+// answered for a term is left out.
+func (l *Ledger) IsBorrowing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Now()
+	for _, s := range l.lenders {
+		if !s.isIdle && now.Sub(s.renewed) <= l.config.Term {
+			return true
 		}
 	}
 	return false
--- a/units/ledger_test.go
+++ b/units/ledger_test.go
@@ -175,6 +175,33 @@
 			}
 			So(borrower.ledger.Account(resourceName).Held(), ShouldEqual, 0)
 		},
+		// Such a claim kept other members from a part of the limit after the borrower
+		// had left.
+		"a member that has stopped borrowing leaves no unmet claim": func() {
+			s, lender, borrower := newLenderAndBorrower(1)
+			s.tick(lender)
+			So(s.startJob(lender), ShouldBeTrue)
+			borrowUnits(s, borrower, 1)
+			So(lender.ledger.Account(resourceName).lent, ShouldContainKey, borrower.name)
+			borrower.ledger.StopBorrowing()
+			for i := 0; borrower.ledger.IsBorrowing(); i++ {
+				So(i, ShouldBeLessThan, 100)
+				s.step()
+			}
+			So(lender.ledger.Account(resourceName).lent, ShouldBeEmpty)
+		},
+		"the unmet claim of a silent member ends with its term": func() {
+			s, lender, borrower := newLenderAndBorrower(2)
+			s.tick(lender)
+			So(s.startJob(lender), ShouldBeTrue)
+			So(s.startJob(lender), ShouldBeTrue)
+			borrowUnits(s, borrower, 2)
+			So(lender.ledger.Account(resourceName).lent, ShouldContainKey, borrower.name)
+			borrower.isPartitioned = true
+			s.advance(simulatedTerm + time.Second)
+			s.tick(lender)
+			So(lender.ledger.Account(resourceName).lent, ShouldBeEmpty)
+		},
 		"the state of silent members is dropped, and a returning one can borrow again": func() {
 			s, lender, borrower := newLenderAndBorrower(4)
 			borrowUnits(s, borrower, 4)
