--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -140,6 +140,7 @@
 		Epoch: o.epoch, Seen: poll.Seen, Until: poll.Until, Wait: wait,
 	})
 	cancel()
+	listing.AskedAt = startedAt
 	if ctx.Err() != nil {
 		return
 	}
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -61,14 +61,14 @@
 // answerPoll applies a listing of an endpoint's runs and returns the stops of
 // unknown ones.
 func (b *testbed) answerPoll(i int, running ...ListedRun) []Stop {
-	return b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(i), Born: b.born, Clock: b.clock, Running: running})
+	return b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(i), AskedAt: b.now, Born: b.born, Clock: b.clock, Running: running})
 }
 
 // listEnd applies a listing with the end of a run.
 func (b *testbed) listEnd(i int, task string, run int, outcome Outcome) {
 	b.ends[endpointName(i)]++
 	b.cell.ApplyListing(b.now, Listing{
-		Endpoint: endpointName(i), Born: b.born, Clock: b.clock,
+		Endpoint: endpointName(i), AskedAt: b.now, Born: b.born, Clock: b.clock,
 		Ended: []ListedEnd{{Number: b.ends[endpointName(i)], End: End{Task: task, Run: run, Outcome: outcome}}},
 	})
 }
@@ -295,7 +295,7 @@
 			if poll.Seen >= 1 {
 				ends = nil
 			}
-			b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(0), Born: born, Clock: clock, Ended: ends})
+			b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(0), AskedAt: b.now, Born: born, Clock: clock, Ended: ends})
 			for _, stop := range b.cell.Stops(b.now) {
 				b.cell.StopAnswered(b.now, stop, Accepted, clock)
 			}
@@ -355,6 +355,82 @@
 	})
 }
 
+// An endpoint that restarted unnoticed ran a task at once and was sent the number of an end of
+// its earlier incarnation, so that it forgot the end of that run.
+func TestQuickRestartLosesNoEnd(t *testing.T) {
+	// newEnded returns a cell whose endpoint has listed the end of the first of three runs.
+	newEnded := func(clock int64) (b *testbed, starts []Start) {
+		b = newTestbed(1)
+		b.born, b.clock = 2, clock
+		b.answerPoll(0)
+		b.submit(firstID, batchStep(3, 100))
+		starts = b.planAndStore()
+		b.cell.StartAnswered(b.now, starts[0], Accepted, b.clock)
+		b.advance(100 * time.Millisecond)
+		b.listEnd(0, starts[0].Task, 1, Done)
+		So(b.planAndStore(), ShouldBeEmpty)
+		return b, starts
+	}
+	acknowledged := func(b *testbed) int64 {
+		poll, _ := b.cell.NextPoll(b.now, endpointName(0))
+		return poll.Seen
+	}
+	// listAgain applies a listing that was asked for at a time and has the same end.
+	listAgain := func(b *testbed, askedAt time.Time, starts []Start) {
+		b.cell.ApplyListing(b.now, Listing{
+			Endpoint: endpointName(0), AskedAt: askedAt, Born: b.born, Clock: b.clock,
+			Running: []ListedRun{{Task: starts[1].Task, Run: 1}, {Task: starts[2].Task, Run: 1}},
+			Ended:   []ListedEnd{{Number: 1, End: End{Task: starts[0].Task, Run: 1, Outcome: Done}}},
+		})
+	}
+	Convey("Nothing is acknowledged while a start is under way", t, func() {
+		b, starts := newEnded(5000)
+		So(acknowledged(b), ShouldEqual, 0)
+		b.cell.StartAnswered(b.now, starts[1], Accepted, b.clock)
+		So(acknowledged(b), ShouldEqual, 0)
+		b.cell.StartAnswered(b.now, starts[2], Refused, b.clock)
+		So(acknowledged(b), ShouldEqual, 1)
+	})
+	Convey("Nothing is acknowledged after a start that a later incarnation may have carried out", t, func() {
+		for name, c := range map[string]struct {
+			clock  int64
+			answer Answer
+		}{
+			"accepted by an endpoint as young as the last listing is old": {clock: 0, answer: Accepted},
+			"not answered": {clock: 5000, answer: Unanswered},
+		} {
+			b, starts := newEnded(c.clock)
+			b.advance(100 * time.Millisecond)
+			askedAt := b.now
+			b.advance(100 * time.Millisecond)
+			b.cell.StartAnswered(b.now, starts[1], c.answer, 150)
+			b.cell.StartAnswered(b.now, starts[2], c.answer, 150)
+			SoMsg(name, acknowledged(b), ShouldEqual, 0)
+			b.advance(100 * time.Millisecond)
+			// The endpoint may have made this listing before it restarted.
+			listAgain(b, askedAt, starts)
+			SoMsg(name, acknowledged(b), ShouldEqual, 0)
+			askedAt = b.now
+			b.advance(100 * time.Millisecond)
+			listAgain(b, askedAt, starts)
+			SoMsg(name, acknowledged(b), ShouldEqual, 1)
+		}
+	})
+	Convey("Ends that cannot be acknowledged for a second keep new work away until they are", t, func() {
+		b, starts := newEnded(5000)
+		So(acknowledged(b), ShouldEqual, 0)
+		b.submit(secondID, batchStep(1, 100))
+		b.advance(maxAcknowledgementDelay)
+		b.ends[endpointName(0)] = 0
+		b.listEnd(0, starts[0].Task, 1, Done)
+		So(b.planAndStore(), ShouldBeEmpty)
+		b.cell.StartAnswered(b.now, starts[1], Accepted, b.clock)
+		b.cell.StartAnswered(b.now, starts[2], Accepted, b.clock)
+		So(acknowledged(b), ShouldEqual, 1)
+		So(b.planAndStore(), ShouldHaveLength, 1)
+	})
+}
+
 // The clock of a restarted endpoint's earlier incarnation, in a late answer, kept the endpoint
 // out of use until the new clock had reached it.
 func TestAnswerOfEarlierIncarnationKeepsEndpointIdle(t *testing.T) {
@@ -414,7 +490,7 @@
 	// list applies a listing without running tasks, a moment later.
 	list := func(b *testbed, mayOmit bool, ends ...ListedEnd) {
 		b.advance(100 * time.Millisecond)
-		b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(0), Born: b.born, Clock: b.clock, Ended: ends, MayOmitEnds: mayOmit})
+		b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(0), AskedAt: b.now, Born: b.born, Clock: b.clock, Ended: ends, MayOmitEnds: mayOmit})
 	}
 	// newStarted returns a cell with a started task, and newInherited the next owner's.
 	newStarted := func(answer Answer) *testbed {
--- a/jobs/dump.go
+++ b/jobs/dump.go
@@ -85,6 +85,8 @@
 		return "silent"
 	case now.Before(e.cordonUntil):
 		return "cordoned"
+	case e.isAcknowledgementOverdue(now):
+		return "ends wait to be acknowledged"
 	case !e.suspectUntil.IsZero():
 		return "suspect: runs failed or stood still"
 	default:
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -226,9 +226,11 @@
 		return
 	}
 	var listing jobs.Listing
+	askedAt := w.now
 	o.send(e.id, func(e *Endpoint) (jobs.Answer, int64) {
 		received, answer := e.poll(o.epoch, poll.Seen, poll.Until)
 		listing = received
+		listing.AskedAt = askedAt
 		return answer, received.Clock
 	}, func(answer jobs.Answer, _ int64) {
 		if answer == jobs.Accepted {
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -19,6 +19,9 @@
 	// first probe run. It doubles with each failed probe, up to maxProbeDelay.
 	initialProbeDelay = 1500 * time.Millisecond
 	maxProbeDelay     = 8 * time.Second
+	// maxAcknowledgementDelay is how long ends wait to be acknowledged because of starts
+	// before the endpoint gets no new work until they are.
+	maxAcknowledgementDelay = time.Second
 )
 
 // Endpoint is the state that a cell keeps for one endpoint.
@@ -59,6 +62,14 @@
 	isUnresponsive bool
 	// listedClock is the endpoint's clock in the last listing that was applied.
 	listedClock int64
+	// listedSince is when the last listing that was applied was asked for.
+	listedSince time.Time
+	// startAnsweredAt is when a start was last answered, or found unanswered, that may
+	// have met a later incarnation than the listed one.
+	startAnsweredAt time.Time
+	// unacknowledgedSince is when a poll could first not acknowledge ends because of
+	// starts, zero since one could.
+	unacknowledgedSince time.Time
 	// grantUntil is the latest expiry of all grants ordered so far, on the
 	// endpoint's clock.
 	grantUntil int64
@@ -149,6 +160,7 @@
 // run is kept until the next listing shows whether it exists.
 func (c *Cell) handleRestart(e *Endpoint, born int64) {
 	e.born, e.lastClock, e.listedClock, e.grantUntil = born, 0, 0, 0
+	e.listedSince, e.unacknowledgedSince = time.Time{}, time.Time{}
 	e.appliedEnd, e.storedEnd, e.listedEnd = 0, 0, 0
 	e.isReached, e.isFullyListed, e.isUnresponsive, e.mayHaveRestarted, e.orphanUsage = false, false, false, false, Size{}
 	e.consecutiveFailures, e.failedProbes, e.suspectUntil = 0, 0, time.Time{}
@@ -231,7 +243,71 @@
 
 // isSchedulable reports whether starts may be ordered on the endpoint.
 func (e *Endpoint) isSchedulable(now time.Time) bool {
-	return e.isReached && !e.isUnresponsive && e.isListed && !e.IsDraining && !now.Before(e.cordonUntil) && now.Sub(e.lastContact) < maxContactAge
+	return e.isReached && !e.isUnresponsive && e.isListed && !e.IsDraining && !now.Before(e.cordonUntil) &&
+		now.Sub(e.lastContact) < maxContactAge && !e.isAcknowledgementOverdue(now)
+}
+
+// isAcknowledgementOverdue reports whether ends have waited too long for a poll that
+// could acknowledge them.
+func (e *Endpoint) isAcknowledgementOverdue(now time.Time) bool {
+	return !e.unacknowledgedSince.IsZero() && now.Sub(e.unacknowledgedSince) >= maxAcknowledgementDelay
+}
+
+// mayHaveUnlistedIncarnation reports whether a start may have been carried out by a later
+// incarnation of the endpoint than the one that made the last listing. No run can be on
+// such an incarnation otherwise.
+func (e *Endpoint) mayHaveUnlistedIncarnation() bool {
+	if e.startAnsweredAt.After(e.listedSince) {
+		return true
+	}
+	for _, r := range e.runs {
+		if r.phase == ordered {
+			return true
+		}
+	}
+	return false
+}
+
+// endToAcknowledge returns the number of the end up to which a poll acknowledges ends, 0 for
+// none, and records whether ends wait. If the endpoint has restarted unnoticed, its ends are
+// numbered anew. So a number is returned only until the endpoint has forgotten the ends up to
+// it, and only if no run can have ended since such a restart.
+func (e *Endpoint) endToAcknowledge(now time.Time) int64 {
+	number := min(e.storedEnd, e.listedEnd)
+	switch {
+	case number == 0 || e.isListingDue():
+		e.unacknowledgedSince = time.Time{}
+		return 0
+	case e.mayHaveUnlistedIncarnation():
+		if e.unacknowledgedSince.IsZero() {
+			e.unacknowledgedSince = now
+		}
+		return 0
+	default:
+		e.unacknowledgedSince = time.Time{}
+		return number
+	}
+}
+
+// recordStartAnswer records the answer to a start. clock is the endpoint's clock in the
+// answer, in milliseconds, 0 if there is none. isPresent reports whether the start was meant
+// for the present incarnation; then a clock is that of this one or of a later one.
+func (e *Endpoint) recordStartAnswer(now time.Time, answer Answer, clock int64, isPresent bool) {
+	isListed := isPresent && e.isListedIncarnation(now, clock)
+	if answer == Unanswered || answer == Accepted && !isListed {
+		e.startAnsweredAt = now
+	}
+	if clock > 0 && isPresent {
+		e.recordContact(now, clock)
+	}
+}
+
+// isListedIncarnation reports whether an answer with the given clock, received by now,
+// comes from the incarnation that made the last listing: a later one started after that
+// listing was asked for, and its clock, which starts at 0 and never runs fast, has not
+// come as far.
+func (e *Endpoint) isListedIncarnation(now time.Time, clock int64) bool {
+	return !e.listedSince.IsZero() && clock > now.Sub(e.listedSince).Milliseconds()
 }
 
 // MarkUnresponsive records that an endpoint did not answer a poll. Nothing is placed
@@ -287,8 +363,9 @@
 	// to extend its grant.
 	IsNeeded bool
 	// Seen is the number of the last run end whose records are stored, 0 if the endpoint
-	// has forgotten these ends or may have restarted. With the poll, the owner acknowledges all ends
-	// up to it, and the endpoint may forget them.
+	// has forgotten these ends or may have restarted, and have runs that it has not listed.
+	// With the poll, the owner acknowledges all ends up to it, and the endpoint may forget
+	// them.
 	Seen int64
 	// Until is the expiry of the grant on the endpoint's clock, in milliseconds;
 	// 0 leaves the grant as it is.
@@ -319,13 +396,9 @@
 	if e == nil {
 		return Poll{}, false
 	}
-	// If the endpoint has restarted unnoticed, its ends are numbered anew. So a number is
-	// sent only until the endpoint has forgotten the ends up to it.
-	poll.Seen = min(e.storedEnd, e.listedEnd)
+	poll.Seen = e.endToAcknowledge(now)
 	if e.isListingDue() {
-		// The endpoint may have restarted and count its ends anew, so the poll
-		// acknowledges none.
-		poll.IsNeeded, poll.IsUrgent, poll.Seen = true, true, 0
+		poll.IsNeeded, poll.IsUrgent = true, true
 	}
 	isPollAllowed := e.suspectUntil.IsZero() || !now.Before(e.suspectUntil)
 	if now.Sub(e.lastContact) >= idlePollInterval && isPollAllowed {
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -25,7 +25,7 @@
 	if l.Clock < e.listedClock {
 		return nil
 	}
-	e.listedClock, e.isReached, e.isUnresponsive = l.Clock, true, false
+	e.listedClock, e.listedSince, e.isReached, e.isUnresponsive = l.Clock, l.AskedAt, true, false
 	e.recordContact(now, l.Clock)
 	e.mayHaveRestarted = false
 	present := make(map[string]bool, len(l.Running))
@@ -243,9 +243,7 @@
 		return
 	}
 	isPresent := s.Born == e.born
-	if clock > 0 && isPresent {
-		e.recordContact(now, clock)
-	}
+	e.recordStartAnswer(now, answer, clock, isPresent)
 	r := e.runs[s.Task]
 	if r == nil || r.number != s.Run || r.phase != ordered {
 		return
--- a/jobs/peak_test.go
+++ b/jobs/peak_test.go
@@ -97,7 +97,7 @@
 // endRuns lists the runs of the endpoints on which some have ended.
 func (p *peak) endRuns() {
 	for id, runs := range p.running {
-		listing := Listing{Endpoint: id, Born: p.born, Clock: p.clock}
+		listing := Listing{Endpoint: id, AskedAt: p.now, Born: p.born, Clock: p.clock}
 		for s, endsAt := range runs {
 			if endsAt > p.clock {
 				listing.Running = append(listing.Running, ListedRun{Task: s.Task, Run: s.Run, Percent: int(100 * (p.clock % 100) / 100)})
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -56,6 +56,8 @@
 // Listing is the list of an endpoint's runs at one moment.
 type Listing struct {
 	Endpoint string
+	// AskedAt is when the owner asked for the listing.
+	AskedAt time.Time
 	// Born is the start time of the endpoint's incarnation, in Unix milliseconds.
 	Born int64
 	// Clock is the endpoint's clock at that moment, in milliseconds since its
--- a/jobs/scale_test.go
+++ b/jobs/scale_test.go
@@ -38,7 +38,7 @@
 		ends[s.Endpoint] = append(ends[s.Endpoint], ListedEnd{Number: b.ends[s.Endpoint], End: End{Task: s.Task, Run: s.Run, Outcome: Done}})
 	}
 	for id, list := range ends {
-		b.cell.ApplyListing(b.now, Listing{Endpoint: id, Born: b.born, Clock: b.clock, Ended: list})
+		b.cell.ApplyListing(b.now, Listing{Endpoint: id, AskedAt: b.now, Born: b.born, Clock: b.clock, Ended: list})
 	}
 	b.planAndStore()
 	return endpoints + 2*len(starts)
