Treat statuses that the protocol does not name as unknown outcomes

A write of the store, or an order to start or stop a run, that was answered with 500, 502 or any other status without a meaning in the protocol counted as not carried out, though it may have been, or may still be.

Cause: both clients took every status that they did not know for a refusal. The HTTP client of the store also followed redirects, so the answer of another address could count as that of a write.

What the protocol says of each status: - store: 503, nothing was done; 429, beyond the limits; 403, keys that may not be written; 404 and 412 on a change, no such lease and a condition not met. - endpoints: 429 and 503, nothing done; 409 with fence, old, late, room or ticket, rejected; 421, another incarnation; 400 stands in the same list and stays a refusal. - Everything else is now what a lost answer is: ErrIndeterminate, Unanswered without a clock. Also 400 of the store, and 409 of an endpoint without a readable reason.

Stops, paces and polls: anything but Accepted is repeated, as before.

Ruled out: 404 and 410 that are named for other calls (a change without a lease, watches) are neither refusals nor conflicts; each caller treats them as an open outcome, or ends.

--- a/internal/back/store/store.go
+++ b/internal/back/store/store.go
@@ -13,8 +13,8 @@
 var (
 	// ErrRefused means that the call was certainly not carried out.
 	ErrRefused = errors.New("the store refused the call")
-	// ErrIndeterminate means that no usable response arrived. The call may have been
-	// carried out, or may still be.
+	// ErrIndeterminate means that no usable response arrived, or one that does not rule
+	// out an effect. The call may have been carried out, or may still be.
 	ErrIndeterminate = errors.New("the store did not answer")
 	// ErrNotFound means that the key or lease does not exist.
 	ErrNotFound = errors.New("not in the store")
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -153,8 +153,8 @@
 	OtherIncarnation
 	// Unhealthy means that the endpoint cannot carry out any order at present.
 	Unhealthy
-	// Unanswered means that no answer arrived: the order may have been carried
-	// out, or still be carried out later.
+	// Unanswered means that no answer arrived, or one that does not rule out an
+	// effect: the order may have been carried out, or still be carried out later.
 	Unanswered
 )
 
