Look up the keys of a conflict in one place

ConflictError.Item does it for all.

The steward used to record the revisions of all keys of a conflict, that of its ownership too, which nothing reads; now those of the keys it writes.

Evidence: TestConflictItem; go test -race of platform, internal/cell, internal/mesh and internal/back passes before and after.

--- a/internal/back/store/store.go
+++ b/internal/back/store/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -36,6 +37,15 @@
 // Error implements error.
 func (*ConflictError) Error() string { return "the store has another revision" }
 
+// Item returns the current state of a key; isFound is false if no condition was on the key.
+func (e *ConflictError) Item(key string) (item Item, isFound bool) {
+	i := slices.IndexFunc(e.Items, func(item Item) bool { return item.Key == key })
+	if i < 0 {
+		return Item{}, false
+	}
+	return e.Items[i], true
+}
+
 // Lease is the ID of a lease; 0 means no lease.
 type Lease int64
 
--- a/internal/back/store/store_test.go
+++ b/internal/back/store/store_test.go
@@ -99,6 +99,35 @@
 	})
 }
 
+func TestConflictItem(t *testing.T) {
+	Convey("A conflict tells the state of each key of its conditions", t, func() {
+		conflict := &store.ConflictError{Items: []store.Item{
+			{Key: "a", Value: []byte("one"), Revision: 5, Lease: 2}, {Key: "a/b"}, {Key: "b", Revision: 7},
+		}}
+		for name, c := range map[string]struct {
+			key     string
+			want    store.Item
+			isFound bool
+		}{
+			"first":                  {"a", store.Item{Key: "a", Value: []byte("one"), Revision: 5, Lease: 2}, true},
+			"last":                   {"b", store.Item{Key: "b", Revision: 7}, true},
+			"does not exist":         {"a/b", store.Item{Key: "a/b"}, true},
+			"not in a condition":     {"c", store.Item{}, false},
+			"only a prefix of a key": {"a/", store.Item{}, false},
+		} {
+			Convey(name, func() {
+				item, isFound := conflict.Item(c.key)
+				So(isFound, ShouldEqual, c.isFound)
+				So(item, ShouldResemble, c.want)
+			})
+		}
+	})
+	Convey("A conflict without items tells nothing", t, func() {
+		_, isFound := (&store.ConflictError{}).Item("a")
+		So(isFound, ShouldBeFalse)
+	})
+}
+
 // TestReadEndsAtEmptyPage guards against a read that returns some of the keys as if they were
 // all.
 func TestReadEndsAtEmptyPage(t *testing.T) {
--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -401,17 +401,11 @@
 // resolveConflict returns the revision of the change if an earlier attempt has stored
 // it, and ErrDeposed otherwise.
 func (j *Journal) resolveConflict(conflict *store.ConflictError, change store.Change) (revision int64, err error) {
-	isOwner := false
-	for _, item := range conflict.Items {
-		if item.Key == j.config.Owner.Key {
-			isOwner = item.Revision == j.config.Owner.Revision
-		}
-		if item.Key == change.Puts[0].Key && bytes.Equal(item.Value, change.Puts[0].Value) {
-			revision = item.Revision
-		}
-	}
-	if !isOwner || revision == 0 {
+	owner, isListed := conflict.Item(j.config.Owner.Key)
+	isOwner := isListed && owner.Revision == j.config.Owner.Revision
+	stored, _ := conflict.Item(change.Puts[0].Key)
+	if !isOwner || stored.Revision == 0 || !bytes.Equal(stored.Value, change.Puts[0].Value) {
 		return 0, ErrDeposed
 	}
-	return revision, nil
+	return stored.Revision, nil
 }
--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -463,17 +463,16 @@
 
 // applyConflict records the document that a conflict holds. The caller holds l.mu.
 func (l *Ledger) applyConflict(conflict *store.ConflictError) error {
-	for _, item := range conflict.Items {
-		if item.Key != Key {
-			continue
-		}
-		document := make(allocations)
-		if item.Revision > 0 {
-			if err := json.Unmarshal(item.Value, &document); err != nil {
-				return err
-			}
+	item, isFound := conflict.Item(Key)
+	if !isFound {
+		return nil
+	}
+	document := make(allocations)
+	if item.Revision > 0 {
+		if err := json.Unmarshal(item.Value, &document); err != nil {
+			return err
 		}
-		l.setStored(document, item.Revision)
 	}
+	l.setStored(document, item.Revision)
 	return nil
 }
--- a/internal/cell/roster/roster.go
+++ b/internal/cell/roster/roster.go
@@ -343,10 +343,8 @@
 		return err
 	}
 	if isConflict {
-		for _, item := range conflict.Items {
-			if item.Key == put.Key {
-				revision = item.Revision
-			}
+		if item, isFound := conflict.Item(put.Key); isFound {
+			revision = item.Revision
 		}
 	}
 	r.mu.Lock()
@@ -383,10 +381,9 @@
 	if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
 		// The view may not show the ownership of an earlier attempt or owner of this
 		// process yet.
-		for _, item := range conflict.Items {
-			if item.Key == put.Key && bytes.Equal(item.Value, value) && item.Lease == lease {
-				revision, err = r.replaceKey(ctx, put, item.Revision)
-			}
+		item, isFound := conflict.Item(put.Key)
+		if isFound && bytes.Equal(item.Value, value) && item.Lease == lease {
+			revision, err = r.replaceKey(ctx, put, item.Revision)
 		}
 	}
 	return store.Condition{Key: put.Key, Revision: revision}, err
--- a/internal/cell/steward/state.go
+++ b/internal/cell/steward/state.go
@@ -42,8 +42,10 @@
 	}
 	revision, err := s.config.Store.Commit(ctx, change)
 	if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
-		for _, item := range conflict.Items {
-			s.revisions[item.Key] = item.Revision
+		for _, put := range puts {
+			if item, isFound := conflict.Item(put.Key); isFound {
+				s.revisions[put.Key] = item.Revision
+			}
 		}
 	}
 	if err != nil {
@@ -59,9 +61,11 @@
 // had another revision than the last known one.
 func (s *Steward) isOutdated(err error) bool {
 	conflict, ok := errors.AsType[*store.ConflictError](err)
-	return ok && slices.ContainsFunc(conflict.Items, func(item store.Item) bool {
-		return item.Key == s.config.Condition.Key && item.Revision == s.config.Condition.Revision
-	})
+	if !ok {
+		return false
+	}
+	held, isFound := conflict.Item(s.config.Condition.Key)
+	return isFound && held.Revision == s.config.Condition.Revision
 }
 
 // loadState reads the state left by earlier holders of the stewardship. Machines that
@@ -224,7 +228,7 @@
 	}
 	for _, status := range statuses {
 		key, value := s.config.EncodeStatus(status.number, true)
-		if slices.ContainsFunc(conflict.Items, func(item store.Item) bool { return item.Key == key && bytes.Equal(item.Value, value) }) {
+		if item, isFound := conflict.Item(key); isFound && bytes.Equal(item.Value, value) {
 			s.recordPublished([]waveStatus{{status.number, true}})
 		} else {
 			others = append(others, status)
