--- a/internal/back/store/store_test.go
+++ b/internal/back/store/store_test.go
@@ -9,19 +9,12 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
 )
 
-// eventually waits up to 4 s for a condition and reports whether it was met.
-func eventually(isMet func() bool) bool {
-	for range 400 {
-		if isMet() {
-			return true
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	return false
-}
+// waitTimeout bounds each wait of the tests.
+const waitTimeout = 4 * time.Second
 
 func TestSession(t *testing.T) {
 	Convey("A session is valid while its lease is renewed, and acquires a new lease after an expiry", t, func() {
@@ -39,16 +32,16 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go session.Run(ctx)
-		So(eventually(session.IsValid), ShouldBeTrue)
+		So(await.Until(waitTimeout, session.IsValid), ShouldBeTrue)
 		time.Sleep(1500 * time.Millisecond)
 		So(session.IsValid(), ShouldBeTrue)
 		s.SetDown(true)
 		downSince := time.Now()
-		So(eventually(func() bool { return !session.IsValid() }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return !session.IsValid() }), ShouldBeTrue)
 		So(time.Since(downSince), ShouldBeLessThan, time.Second)
 		s.ExpireLeases()
 		s.SetDown(false)
-		So(eventually(session.IsValid), ShouldBeTrue)
+		So(await.Until(waitTimeout, session.IsValid), ShouldBeTrue)
 		mu.Lock()
 		defer mu.Unlock()
 		So(granted, ShouldEqual, 2)
@@ -86,16 +79,16 @@
 				return view[key] == value
 			}
 		}
-		So(eventually(hasValue("a/1", "one")), ShouldBeTrue)
+		So(await.Until(waitTimeout, hasValue("a/1", "one")), ShouldBeTrue)
 		s.Put("a/2", []byte("two"))
-		So(eventually(hasValue("a/2", "two")), ShouldBeTrue)
+		So(await.Until(waitTimeout, hasValue("a/2", "two")), ShouldBeTrue)
 		s.SetDown(true)
 		s.Remove("a/1")
 		s.Put("a/3", []byte("three"))
 		s.Compact()
 		s.SetDown(false)
-		So(eventually(hasValue("a/3", "three")), ShouldBeTrue)
-		So(eventually(hasValue("a/1", "")), ShouldBeTrue)
+		So(await.Until(waitTimeout, hasValue("a/3", "three")), ShouldBeTrue)
+		So(await.Until(waitTimeout, hasValue("a/1", "")), ShouldBeTrue)
 	})
 }
 
--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -21,10 +21,14 @@
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/journal"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
 
+// waitTimeout bounds each wait of the tests.
+const waitTimeout = 5 * time.Second
+
 // newConfig returns the configuration of the owner of a cell in a store.
 func newConfig(t *testing.T, s *keyvalue.Store) Config {
 	const key = "live/owner/red"
@@ -148,17 +152,6 @@
 	}
 }
 
-// waitUntil waits until a condition holds, for at most 5 s.
-func waitUntil(isMet func() bool) (isInTime bool) {
-	for range 5000 {
-		if isMet() {
-			return true
-		}
-		time.Sleep(time.Millisecond)
-	}
-	return false
-}
-
 // pendingCallbacks returns the number of callbacks that wait for the next write.
 func (o *Owner) pendingCallbacks() (count int) {
 	_ = o.runInLoop(context.Background(), func() { count = len(o.onStored) })
@@ -191,7 +184,7 @@
 			_, err := o.Cancel(context.Background(), "000000000000000a")
 			cancelled <- err
 		}()
-		So(waitUntil(func() bool { return o.pendingCallbacks() == 1 }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return o.pendingCallbacks() == 1 }), ShouldBeTrue)
 		close(gate.release)
 		<-isPrepared
 		o.Stop()
@@ -278,18 +271,11 @@
 	return e.held > 0
 }
 
-// isEndListed reports whether a poll was answered with the end.
-func (e *endingEndpoint) isEndListed() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.listed > 0
-}
-
-// isEndListedAgain reports whether more than one poll was answered with the end.
-func (e *endingEndpoint) isEndListedAgain() bool {
+// endListings returns the number of polls that were answered with the end.
+func (e *endingEndpoint) endListings() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.listed > 1
+	return e.listed
 }
 
 // seen returns the highest end that was acknowledged.
@@ -302,14 +288,14 @@
 // loadWith makes an owner start both runs and waits for that.
 func (e *endingEndpoint) loadWith(o *Owner) {
 	o.SetEndpoints(e.registration("127.0.0.1:1"))
-	So(waitUntil(func() bool {
+	So(await.Until(waitTimeout, func() bool {
 		// The job is rejected until the endpoint has answered a poll.
 		verdict, err := o.Submit(context.Background(), jobs.Job{
 			ID: "000000000000000a", Queue: "q", Attempts: 2, Steps: []jobs.Step{{Count: 2, Each: jobs.Size{CPU: 100, Memory: 10}}},
 		})
 		return err == nil && verdict.IsAccepted
 	}), ShouldBeTrue)
-	So(waitUntil(e.isPollHeld), ShouldBeTrue)
+	So(await.Until(waitTimeout, e.isPollHeld), ShouldBeTrue)
 }
 
 // Ends that were listed during the final snapshot of a handover were acknowledged.
@@ -324,11 +310,11 @@
 		go o.PrepareHandover(context.Background())
 		<-gate.started
 		close(e.ended)
-		So(waitUntil(e.isEndListed), ShouldBeTrue)
-		So(waitUntil(func() bool { return o.pendingCallbacks() == 1 }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return e.endListings() > 0 }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return o.pendingCallbacks() == 1 }), ShouldBeTrue)
 		close(gate.release)
 		// By then the next poll would have been sent.
-		So(waitUntil(func() bool { return gate.refused.Load() > 5 }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return gate.refused.Load() > 5 }), ShouldBeTrue)
 		So(e.seen(), ShouldEqual, 0)
 	})
 }
@@ -342,12 +328,12 @@
 		e.loadWith(o)
 		s.SetDown(true)
 		close(e.ended)
-		So(waitUntil(func() bool { return o.isWriteStarted() }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return o.isWriteStarted() }), ShouldBeTrue)
 		o.SetEndpoints(e.registration("127.0.0.1:2"))
-		So(waitUntil(e.isEndListedAgain), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return e.endListings() > 1 }), ShouldBeTrue)
 		So(e.seen(), ShouldEqual, 0)
 		s.SetDown(false)
-		So(waitUntil(func() bool { return e.seen() == 1 }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return e.seen() == 1 }), ShouldBeTrue)
 	})
 }
 
@@ -367,7 +353,7 @@
 				_, _ = o.Cancel(context.Background(), "000000000000000a")
 			}()
 			if isDown {
-				So(waitUntil(o.isWriteStarted), ShouldBeTrue)
+				So(await.Until(waitTimeout, o.isWriteStarted), ShouldBeTrue)
 			} else {
 				<-cancelled
 			}
--- a/internal/cell/steward/steward_test.go
+++ b/internal/cell/steward/steward_test.go
@@ -15,6 +15,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
 	"gitlab.com/chicorypin/chicorypin/internal/plan/pools"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
@@ -182,16 +183,6 @@
 	return append([]string(nil), f.orders...)
 }
 
-// eventually reports whether a condition became true within a limit.
-func eventually(limit time.Duration, isMet func() bool) bool {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if isMet() {
-			return true
-		}
-	}
-	return false
-}
-
 func newWave(machines ...string) *cloud.Wave {
 	return &cloud.Wave{Number: 1, Machines: machines, Seconds: 4, MaxDown: 2}
 }
@@ -204,7 +195,7 @@
 		w := f.newSteward(1, newWave("m0", "m1", "m2", "m3"))
 		go w.Run()
 		defer w.Stop()
-		So(eventually(10*time.Second, func() bool { return f.waveStatus() == "true" }), ShouldBeTrue)
+		So(await.Until(10*time.Second, func() bool { return f.waveStatus() == "true" }), ShouldBeTrue)
 		So(f.executed(), ShouldHaveLength, 4)
 		for _, machine := range []string{"m0", "m1", "m2", "m3"} {
 			So(f.executed(), ShouldContain, "maintain "+machine+" for 1")
@@ -221,7 +212,7 @@
 		w := f.newSteward(1, newWave("m0", "m1", "m2", "m3"))
 		go w.Run()
 		defer w.Stop()
-		So(eventually(4*time.Second, func() bool { return f.waveStatus() == "true" }), ShouldBeTrue)
+		So(await.Until(4*time.Second, func() bool { return f.waveStatus() == "true" }), ShouldBeTrue)
 		So(f.maxDown, ShouldBeLessThanOrEqualTo, 2)
 	})
 	Convey("An unanswered order is repeated, and the wave completes only after the order was carried out", t, func() {
@@ -238,9 +229,9 @@
 		w := f.newSteward(1, newWave("m0"))
 		go w.Run()
 		defer w.Stop()
-		So(eventually(8*time.Second, func() bool { return len(f.executed()) > 0 || f.waveStatus() == "true" }), ShouldBeTrue)
+		So(await.Until(8*time.Second, func() bool { return len(f.executed()) > 0 || f.waveStatus() == "true" }), ShouldBeTrue)
 		So(f.executed(), ShouldHaveLength, 1)
-		So(eventually(3*time.Second, func() bool { return f.waveStatus() == "true" }), ShouldBeTrue)
+		So(await.Until(3*time.Second, func() bool { return f.waveStatus() == "true" }), ShouldBeTrue)
 		So(tries, ShouldEqual, 3)
 	})
 	Convey("The next holder repeats no maintenance and sends no orders to machines that the previous one has just ordered", t, func() {
@@ -248,7 +239,7 @@
 		f.demand = jobs.Demand{LongRunningCPU: 90000}
 		first := f.newSteward(1, newWave("m0", "m1"))
 		go first.Run()
-		So(eventually(5*time.Second, func() bool { return f.waveStatus() == "true" }), ShouldBeTrue)
+		So(await.Until(5*time.Second, func() bool { return f.waveStatus() == "true" }), ShouldBeTrue)
 		first.Stop()
 		f.mu.Lock()
 		f.demand = jobs.Demand{}
@@ -362,7 +353,7 @@
 		w := f.newSteward(1, nil)
 		go w.Run()
 		defer w.Stop()
-		So(eventually(6*time.Second, func() bool { return len(f.executed()) >= 3 }), ShouldBeTrue)
+		So(await.Until(6*time.Second, func() bool { return len(f.executed()) >= 3 }), ShouldBeTrue)
 		time.Sleep(500 * time.Millisecond)
 		So(f.executed(), ShouldHaveLength, 3)
 		f.mu.Lock()
--- a/internal/daemon/fleet/daemon_test.go
+++ b/internal/daemon/fleet/daemon_test.go
@@ -12,6 +12,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
 	"gitlab.com/chicorypin/chicorypin/internal/model/setup"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
 
 func digest(key string) setup.Digest { return sha256.Sum256([]byte(key)) }
@@ -68,11 +69,11 @@
 	Convey("An entry that stops hands its cells over; running tasks continue and are not started again", t, func() {
 		s := newSystem(t, 3)
 		So(s.submit(0, jobPath("open", 0xf<<60)), ShouldBeTrue)
-		So(s.eventually(8*time.Second, func() bool { return s.workers.Running() >= 3 }), ShouldBeTrue)
+		So(await.Until(8*time.Second, func() bool { return s.workers.Running() >= 3 }), ShouldBeTrue)
 		number := s.owner("blue")
 		So(number, ShouldBeGreaterThanOrEqualTo, 0)
 		go s.entries[number].stop()
-		So(s.eventually(3*time.Second, func() bool {
+		So(await.Until(3*time.Second, func() bool {
 			next := s.owner("blue")
 			return next >= 0 && next != number
 		}), ShouldBeTrue)
@@ -114,7 +115,7 @@
 		time.Sleep(time.Second)
 		began := time.Now()
 		go s.entries[number].stop()
-		So(s.eventually(5*time.Second, func() bool { return s.owner("blue") == 1-number }), ShouldBeTrue)
+		So(await.Until(5*time.Second, func() bool { return s.owner("blue") == 1-number }), ShouldBeTrue)
 		t.Log("handed over within", time.Since(began))
 		So(time.Since(began), ShouldBeLessThan, maxHandoverTime)
 	})
@@ -132,7 +133,7 @@
 		number := s.owner("red")
 		So(number, ShouldBeGreaterThanOrEqualTo, 0)
 		s.entries[number].setDisconnected(true)
-		So(s.eventually(8*time.Second, func() bool {
+		So(await.Until(8*time.Second, func() bool {
 			next := s.owner("red")
 			return next >= 0 && next != number
 		}), ShouldBeTrue)
@@ -195,7 +196,7 @@
 		So(s.submit(0, jobPath("quick", 1)), ShouldBeTrue)
 		So(s.completes(0, jobPath("quick", 1), 8*time.Second), ShouldBeTrue)
 		s.store.SetDown(true)
-		So(s.eventually(6*time.Second, func() bool { return !s.entries[0].daemon.IsReady() }), ShouldBeTrue)
+		So(await.Until(6*time.Second, func() bool { return !s.entries[0].daemon.IsReady() }), ShouldBeTrue)
 		began := time.Now()
 		status, _ := s.call(0, http.MethodPost, jobPath("quick", 2), twoSteps)
 		So(status, ShouldEqual, http.StatusServiceUnavailable)
@@ -236,7 +237,7 @@
 		s.store.Compact()
 		s.addEndpoint("i-9", "red")
 		s.store.Compact()
-		So(s.eventually(5*time.Second, func() bool {
+		So(await.Until(5*time.Second, func() bool {
 			_, isKnown := s.entries[0].daemon.directory.registration("i-9")
 			return isKnown
 		}), ShouldBeTrue)
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -24,6 +24,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
 	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
 	"gitlab.com/chicorypin/chicorypin/internal/model/setup"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/worker"
 	"gitlab.com/chicorypin/chicorypin/jobs"
@@ -248,23 +249,11 @@
 // twoSteps is a job with two steps of three tasks each, the second after the first.
 const twoSteps = `{"spec":"s","steps":[{"n":3,"each":{"cpu":500,"mem":10}},{"n":3,"each":{"cpu":500,"mem":10},"after":[0]}]}`
 
-// eventually waits until a condition holds, and returns false if limit passes first.
-func (s *system) eventually(limit time.Duration, isMet func() bool) bool {
-	end := time.Now().Add(limit)
-	for time.Now().Before(end) {
-		if isMet() {
-			return true
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	return false
-}
-
 // submit submits the job twoSteps until it is accepted, for up to 8 s. After a failure
 // it prints the last response and the log of the entry.
 func (s *system) submit(number int, path string) bool {
 	last := ""
-	isAccepted := s.eventually(8*time.Second, func() bool {
+	isAccepted := await.Until(8*time.Second, func() bool {
 		status, content := s.call(number, http.MethodPost, path, twoSteps)
 		last = fmt.Sprintf("%d %s", status, content)
 		return status == http.StatusOK
@@ -277,7 +266,7 @@
 
 // completes waits until a job has the state completed.
 func (s *system) completes(number int, path string, limit time.Duration) bool {
-	return s.eventually(limit, func() bool {
+	return await.Until(limit, func() bool {
 		_, state := s.call(number, http.MethodGet, path, "")
 		return state == `{"state":"completed"}`
 	})
--- a/internal/daemon/fleet/late_test.go
+++ b/internal/daemon/fleet/late_test.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
 
 // TestLateWritesStartEndedTasksAgain guards against an owner that begins with an older state
@@ -48,7 +49,7 @@
 		}
 		for range lateRounds {
 			before := snapshotAttempts.Load()
-			isSuperseded := s.eventually(20*time.Second, func() bool {
+			isSuperseded := await.Until(20*time.Second, func() bool {
 				attempts := snapshotAttempts.Load()
 				return attempts-before >= attemptsPerLateSnapshot && attempts%attemptsPerLateSnapshot == 0
 			})
@@ -60,7 +61,7 @@
 		isOver.Store(true)
 		submitters.Wait()
 		s.store.Defer(nil)
-		So(s.eventually(20*time.Second, func() bool { return s.workers.Running() == 0 && s.owner("red") >= 0 }), ShouldBeTrue)
+		So(await.Until(20*time.Second, func() bool { return s.workers.Running() == 0 && s.owner("red") >= 0 }), ShouldBeTrue)
 		t.Logf("%d jobs accepted, %d tasks started", accepted.Load(), len(s.workers.Starts()))
 		So(accepted.Load(), ShouldBeGreaterThan, 0)
 		So(s.workers.Repeated(), ShouldBeEmpty)
--- a/internal/daemon/fleet/takeover_test.go
+++ b/internal/daemon/fleet/takeover_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
 )
 
@@ -30,7 +31,7 @@
 				s.store.ExpireLeases()
 				s.store.Put("live/owner/red", []byte(`{"name":"other","life":"other"}`))
 				lease := change.Puts[0].Lease
-				hasNewLease := s.eventually(5*time.Second, func() bool {
+				hasNewLease := await.Until(5*time.Second, func() bool {
 					return e.daemon.session.IsValid() && e.daemon.session.Lease() != lease
 				})
 				isAnswered.Store(hasNewLease)
@@ -38,8 +39,8 @@
 			}
 		}
 		s.startAll(1)
-		So(s.eventually(8*time.Second, isAnswered.Load), ShouldBeTrue)
+		So(await.Until(8*time.Second, isAnswered.Load), ShouldBeTrue)
 		d := s.entries[0].daemon
-		So(s.eventually(500*time.Millisecond, func() bool { return d.ownerOf("red") != nil }), ShouldBeFalse)
+		So(await.Until(500*time.Millisecond, func() bool { return d.ownerOf("red") != nil }), ShouldBeFalse)
 	})
 }
--- a/internal/daemon/fleet/watch_test.go
+++ b/internal/daemon/fleet/watch_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
 
 func TestWavesAfterInterruptedWatch(t *testing.T) {
@@ -15,7 +16,7 @@
 		s := newSystem(t, 1)
 		d := s.entries[0].daemon
 		// The daemon's own first read of the keys would drop the waves of the test.
-		So(s.eventually(5*time.Second, func() bool { return d.setup.Load() != nil }), ShouldBeTrue)
+		So(await.Until(5*time.Second, func() bool { return d.setup.Load() != nil }), ShouldBeTrue)
 		first, second := store.Item{Key: "op/wave/1", Revision: 1000}, store.Item{Key: "op/wave/2", Revision: 1001}
 		d.replaceOperatorKeys([]store.Item{first, second})
 		So(d.currentWaves(), ShouldHaveLength, 2)
--- a/internal/front/caller/input_test.go
+++ b/internal/front/caller/input_test.go
@@ -14,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
 
 func TestBadInputGetsOneClearAnswer(t *testing.T) {
@@ -138,7 +139,7 @@
 		})
 		fx := newFixture(t, fixtureOptions{slots: 1, service: document.Service{MaxWait: document.Duration(time.Minute)}}, m)
 		go fx.send(http.MethodPost, "first")
-		So(eventually(func() bool { return m.totalRequests() == 1 }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return m.totalRequests() == 1 }), ShouldBeTrue)
 		ctx, cancel := context.WithCancel(context.Background())
 		var wait sync.WaitGroup
 		for i := range 200 {
@@ -153,10 +154,10 @@
 				}
 			}()
 		}
-		So(eventually(func() bool { return fx.dispatcher.Waiting()["rota"] == 200 }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return fx.dispatcher.Waiting()["rota"] == 200 }), ShouldBeTrue)
 		cancel()
 		wait.Wait()
-		So(eventually(func() bool { return fx.dispatcher.Waiting()["rota"] == 0 }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return fx.dispatcher.Waiting()["rota"] == 0 }), ShouldBeTrue)
 		close(release)
 		So(fx.send(http.MethodGet, "next").status, ShouldEqual, 200)
 		So(m.totalRequests(), ShouldEqual, 2)
--- a/internal/front/caller/outcome_test.go
+++ b/internal/front/caller/outcome_test.go
@@ -13,8 +13,12 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
 
+// waitTimeout bounds each wait of the tests.
+const waitTimeout = 10 * time.Second
+
 // largeBody is too large to be buffered, so that it is forwarded while it is read.
 var largeBody = strings.Repeat("x", 200<<10)
 
@@ -309,10 +313,10 @@
 			go client.Do(r)
 			<-started
 			account := fx.config.Teams.Account("gate")
-			So(eventually(func() bool { return fx.listener.OpenRequests() == 0 }), ShouldBeTrue)
-			So(eventually(func() bool { return account.Used() == c.held }), ShouldBeTrue)
+			So(await.Until(waitTimeout, func() bool { return fx.listener.OpenRequests() == 0 }), ShouldBeTrue)
+			So(await.Until(waitTimeout, func() bool { return account.Used() == c.held }), ShouldBeTrue)
 			close(end)
-			So(eventually(func() bool { return account.Used() == 0 }), ShouldBeTrue)
+			So(await.Until(waitTimeout, func() bool { return account.Used() == 0 }), ShouldBeTrue)
 		})
 	}
 }
@@ -324,18 +328,6 @@
 		So(fx.send(http.MethodPost, "swap").outcome, ShouldEqual, "unknown")
 		account := fx.config.Teams.Account("gate")
 		So(account.Used(), ShouldEqual, 1)
-		So(eventually(func() bool { return account.Used() == 0 }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return account.Used() == 0 }), ShouldBeTrue)
 	})
 }
-
-// eventually polls isDone and reports whether it became true within 10 s.
-func eventually(isDone func() bool) bool {
-	deadline := time.Now().Add(10 * time.Second)
-	for !isDone() {
-		if time.Now().After(deadline) {
-			return false
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	return true
-}
--- a/internal/mesh/peer/mesh_test.go
+++ b/internal/mesh/peer/mesh_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
 
 // waitTimeout bounds the waits of the tests. It is generous so that a busy machine does
@@ -58,18 +59,6 @@
 	return slices.Clone(m.received)
 }
 
-// waitUntil polls isDone and returns false if it does not hold within waitTimeout.
-func waitUntil(isDone func() bool) bool {
-	deadline := time.Now().Add(waitTimeout)
-	for !isDone() {
-		if time.Now().After(deadline) {
-			return false
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	return true
-}
-
 func heartbeat(sequence uint64) *wire.Frame {
 	return &wire.Frame{Body: &wire.Frame_Beat{Beat: &wire.Beat{Sequence: sequence}}}
 }
@@ -84,7 +73,7 @@
 			for i := range uint64(50) {
 				a.Send("b", heartbeat(i))
 			}
-			So(waitUntil(func() bool { return b.receivedCount() == 50 }), ShouldBeTrue)
+			So(await.Until(waitTimeout, func() bool { return b.receivedCount() == 50 }), ShouldBeTrue)
 			for i, frame := range b.frames() {
 				So(frame.GetBeat().GetSequence(), ShouldEqual, i)
 			}
@@ -92,16 +81,16 @@
 		"a document and a short message sent after it both arrive": func(a, b *testMesh) {
 			a.Send("b", snapshot(2<<20))
 			a.Send("b", heartbeat(1))
-			So(waitUntil(func() bool { return b.receivedCount() == 2 }), ShouldBeTrue)
+			So(await.Until(waitTimeout, func() bool { return b.receivedCount() == 2 }), ShouldBeTrue)
 		},
 		"a message to an entry that is not connected is dropped, and later ones arrive": func(a, b *testMesh) {
 			a.Send("c", heartbeat(1))
 			a.Broadcast(heartbeat(2))
-			So(waitUntil(func() bool { return b.receivedCount() == 1 }), ShouldBeTrue)
+			So(await.Until(waitTimeout, func() bool { return b.receivedCount() == 1 }), ShouldBeTrue)
 		},
 		"the link to an address that is no longer set is closed": func(a, _ *testMesh) {
 			a.SetAddresses(nil)
-			So(waitUntil(func() bool { return len(a.Connected()) == 0 }), ShouldBeTrue)
+			So(await.Until(waitTimeout, func() bool { return len(a.Connected()) == 0 }), ShouldBeTrue)
 		},
 		"no link is made to the own address": func(a, _ *testMesh) {
 			a.SetAddresses([]netip.AddrPort{a.Address()})
@@ -112,14 +101,14 @@
 			before := l.entry.Load()
 			// Larger than the peer accepts, so that it ends the stream.
 			a.Send("b", snapshot(maxMessageSize+1))
-			So(waitUntil(func() bool {
+			So(await.Until(waitTimeout, func() bool {
 				a.Send("b", snapshot(1<<20))
 				return l.entry.Load() != nil && l.entry.Load() != before && b.receivedCount() > 0
 			}), ShouldBeTrue)
 		},
 		"a link is dialled again after the peer closed the connection": func(a, b *testMesh) {
 			b.inbound.Disconnect()
-			So(waitUntil(func() bool {
+			So(await.Until(waitTimeout, func() bool {
 				a.Send("b", heartbeat(1))
 				return b.receivedCount() > 0
 			}), ShouldBeTrue)
@@ -129,7 +118,7 @@
 		Convey("Case: "+name, t, func() {
 			a, b := newTestMesh(t, "a"), newTestMesh(t, "b")
 			a.SetAddresses([]netip.AddrPort{b.Address()})
-			So(waitUntil(func() bool { return len(a.Connected()) == 1 }), ShouldBeTrue)
+			So(await.Until(waitTimeout, func() bool { return len(a.Connected()) == 1 }), ShouldBeTrue)
 			check(a, b)
 		})
 	}
@@ -174,7 +163,7 @@
 			So(send(session), ShouldBeNil)
 			a := newTestMesh(t, "a")
 			a.SetAddresses([]netip.AddrPort{b.Address()})
-			So(waitUntil(func() bool {
+			So(await.Until(waitTimeout, func() bool {
 				a.Send("b", heartbeat(1))
 				return b.receivedCount() > 0
 			}), ShouldBeTrue)
