Keep an owner for removed cells that have allocations

Seen: by reading, with the change of the ledger that follows. A pool that is taken out of the configuration keeps its owner until that entry ends; then no entry takes the cell over. Its allocations of the accounts' limits stay in the ledger for good, and no other cell can have them.

Cause: only configured cells are taken over, but only the owner of a cell may lower its allocations.

Change: the cells to take over are the configured ones and those with an allocation in the ledger. An entry learns of them when it reads the document, at the latest when one of its cells needs more than it has. The new owner returns all but the reserve, a tenth of a limit, as for any cell without work.

Ruled out: to remove the allocations without an owner. Runs of the cell may still be under a grant, and no one would know of them.

--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,6 +111,22 @@
 	return allocation, ok || account != ""
 }
 
+// Cells returns the cells that have allocations, in the order of their names. Those of a cell
+// without an owner cannot be used by others.
+func (l *Ledger) Cells() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cells := make(map[string]bool)
+	for _, row := range l.stored {
+		for cell, allocation := range row {
+			if !allocation.IsZero() {
+				cells[cell] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(cells))
+}
+
 // unbounded is the allocation of a resource without a limit.
 const unbounded = 1 << 50
 
--- a/internal/cell/ledger/ledger_test.go
+++ b/internal/cell/ledger/ledger_test.go
@@ -75,6 +75,17 @@
 		So(isBounded, ShouldBeTrue)
 		So(allocation.CPU, ShouldEqual, 0)
 	})
+	Convey("The cells with allocations are those of the document, of other entries too", t, func() {
+		s := keyvalue.New()
+		for _, cell := range []string{"c1", "c0"} {
+			l := New(s.Client(nil), discardLog())
+			l.SetSetup(setupWithLimit(1000))
+			So(l.Cells(), ShouldBeEmpty)
+			c := Cell{Name: cell, Condition: takeOwnership(s, cell), Needs: needsOf(0, 100)}
+			So(l.Balance(context.Background(), []Cell{c}), ShouldBeNil)
+			So(l.Cells(), ShouldResemble, map[string][]string{"c1": {"c1"}, "c0": {"c0", "c1"}}[cell])
+		}
+	})
 	Convey("A resource without a limit is unbounded", t, func() {
 		s := keyvalue.New()
 		l := New(s.Client(nil), discardLog())
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -8,6 +8,7 @@
 	"errors"
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -325,7 +326,10 @@
 		if s == nil || !d.session.IsValid() || monitor.isBackingOff(boot.Now()) {
 			continue
 		}
-		cells := configuredCells(s)
+		// The owner of a cell that is not configured any more returns its allocations.
+		cells := append(configuredCells(s), d.ledger.Cells()...)
+		slices.Sort(cells)
+		cells = slices.Compact(cells)
 		if d.platform.Cloud != nil {
 			cells = append(cells, stewardCell)
 		}
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -210,8 +210,11 @@
 	return registration, err
 }
 
+// configWithoutBlue is the value of a configuration without the pool "blue" and its queue.
+const configWithoutBlue = "without blue"
+
 // testConfig returns a configuration with two queues, of which "open" needs no key.
-func testConfig(_ []byte, revision int64) (*setup.Setup, error) {
+func testConfig(value []byte, revision int64) (*setup.Setup, error) {
 	s := &setup.Setup{
 		Version: revision, Revision: revision,
 		Queues: []setup.Queue{
@@ -223,6 +226,9 @@
 		Keys:     make(map[setup.Digest]string),
 	}
 	s.Keys[digest("secret")] = "team"
+	if string(value) == configWithoutBlue {
+		s.Queues, s.Pools = s.Queues[:1], s.Pools[:1]
+	}
 	s.BuildIndex()
 	return s, nil
 }
