--- a/internal/back/store/store.go
+++ b/internal/back/store/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -13,8 +14,8 @@
 var (
 	// ErrRefused means that the call was certainly not carried out.
 	ErrRefused = errors.New("the store refused the call")
-	// ErrIndeterminate means that no usable response arrived. The call may have been
-	// carried out, or may still be.
+	// ErrIndeterminate means that no usable response arrived, or one that does not rule
+	// out an effect. The call may have been carried out, or may still be.
 	ErrIndeterminate = errors.New("the store did not answer")
 	// ErrNotFound means that the key or lease does not exist.
 	ErrNotFound = errors.New("not in the store")
@@ -36,6 +37,15 @@
 // Error implements error.
 func (*ConflictError) Error() string { return "the store has another revision" }
 
+// Item returns the current state of a key; isFound is false if no condition was on the key.
+func (e *ConflictError) Item(key string) (item Item, isFound bool) {
+	i := slices.IndexFunc(e.Items, func(item Item) bool { return item.Key == key })
+	if i < 0 {
+		return Item{}, false
+	}
+	return e.Items[i], true
+}
+
 // Lease is the ID of a lease; 0 means no lease.
 type Lease int64
 
--- a/internal/back/store/store_test.go
+++ b/internal/back/store/store_test.go
@@ -9,19 +9,12 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
 )
 
-// eventually waits up to 4 s for a condition and reports whether it was met.
-func eventually(isMet func() bool) bool {
-	for range 400 {
-		if isMet() {
-			return true
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	return false
-}
+// waitTimeout bounds each wait of the tests.
+const waitTimeout = 4 * time.Second
 
 func TestSession(t *testing.T) {
 	Convey("A session is valid while its lease is renewed, and acquires a new lease after an expiry", t, func() {
@@ -39,16 +32,16 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go session.Run(ctx)
-		So(eventually(session.IsValid), ShouldBeTrue)
+		So(await.Until(waitTimeout, session.IsValid), ShouldBeTrue)
 		time.Sleep(1500 * time.Millisecond)
 		So(session.IsValid(), ShouldBeTrue)
 		s.SetDown(true)
 		downSince := time.Now()
-		So(eventually(func() bool { return !session.IsValid() }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return !session.IsValid() }), ShouldBeTrue)
 		So(time.Since(downSince), ShouldBeLessThan, time.Second)
 		s.ExpireLeases()
 		s.SetDown(false)
-		So(eventually(session.IsValid), ShouldBeTrue)
+		So(await.Until(waitTimeout, session.IsValid), ShouldBeTrue)
 		mu.Lock()
 		defer mu.Unlock()
 		So(granted, ShouldEqual, 2)
@@ -86,16 +79,45 @@
 				return view[key] == value
 			}
 		}
-		So(eventually(hasValue("a/1", "one")), ShouldBeTrue)
+		So(await.Until(waitTimeout, hasValue("a/1", "one")), ShouldBeTrue)
 		s.Put("a/2", []byte("two"))
-		So(eventually(hasValue("a/2", "two")), ShouldBeTrue)
+		So(await.Until(waitTimeout, hasValue("a/2", "two")), ShouldBeTrue)
 		s.SetDown(true)
 		s.Remove("a/1")
 		s.Put("a/3", []byte("three"))
 		s.Compact()
 		s.SetDown(false)
-		So(eventually(hasValue("a/3", "three")), ShouldBeTrue)
-		So(eventually(hasValue("a/1", "")), ShouldBeTrue)
+		So(await.Until(waitTimeout, hasValue("a/3", "three")), ShouldBeTrue)
+		So(await.Until(waitTimeout, hasValue("a/1", "")), ShouldBeTrue)
+	})
+}
+
+func TestConflictItem(t *testing.T) {
+	Convey("A conflict tells the state of each key of its conditions", t, func() {
+		conflict := &store.ConflictError{Items: []store.Item{
+			{Key: "a", Value: []byte("one"), Revision: 5, Lease: 2}, {Key: "a/b"}, {Key: "b", Revision: 7},
+		}}
+		for name, c := range map[string]struct {
+			key     string
+			want    store.Item
+			isFound bool
+		}{
+			"first":                  {"a", store.Item{Key: "a", Value: []byte("one"), Revision: 5, Lease: 2}, true},
+			"last":                   {"b", store.Item{Key: "b", Revision: 7}, true},
+			"does not exist":         {"a/b", store.Item{Key: "a/b"}, true},
+			"not in a condition":     {"c", store.Item{}, false},
+			"only a prefix of a key": {"a/", store.Item{}, false},
+		} {
+			Convey(name, func() {
+				item, isFound := conflict.Item(c.key)
+				So(isFound, ShouldEqual, c.isFound)
+				So(item, ShouldResemble, c.want)
+			})
+		}
+	})
+	Convey("A conflict without items tells nothing", t, func() {
+		_, isFound := (&store.ConflictError{}).Item("a")
+		So(isFound, ShouldBeFalse)
 	})
 }
 
