End the process at a panic outside HTTP handlers

What operators saw: nothing. conc.WaitGroup recovers a panic of its goroutines and raises it again only in Wait, which the daemons call when they stop. Until then the daemon ran on without the goroutine, with nothing logged: an entry without its ledger pass (no unit or slot could be acquired from 2 s later on, with /readyz still 200), without its watch or its heartbeats, an entry for jobs without its session or with a cell whose loop had ended but was still owned, and with whatever locks the goroutine held. A panic in a message or a call of a peer ended its stream only. One in a detached attempt (caller.Listener.detached, which nobody waits for) was lost, and its caller waited until it gave up. The nil dereference in minion.Roster.Pick is reached on all of these paths, since each of them dispatches waiting requests.

Ruled out: recovering and logging in each goroutine. What the goroutine had half done stays so (locks, units, a popped item), and a loop that is started again works on that. The platform starts a process that has ended; it does not notice one that is half dead.

Change: sync.WaitGroup (Go 1.25 and later have Go) in place of conc.WaitGroup everywhere, and conc is no longer required.

The effects on each daemon above were found by reading, not by a run.

--- a/cmd/chicorypin-demo/main.go
+++ b/cmd/chicorypin-demo/main.go
@@ -12,10 +12,9 @@
 	"net/netip"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"gitlab.com/chicorypin/chicorypin/internal/daemon/entry"
 	"gitlab.com/chicorypin/chicorypin/internal/daemon/host"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
@@ -42,7 +41,7 @@
 	entries []*entry.Entry
 	// cancels holds the cancel function of each entry's context.
 	cancels []context.CancelFunc
-	group   conc.WaitGroup
+	group   sync.WaitGroup
 }
 
 func main() {
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -6,11 +6,11 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/endpoint"
@@ -92,7 +92,7 @@
 	inbox   chan func()
 	ctx     context.Context
 	cancel  context.CancelFunc
-	workers conc.WaitGroup
+	workers sync.WaitGroup
 	isReady atomic.Bool
 
 	// The fields from here to lastForgotten belong to the loop. pollers is keyed by
--- a/internal/cell/steward/operation.go
+++ b/internal/cell/steward/operation.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
@@ -163,7 +162,7 @@
 	}
 	s.mu.Unlock()
 	var mu sync.Mutex
-	var wait conc.WaitGroup
+	var wait sync.WaitGroup
 	for pool, operations := range byPool {
 		wait.Go(func() {
 			found := s.cordonPool(now, pool, operations)
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
@@ -104,7 +103,7 @@
 	config  Config
 	ctx     context.Context
 	cancel  context.CancelFunc
-	workers conc.WaitGroup
+	workers sync.WaitGroup
 
 	mu       sync.Mutex
 	machines []cloud.Machine
--- a/internal/cell/steward/view.go
+++ b/internal/cell/steward/view.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
@@ -56,7 +55,7 @@
 	v := pools.View{Pools: s.config.Pools()}
 	loads := make(map[string]jobs.Load)
 	var mu sync.Mutex
-	var wait conc.WaitGroup
+	var wait sync.WaitGroup
 	for i := range v.Pools {
 		p := &v.Pools[i]
 		if p.IsStandby {
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -15,7 +15,6 @@
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/minion"
@@ -88,7 +87,7 @@
 	// sockets are the callers' and the operators' listening sockets, in this
 	// order.
 	sockets    []net.Listener
-	goroutines conc.WaitGroup
+	goroutines sync.WaitGroup
 
 	// index and isIsolated are read in every request, so they are atomic
 	// instead of being guarded by mu.
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -14,7 +14,6 @@
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
@@ -108,7 +107,7 @@
 	// directory holds the endpoints that are registered in the store.
 	directory *directory
 
-	workers conc.WaitGroup
+	workers sync.WaitGroup
 	// manageNow makes manageCells check the ownership at once. It is buffered, so
 	// signals sent before the check are merged.
 	manageNow chan struct{}
@@ -469,7 +468,7 @@
 			event.OperationFailed.Log(d.log, logrus.Fields{"call": "announce", "error": err.Error()})
 		}
 	}
-	var releases conc.WaitGroup
+	var releases sync.WaitGroup
 	releases.Go(func() { d.releaseCells(ctx, owners) })
 	if s != nil {
 		s.Stop()
@@ -493,7 +492,7 @@
 // releaseCells prepares cells for the handover, stops their owners and removes their
 // ownership keys. It returns when all are done.
 func (d *Daemon) releaseCells(ctx context.Context, owners map[string]*owner.Owner) {
-	var releases conc.WaitGroup
+	var releases sync.WaitGroup
 	for cell, o := range owners {
 		releases.Go(func() {
 			o.PrepareHandover(ctx)
--- a/internal/front/caller/listener.go
+++ b/internal/front/caller/listener.go
@@ -12,11 +12,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/semaphore"
 
@@ -70,7 +70,7 @@
 	attemptCount atomic.Uint64
 	openRequests atomic.Int64
 	// detached tracks attempts that continue after their callers have disconnected.
-	detached conc.WaitGroup
+	detached sync.WaitGroup
 
 	answered tally.Counter
 	retried  tally.Counter
--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
-	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/inbound"
@@ -87,7 +86,7 @@
 type Mesh struct {
 	config  Config
 	inbound *inbound.Listener
-	wait    conc.WaitGroup
+	wait    sync.WaitGroup
 	ctx     context.Context
 	cancel  context.CancelFunc
 
--- a/internal/mesh/inbound/inbound.go
+++ b/internal/mesh/inbound/inbound.go
@@ -9,8 +9,6 @@
 	"net/netip"
 	"sync"
 	"time"
-
-	"github.com/sourcegraph/conc"
 )
 
 // Config sets up a Listener.
@@ -31,7 +29,7 @@
 type Listener struct {
 	config   Config
 	listener net.Listener
-	wait     conc.WaitGroup
+	wait     sync.WaitGroup
 	ctx      context.Context
 	cancel   context.CancelFunc
 
--- a/internal/mesh/peer/mesh.go
+++ b/internal/mesh/peer/mesh.go
@@ -17,7 +17,6 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
@@ -63,7 +62,7 @@
 type Mesh struct {
 	config  Config
 	inbound *inbound.Listener
-	wait    conc.WaitGroup
+	wait    sync.WaitGroup
 	ctx     context.Context
 	cancel  context.CancelFunc
 
@@ -305,7 +304,7 @@
 // sendAll sends the queued messages of a link until the session ends or ctx is done.
 // A failed write ends the session, so that the link is dialled again.
 func (m *Mesh) sendAll(ctx context.Context, session *yamux.Session, l *link, messages, documents net.Conn) error {
-	var wait conc.WaitGroup
+	var wait sync.WaitGroup
 	defer wait.Wait()
 	defer session.Close()
 	send := func(stream net.Conn, queue <-chan *wire.Frame) {
@@ -358,7 +357,7 @@
 		return
 	}
 	defer session.Close()
-	var wait conc.WaitGroup
+	var wait sync.WaitGroup
 	defer wait.Wait()
 	for {
 		stream, err := session.Accept()
