Pass the results of requests to an owner by value

What callers could see: a request about a job whose time ran out while the loop of the cell was busy (its submitter's wait, 1.5 s between entries, or a client that hung up) returned its named results while the loop was still to write them. Also, Survey and Cordon could return loads with an error.

Cause: runInLoop was given closures that write the results of their caller, and with ErrIndeterminate the closure may still run.

Change: queryLoop passes the result over a channel with a buffer of one; with an error it is the zero value. runInLoop is queryLoop without a result. The remaining closures that write variables of their caller (pollLoop, PrepareHandover) read them only without an error; the comment says so.

--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -340,23 +340,35 @@
 }
 
 // runInLoop runs a function in the loop and waits for it. ErrNotDone means that the
-// function will not run, ErrIndeterminate that it may have run or may still run.
+// function will not run, ErrIndeterminate that it may have run or may still run: what it
+// writes may be read only if the error is nil.
 func (o *Owner) runInLoop(ctx context.Context, f func()) error {
-	finished := make(chan struct{})
+	_, err := queryLoop(ctx, o, func() struct{} {
+		f()
+		return struct{}{}
+	})
+	return err
+}
+
+// queryLoop runs a function in the loop and returns its result. The errors are those of
+// runInLoop; with them the result is the zero value, also if the function runs meanwhile.
+func queryLoop[T any](ctx context.Context, o *Owner, f func() T) (result T, err error) {
+	// The buffer of one lets the loop go on if nobody waits any more.
+	results := make(chan T, 1)
 	select {
-	case o.inbox <- func() { f(); close(finished) }:
+	case o.inbox <- func() { results <- f() }:
 	case <-o.ctx.Done():
-		return ErrNotDone
+		return result, ErrNotDone
 	case <-ctx.Done():
-		return ErrNotDone
+		return result, ErrNotDone
 	}
 	select {
-	case <-finished:
-		return nil
+	case result = <-results:
+		return result, nil
 	case <-o.done:
-		return ErrIndeterminate
+		return result, ErrIndeterminate
 	case <-ctx.Done():
-		return ErrIndeterminate
+		return result, ErrIndeterminate
 	}
 }
 
--- a/internal/cell/owner/request.go
+++ b/internal/cell/owner/request.go
@@ -23,25 +23,25 @@
 func (o *Owner) Submit(ctx context.Context, job jobs.Job) (verdict jobs.Verdict, err error) {
 	stored := make(chan error, 1)
 	receivedAt := boot.Now()
-	err = o.runInLoop(ctx, func() {
+	verdict, err = queryLoop(ctx, o, func() jobs.Verdict {
 		now := boot.Now()
 		isStoreSlow := o.isWriting && now.Sub(o.writeStarted) > slowWriteLimit
 		if o.isHandingOver || isStoreSlow || !o.config.IsStoreUp() {
-			verdict = jobs.Verdict{RetryAfter: busyRetryDelay, Reason: "the cell cannot store jobs now"}
 			stored <- ErrNotDone
-			return
+			return jobs.Verdict{RetryAfter: busyRetryDelay, Reason: "the cell cannot store jobs now"}
 		}
-		verdict = o.cell.Admit(now, &job)
-		if !verdict.IsAccepted {
+		admitted := o.cell.Admit(now, &job)
+		if !admitted.IsAccepted {
 			stored <- nil
-			return
+			return admitted
 		}
 		isNew := o.cell.Submit(now, job)
 		o.onStored = append(o.onStored, func(err error) { stored <- err })
-		verdict.Reason = "new"
+		admitted.Reason = "new"
 		if !isNew {
-			verdict.Reason = "known"
+			admitted.Reason = "known"
 		}
+		return admitted
 	})
 	if err != nil {
 		return jobs.Verdict{RetryAfter: busyRetryDelay}, err
@@ -80,28 +80,34 @@
 
 // Status returns the state of a job; isKnown is false if the cell has no such job.
 func (o *Owner) Status(ctx context.Context, id string) (state jobs.State, isKnown bool, err error) {
-	err = o.runInLoop(ctx, func() { state, isKnown = o.cell.Status(id) })
-	return state, isKnown, err
+	type status struct {
+		state   jobs.State
+		isKnown bool
+	}
+	found, err := queryLoop(ctx, o, func() (s status) {
+		s.state, s.isKnown = o.cell.Status(id)
+		return s
+	})
+	return found.state, found.isKnown, err
 }
 
 // Pending returns the number of accepted jobs in a queue of which no task has
 // started.
 func (o *Owner) Pending(ctx context.Context, queue string) (count int, err error) {
-	err = o.runInLoop(ctx, func() { count = o.cell.Pending(queue) })
-	return count, err
+	return queryLoop(ctx, o, func() int { return o.cell.Pending(queue) })
 }
 
 // Cancel cancels a job and returns once that is stored; isKnown is false if the cell
 // has no such job. ErrIndeterminate means that the job may have been cancelled.
 func (o *Owner) Cancel(ctx context.Context, id string) (isKnown bool, err error) {
 	stored := make(chan error, 1)
-	err = o.runInLoop(ctx, func() {
-		isKnown = o.cell.Cancel(boot.Now(), id)
-		if !isKnown {
+	isKnown, err = queryLoop(ctx, o, func() bool {
+		if !o.cell.Cancel(boot.Now(), id) {
 			stored <- nil
-			return
+			return false
 		}
 		o.onStored = append(o.onStored, func(err error) { stored <- err })
+		return true
 	})
 	if err != nil {
 		return false, err
@@ -114,31 +120,37 @@
 // Needs returns, by client account, the resources in use in the cell and those that
 // waiting work could use.
 func (o *Owner) Needs(ctx context.Context) (needs map[string]jobs.Need, err error) {
-	err = o.runInLoop(ctx, func() { needs = o.cell.Needs() })
-	return needs, err
+	return queryLoop(ctx, o, o.cell.Needs)
 }
 
 // Cordon keeps new work off endpoints for a duration and returns the load of each.
 // With evacuate, long-running tasks there are stopped as far as their steps allow, so
 // that they start elsewhere.
 func (o *Owner) Cordon(ctx context.Context, ids []string, duration time.Duration, evacuate bool) (loads []jobs.Load, err error) {
-	err = o.runInLoop(ctx, func() {
+	return queryLoop(ctx, o, func() []jobs.Load {
 		now := boot.Now()
+		list := make([]jobs.Load, 0, len(ids))
 		for _, id := range ids {
-			loads = append(loads, o.cell.Evacuate(now, id, now.Add(duration), evacuate))
+			list = append(list, o.cell.Evacuate(now, id, now.Add(duration), evacuate))
 		}
+		return list
 	})
-	return loads, err
 }
 
 // Survey returns the resource demand of the cell and the load of each endpoint.
 func (o *Owner) Survey(ctx context.Context) (demand jobs.Demand, loads []jobs.Load, err error) {
-	err = o.runInLoop(ctx, func() { demand, loads = o.cell.Survey(boot.Now()) })
-	return demand, loads, err
+	type survey struct {
+		demand jobs.Demand
+		loads  []jobs.Load
+	}
+	found, err := queryLoop(ctx, o, func() (s survey) {
+		s.demand, s.loads = o.cell.Survey(boot.Now())
+		return s
+	})
+	return found.demand, found.loads, err
 }
 
 // Dump returns the state of the cell for diagnosis.
 func (o *Owner) Dump(ctx context.Context) (dump jobs.Dump, err error) {
-	err = o.runInLoop(ctx, func() { dump = o.cell.Dump(boot.Now()) })
-	return dump, err
+	return queryLoop(ctx, o, func() jobs.Dump { return o.cell.Dump(boot.Now()) })
 }
