Take a minion's status that is not final for no whole answer

What callers saw: a minion that answers with a status from 000 to 099 cut the caller's connection, without an outcome. net/http's client accepts any three digits, its server panics in WriteHeader below 100. With a body above 64 KB the panic came before the attempt was finished, so that its unit and its slot stayed in use for the life of the entry (read; the test fails before it gets there). After 101, which nobody asks for, the body is the connection itself: its reading has no end and is not bounded by the maximum run time, so the caller waited until it gave up, and the attempt held its unit and slot as long as the minion kept the connection.

Change: minion.Client.Do returns an UnknownOutcomeError with an InvalidStatusError for a status below 200 and closes the connection. The transport skips the other responses that are not final.

Evidence: three new faults of the outcome tests; these also check that the unit is free in the end. Before: http: panic serving 127.0.0.1:46418: invalid WriteHeader code 12 Expected: "unknown" Actual: "" (twice) panic: test timed out after 1m0s ("switching protocols") Now internal/front/caller and internal/back pass with -race.

--- a/internal/back/minion/client.go
+++ b/internal/back/minion/client.go
@@ -132,6 +132,12 @@
 		conn.close()
 		return nil, &UnknownOutcomeError{Err: &AttemptMismatchError{Sent: attempt.ID, Received: id}}
 	}
+	// A status below 100 cannot be forwarded, and after one of switched protocols the body
+	// would have no end. The transport skips the other responses that are not final.
+	if response.StatusCode < http.StatusOK {
+		conn.close()
+		return nil, &UnknownOutcomeError{Err: &InvalidStatusError{Status: response.StatusCode}}
+	}
 	result := &Response{Status: response.StatusCode, Header: response.Header}
 	// If the body is delimited only by the end of the connection, a broken
 	// connection cannot be distinguished from a complete body.
--- a/internal/back/minion/errors.go
+++ b/internal/back/minion/errors.go
@@ -49,3 +49,13 @@
 
 // Error implements error.
 func (e *MissingLengthError) Error() string { return "the answer has no length" }
+
+// InvalidStatusError reports a response whose status is not that of a final response.
+type InvalidStatusError struct {
+	Status int
+}
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("the answer has status %d, which is not final", e.Status)
+}
--- a/internal/front/caller/outcome_test.go
+++ b/internal/front/caller/outcome_test.go
@@ -89,6 +89,28 @@
 			return false
 		}, postOutcome: "unknown", isRead: true,
 	},
+	// A status below 100 made the handler panic: the caller's connection was closed, and
+	// the unit and the slot of a large response were never released.
+	"status below 100": {
+		script: func(conn net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 012 X\r\nAttempt-Id: %s\r\nContent-Length: 5\r\n\r\nwrong", r.Header.Get("Attempt-Id"))
+			return true
+		}, postOutcome: "unknown", isRead: true,
+	},
+	"large body with a status below 100": {
+		script: func(conn net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 012 X\r\nAttempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Attempt-Id"), len(largeBody), largeBody)
+			return true
+		}, postOutcome: "unknown", isRead: true,
+	},
+	// The body of this response has no end. Its reading was not bounded by the maximum run
+	// time.
+	"switching protocols": {
+		script: func(conn net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 101 X\r\nAttempt-Id: %s\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n", r.Header.Get("Attempt-Id"))
+			return true
+		}, postOutcome: "unknown", isRead: true,
+	},
 	"refused by the minion with not-run": {
 		script: func(conn net.Conn, r *http.Request, _ int) bool {
 			fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nAttempt-Id: %s\r\nOutcome: not-run\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Attempt-Id"))
@@ -122,6 +144,8 @@
 			if r.outcome == "not-run" {
 				So(r.retry, ShouldNotBeEmpty)
 			}
+			account := fx.config.Teams.Account("gate")
+			So(eventually(func() bool { return account.Used() == 0 }), ShouldBeTrue)
 		})
 	}
 }
