Hold nothing for a handler of a caller that has panicked

What callers saw: less capacity, for the life of the entry. net/http recovers a panic of a handler. If it happened while the request was dispatched (the nil dereference in minion.Roster.Pick), the request stayed in the queue; once admitted, nobody took the admission, and its unit and slot stayed in use. A panic between the pick of a slot and the admission held the slot, one while an attempt was sent, or before its response was written, the unit and the slot.

Change: enqueue takes the request out of the queue again in a deferred function, admitNext gives back what an incomplete admission holds, also on its ordinary paths (takeNext sets the item and the unit in the admission for that), and send and writeResponse finish the attempt. An attempt that panicked counts as lost, so its unit and slot are released when the maximum run time has passed, at once if the service is cancellable. Not covered: a panic inside the scheduler or a ledger, whose state is unknown then.

Evidence: TestPanicInAHandlerHoldsNothing, four places of a panic by seams (a counter, two clocks, a hook of the log). Now it passes, and so do internal/front, internal/daemon/entry and internal/proof/policy with -race.

--- a/internal/front/caller/dispatcher.go
+++ b/internal/front/caller/dispatcher.go
@@ -126,10 +126,33 @@
 	now := d.config.Clock.Now()
 	predicted := d.predictor.Predict(share.Kind{Team: team, Service: service.Name})
 	item := q.scheduler.Push(now, team, service.Name, predicted, w)
+	isDispatched := false
+	defer func() {
+		// net/http recovers a panic of the caller's handler. Nobody would take the
+		// admission of the item then.
+		if !isDispatched {
+			d.withdraw(now, q, item)
+		}
+	}()
 	d.dispatch(now, q)
+	isDispatched = true
 	return item, nil
 }
 
+// withdraw removes an item from the queue, or releases its admission if it has been
+// admitted. The caller holds the mutex.
+func (d *Dispatcher) withdraw(now time.Time, q *poolQueue, item *share.Item[*waiter]) {
+	if q.scheduler.Cancel(item) {
+		return
+	}
+	select {
+	case admitted := <-item.Value.admitted:
+		d.giveBack(now, q, admitted)
+		q.scheduler.Cancel(item)
+	default:
+	}
+}
+
 // cancel removes an item from the queue of a pool. It returns false if the item has
 // already been admitted.
 func (d *Dispatcher) cancel(pool string, item *share.Item[*waiter]) bool {
@@ -186,34 +209,57 @@
 }
 
 // admitNext admits one request of a pool. It returns false if none can start.
-func (d *Dispatcher) admitNext(now time.Time, q *poolQueue) bool {
+func (d *Dispatcher) admitNext(now time.Time, q *poolQueue) (isAdmitted bool) {
 	free, held := d.config.Roster.Slots(now, q.name)
-	chosen, slot := d.config.Roster.Pick(now, q.name, "")
-	if slot == nil {
+	next := admission{pickedAt: now}
+	defer func() {
+		// Deferred, so that nothing is held after a panic either.
+		if !isAdmitted {
+			d.giveBack(now, q, next)
+		}
+	}()
+	next.minion, next.slot = d.config.Roster.Pick(now, q.name, "")
+	if next.slot == nil {
 		q.markFull(now)
 		return false
 	}
-	item, unit := d.takeNext(now, q, free, held)
-	if item == nil {
-		chosen.CancelPick(now)
-		slot.Release()
+	d.takeNext(now, q, free, held, &next)
+	if next.item == nil {
 		return false
 	}
 	q.fullSince = time.Time{}
-	if item.Value.avoidMinion == chosen.Name {
-		chosen.CancelPick(now)
-		slot.Release()
-		chosen, slot = d.config.Roster.Pick(now, q.name, item.Value.avoidMinion)
-	}
-	if slot == nil {
-		unit.Release()
-		q.scheduler.Requeue(now, item)
+	if avoided := next.item.Value.avoidMinion; avoided == next.minion.Name {
+		next.releaseSlot()
+		next.minion, next.slot = d.config.Roster.Pick(now, q.name, avoided)
+	}
+	if next.slot == nil {
 		return false
 	}
-	item.Value.admitted <- admission{minion: chosen, pickedAt: now, unit: unit, slot: slot, item: item}
+	next.item.Value.admitted <- next
 	return true
 }
 
+// releaseSlot releases the slot, on which no attempt was started.
+func (a *admission) releaseSlot() {
+	a.minion.CancelPick(a.pickedAt)
+	a.slot.Release()
+	a.minion, a.slot = nil, nil
+}
+
+// giveBack releases what an incomplete admission holds and puts its item back into the
+// queue. The caller holds the mutex.
+func (d *Dispatcher) giveBack(now time.Time, q *poolQueue, a admission) {
+	if a.slot != nil {
+		a.releaseSlot()
+	}
+	if a.unit != nil {
+		a.unit.Release()
+	}
+	if a.item != nil {
+		q.scheduler.Requeue(now, a.item)
+	}
+}
+
 // markFull records that the pool has no free slot for its waiting requests.
 func (q *poolQueue) markFull(now time.Time) {
 	if q.fullSince.IsZero() {
@@ -221,12 +267,12 @@
 	}
 }
 
-// takeNext removes the next item whose team has a free unit from the queue, and
-// returns it with the unit. Both are nil if there is none. free and held count the
-// pool's slots, as returned by minion.Roster.Slots.
-func (d *Dispatcher) takeNext(now time.Time, q *poolQueue, free, held int) (item *share.Item[*waiter], unit *units.Permit) {
+// takeNext removes the next item whose team has a free unit from the queue, and sets it
+// and the unit in next. Both stay nil if there is none. free and held count the pool's
+// slots, as returned by minion.Roster.Slots.
+func (d *Dispatcher) takeNext(now time.Time, q *poolQueue, free, held int, next *admission) {
 	isAnyAtLimit := false
-	item = q.scheduler.Next(now, free, held, func(team string) bool {
+	next.item = q.scheduler.Next(now, free, held, func(team string) bool {
 		acquired := d.config.Teams.Account(team).Acquire()
 		if acquired == nil {
 			q.teamsAtLimit[team] = true
@@ -235,17 +281,16 @@
 		}
 		// This may be called for several teams; the item is of the last one that has a
 		// unit.
-		if unit != nil {
-			unit.Release()
+		if next.unit != nil {
+			next.unit.Release()
 		}
-		unit = acquired
+		next.unit = acquired
 		return true
 	})
-	if item == nil && !isAnyAtLimit {
+	if next.item == nil && !isAnyAtLimit {
 		// The free slots are reserved for quick work.
 		q.markFull(now)
 	}
-	return item, unit
 }
 
 // UpdateDemand sets on the ledgers of units and slots how many more of them the waiting
--- a/internal/front/caller/run.go
+++ b/internal/front/caller/run.go
@@ -143,10 +143,23 @@
 	return attemptCompleted
 }
 
-// send sends one attempt to the admitted minion. If it fails, send finishes the
+// send sends one attempt to the admitted minion. If it fails or panics, send finishes the
 // attempt and calls cancel; else finish of the response does both.
-func (l *Listener) send(ctx context.Context, cancel context.CancelFunc, r request, admitted admission) (minionResponse, error) {
+func (l *Listener) send(ctx context.Context, cancel context.CancelFunc, r request, admitted admission) (result minionResponse, err error) {
 	startTime := l.config.Clock.Now()
+	finish := func(result attemptResult) {
+		cancel()
+		if result == attemptLost && r.service.IsCancellable {
+			result = attemptCompleted
+		}
+		l.dispatcher.finishAttempt(admitted, r, startTime, result)
+	}
+	failure := attemptLost
+	defer func() {
+		if result.finish == nil {
+			finish(failure)
+		}
+	}()
 	response, err := l.config.Client.Do(ctx, admitted.minion.Address, minion.Attempt{
 		ID:     l.newAttemptID(),
 		Team:   r.team,
@@ -159,21 +172,12 @@
 			return admitted.unit.IsValid(now) && admitted.slot.IsValid(now)
 		},
 	})
-	finish := func(result attemptResult) {
-		cancel()
-		if result == attemptLost && r.service.IsCancellable {
-			result = attemptCompleted
-		}
-		l.dispatcher.finishAttempt(admitted, r, startTime, result)
-	}
 	if err != nil {
-		l.recordFailure(r, admitted, err)
 		var notRunErr *minion.NotRunError
 		if errors.As(err, &notRunErr) {
-			finish(attemptNotRun)
-		} else {
-			finish(attemptLost)
+			failure = attemptNotRun
 		}
+		l.recordFailure(r, admitted, err)
 		return minionResponse{}, err
 	}
 	admitted.minion.RecordResult(l.config.Clock.Now(), admitted.pickedAt, response.Status >= http.StatusInternalServerError)
@@ -207,6 +211,27 @@
 // is truncated, it panics with http.ErrAbortHandler, which aborts the caller's
 // connection, so that the caller does not take the response for complete.
 func (l *Listener) writeResponse(w http.ResponseWriter, r request, response minionResponse) {
+	if response.Stream == nil {
+		response.finish(attemptCompleted)
+		l.writeHeader(w, r, response)
+		_, _ = w.Write(response.Body)
+		return
+	}
+	result := attemptLost
+	defer func() {
+		_ = response.Stream.Close()
+		response.finish(result)
+	}()
+	l.writeHeader(w, r, response)
+	_, err := io.Copy(w, response.Stream)
+	result = resultOfRead(err)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// writeHeader forwards the status and the header of a minion's response.
+func (l *Listener) writeHeader(w http.ResponseWriter, r request, response minionResponse) {
 	l.answered.Inc(1)
 	header := w.Header()
 	for name, values := range response.Header {
@@ -217,19 +242,9 @@
 		}
 	}
 	if response.Stream == nil {
-		response.finish(attemptCompleted)
 		header.Set("Content-Length", contentLength(r, response))
-		w.WriteHeader(response.Status)
-		_, _ = w.Write(response.Body)
-		return
 	}
 	w.WriteHeader(response.Status)
-	_, err := io.Copy(w, response.Stream)
-	_ = response.Stream.Close()
-	response.finish(resultOfRead(err))
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
 }
 
 // contentLength returns the Content-Length of a response. For a HEAD request it is the
