Release a cell whose takeover is confirmed while its entry leaves

What callers saw: after a stop of an entry, jobs of a cell were refused for as long as the entry lingered and then until its lease had expired, 2 s, instead of some 50 ms. takeOver checks isLeaving before it writes the ownership key; startOwner started the owner without another look, after leave had copied the owners that it hands over. The leaving entry served the cell on during its linger time, and stopped without releasing it. The same for the stewardship.

Change: startOwner and startSteward look at isLeaving under the lock under which leave sets it and copies the owners, and release the key at once. A takeover without an answer while the entry leaves still keeps its key until the lease expires: whether it took effect is not known then.

Evidence: TestTakeoverWhileLeavingIsHandedOver holds the answer to a takeover back until the entry has handed its other cell over.

--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -398,7 +398,7 @@
 
 // startOwner runs the owner of a cell in the background. The condition is the
 // ownership key of the cell, whose revision is the epoch, and lease the one of the key. It
-// does nothing if the lease has expired.
+// does nothing if the lease has expired, and releases the cell if this entry is leaving.
 func (d *Daemon) startOwner(cell string, condition store.Condition, lease store.Lease) {
 	event.CellTakenOver.Log(d.log, logrus.Fields{"cell": cell, "epoch": condition.Revision})
 	o := owner.New(owner.Config{
@@ -415,6 +415,14 @@
 		event.CellLost.Log(d.log, logrus.Fields{"cell": cell, "epoch": condition.Revision, "reason": errLeaseExpired.Error()})
 		return
 	}
+	// leave hands over the owners that were added before under the same lock.
+	if d.isLeaving {
+		d.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+		defer cancel()
+		d.releaseCell(ctx, cell, condition)
+		return
+	}
 	previous := d.owners[cell]
 	d.owners[cell] = o
 	d.mu.Unlock()
@@ -472,11 +480,7 @@
 	releases.Go(func() { d.releaseCells(ctx, owners) })
 	if s != nil {
 		s.Stop()
-		releases.Go(func() {
-			if err := d.roster.Release(ctx, s.Condition()); err != nil {
-				event.OperationFailed.Log(d.log, logrus.Fields{"call": "release stewardship", "error": err.Error()})
-			}
-		})
+		releases.Go(func() { d.releaseStewardship(ctx, s.Condition()) })
 	}
 	releases.Wait()
 }
@@ -497,17 +501,29 @@
 		releases.Go(func() {
 			o.PrepareHandover(ctx)
 			o.Stop()
-			err := d.roster.Release(ctx, o.Condition())
-			fields := logrus.Fields{"cell": cell, "epoch": o.Condition().Revision}
-			if err != nil {
-				fields["error"] = err.Error()
-			}
-			event.CellHandedOver.Log(d.log, fields)
+			d.releaseCell(ctx, cell, o.Condition())
 		})
 	}
 	releases.Wait()
 }
 
+// releaseCell removes the ownership key of a cell that is not served any more, so that
+// another entry takes it over at once.
+func (d *Daemon) releaseCell(ctx context.Context, cell string, condition store.Condition) {
+	fields := logrus.Fields{"cell": cell, "epoch": condition.Revision}
+	if err := d.roster.Release(ctx, condition); err != nil {
+		fields["error"] = err.Error()
+	}
+	event.CellHandedOver.Log(d.log, fields)
+}
+
+// releaseStewardship removes the ownership key of the stewardship, as releaseCell does.
+func (d *Daemon) releaseStewardship(ctx context.Context, condition store.Condition) {
+	if err := d.roster.Release(ctx, condition); err != nil {
+		event.OperationFailed.Log(d.log, logrus.Fields{"call": "release stewardship", "error": err.Error()})
+	}
+}
+
 // lingerTime returns how long a leaving entry goes on answering requests after the
 // handover, while its callers move to other entries.
 func (d *Daemon) lingerTime() time.Duration {
--- /dev/null
+++ b/internal/daemon/fleet/leave_test.go
@@ -0,0 +1,48 @@
+package fleet
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
+)
+
+// A cell whose takeover was confirmed while its entry was leaving was served by that entry
+// and then left without an owner until the lease expired.
+func TestTakeoverWhileLeavingIsHandedOver(t *testing.T) {
+	Convey("A cell whose takeover is confirmed while the entry is leaving is released before the entry stops", t, func() {
+		s := &system{t: t, store: keyvalue.New()}
+		started, confirm := make(chan struct{}), make(chan struct{})
+		s.wrapStore = func(_ *entry, client *store.Client) {
+			commit := client.Commit
+			client.Commit = func(ctx context.Context, change store.Change) (revision int64, err error) {
+				revision, err = commit(ctx, change)
+				if err == nil && len(change.Puts) > 0 && change.Puts[0].Key == "live/owner/red" {
+					close(started)
+					<-confirm
+				}
+				return revision, err
+			}
+		}
+		s.startAll(1)
+		<-started
+		So(s.eventually(5*time.Second, func() bool { return s.entries[0].daemon.ownerOf("blue") != nil }), ShouldBeTrue)
+		stopped := make(chan struct{})
+		go func() {
+			s.entries[0].stop()
+			close(stopped)
+		}()
+		So(s.eventually(5*time.Second, func() bool { return strings.Contains(s.entries[0].logs.String(), "event=622") }), ShouldBeTrue)
+		close(confirm)
+		<-stopped
+		_, isOwned := s.store.Get("live/owner/red")
+		So(isOwned, ShouldBeFalse)
+		_, isOwned = s.store.Get("live/owner/blue")
+		So(isOwned, ShouldBeFalse)
+	})
+}
--- a/internal/daemon/fleet/steward.go
+++ b/internal/daemon/fleet/steward.go
@@ -23,7 +23,8 @@
 
 // startSteward runs the steward in the background until it ends. The condition is the
 // ownership key of the stewardship, whose revision is the epoch, and lease the one of the
-// key. It does nothing if the lease has expired.
+// key. It does nothing if the lease has expired, and releases the stewardship if this
+// entry is leaving.
 func (d *Daemon) startSteward(condition store.Condition, lease store.Lease) {
 	event.StewardAcquired.Log(d.log, logrus.Fields{"epoch": condition.Revision})
 	s := steward.New(steward.Config{
@@ -41,6 +42,15 @@
 		event.StewardLost.Log(d.log, logrus.Fields{"epoch": condition.Revision, "reason": errLeaseExpired.Error()})
 		return
 	}
+	// leave stops the steward that was set before under the same lock.
+	if d.isLeaving {
+		d.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+		defer cancel()
+		d.releaseStewardship(ctx, condition)
+		event.StewardLost.Log(d.log, logrus.Fields{"epoch": condition.Revision, "reason": "the entry is leaving"})
+		return
+	}
 	d.steward = s
 	d.mu.Unlock()
 	d.workers.Go(func() {
