Let a minion be probed again after a panic during a probe

What callers saw: a pool without one of its minions, for the life of the entry. An ejected minion gets one attempt at a time as a probe. If the handler of that attempt panicked before the result was recorded, the minion counted as being probed for good and was never picked again.

Change: send cancels the pick if it ends without a recorded result.

Evidence: TestPanicInAProbeAllowsAnother, before: panic_test.go Line 135: Expected: true Actual: false (after 10 s) Now internal/front/caller passes with -race.

--- a/internal/front/caller/panic_test.go
+++ b/internal/front/caller/panic_test.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -109,3 +111,27 @@
 		})
 	}
 }
+
+// A minion whose probe panicked counted as being probed for good and got no more work.
+func TestPanicInAProbeAllowsAnother(t *testing.T) {
+	Convey("An ejected minion is probed again after the handler of a probe has panicked", t, func() {
+		m := newFakeMinion(t, func(conn net.Conn, r *http.Request, _ int) bool {
+			respond(conn, r, http.StatusInternalServerError, "failed")
+			return true
+		})
+		fx := newFixture(t, fixtureOptions{service: document.Service{IsCancellable: true, MaxWait: document.Duration(100 * time.Millisecond)}}, m)
+		config, isFaulty := fx.config, &atomic.Bool{}
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		logger.AddHook(faultyHook{isFaulty})
+		config.Log = logrus.NewEntry(logger)
+		fx.server.Config.Handler = NewListener(config, fx.dispatcher)
+		So(eventually(func() bool { return fx.send(http.MethodPost, "swap").status == http.StatusServiceUnavailable }), ShouldBeTrue)
+		m.setScript(faults["response to another attempt"].script)
+		isFaulty.Store(true)
+		So(eventually(func() bool { return fx.send(http.MethodPost, "probe").isTruncated }), ShouldBeTrue)
+		isFaulty.Store(false)
+		m.setScript(respondOK)
+		So(eventually(func() bool { return fx.send(http.MethodPost, "again").status == http.StatusOK }), ShouldBeTrue)
+	})
+}
--- a/internal/front/caller/run.go
+++ b/internal/front/caller/run.go
@@ -154,8 +154,12 @@
 		}
 		l.dispatcher.finishAttempt(admitted, r, startTime, result)
 	}
-	failure := attemptLost
+	failure, isRecorded := attemptLost, false
 	defer func() {
+		if !isRecorded {
+			// After a panic the attempt may be a probe without a result.
+			admitted.minion.CancelPick(admitted.pickedAt)
+		}
 		if result.finish == nil {
 			finish(failure)
 		}
@@ -178,9 +182,11 @@
 			failure = attemptNotRun
 		}
 		l.recordFailure(r, admitted, err)
+		isRecorded = true
 		return minionResponse{}, err
 	}
 	admitted.minion.RecordResult(l.config.Clock.Now(), admitted.pickedAt, response.Status >= http.StatusInternalServerError)
+	isRecorded = true
 	return minionResponse{Response: response, finish: finish}, nil
 }
 
