Unlock the state and the dispatcher after a panic in a handler

What callers and operators would see: an entry that answers nothing. Three places that handlers reach held a lock without a deferred unlock around code that could panic: Dispatcher.release (at the end of each request), Apply and AwaitInForce. net/http recovers the panic, the lock stays, and from then on every request and every loop of the entry waits for it. No such panic was seen; the tests cause one.

Change: the locked parts are functions with a deferred unlock (recordEnd, changeBase, readBehind). The other locks without defer that handlers reach (ChangeFleet, the sessions of the console, IsReady, AwaitNextOwner, the dump of entries for jobs) only copy fields or maps; read, left as they are. Those in loops end the process with the panic.

Evidence: before, TestPanicInReleaseLeavesTheDispatcherUnlocked and both cases of TestPanicOfAnOperatorsRequestLeavesTheStateUnlocked: Expected: true Actual: false Now internal/daemon/entry and internal/front pass with -race.

--- a/internal/daemon/entry/change.go
+++ b/internal/daemon/entry/change.go
@@ -164,23 +164,19 @@
 
 // apply is Apply for a document that has been parsed and checked.
 func (e *Entry) apply(ctx context.Context, baseRevision uint64, parsed document.Document) (applied Applied, err error) {
-	e.mu.Lock()
-	current, baseID, version := e.state.config.Revision, e.state.config.ID, e.state.storedConfig.version
-	history := e.state.barrier.Limits()
-	behind := e.state.barrier.MembersBehind(e.state.barrier.Newest())
-	e.mu.Unlock()
-	if current != baseRevision {
-		return Applied{}, &StaleRevisionError{Read: baseRevision, Current: current}
+	base := e.changeBase()
+	if base.revision != baseRevision {
+		return Applied{}, &StaleRevisionError{Read: baseRevision, Current: base.revision}
 	}
-	if len(history) > maxPendingRevisions {
-		return Applied{}, &PendingRevisionsError{Behind: behind}
+	if len(base.history) > maxPendingRevisions {
+		return Applied{}, &PendingRevisionsError{Behind: base.behind}
 	}
-	written, err := document.NewConfig(current, history, parsed)
+	written, err := document.NewConfig(base.revision, base.history, parsed)
 	if err != nil {
 		return Applied{}, err
 	}
-	err = e.writeConfig(ctx, written, version)
-	if baseVersion, ok := conflictWithBase(err, baseID); ok {
+	err = e.writeConfig(ctx, written, base.version)
+	if baseVersion, ok := conflictWithBase(err, base.id); ok {
 		err = e.writeConfig(ctx, written, baseVersion)
 	}
 	if err != nil {
@@ -189,6 +185,31 @@
 	return e.AwaitInForce(ctx, written.Revision), nil
 }
 
+// changeBase is the config that a change is based on.
+type changeBase struct {
+	revision uint64
+	id       string
+	// version is the platform's version of the config.
+	version int64
+	// history holds the limits that may still be in force at some entry, behind the
+	// names of the entries that do not have the newest revision in force.
+	history []units.Limits
+	behind  []string
+}
+
+// changeBase returns the config in force as the base of a change.
+func (e *Entry) changeBase() changeBase {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return changeBase{
+		revision: e.state.config.Revision,
+		id:       e.state.config.ID,
+		version:  e.state.storedConfig.version,
+		history:  e.state.barrier.Limits(),
+		behind:   e.state.barrier.MembersBehind(e.state.barrier.Newest()),
+	}
+}
+
 // writeConfig writes a config in place of the given version in the platform.
 // The error is a *StaleRevisionError or *UnreachableError.
 func (e *Entry) writeConfig(ctx context.Context, config document.Config, version int64) error {
@@ -229,10 +250,7 @@
 // may be serving, or the context ends.
 func (e *Entry) AwaitInForce(ctx context.Context, revision uint64) Applied {
 	for {
-		e.mu.Lock()
-		behind := e.entriesBehind(revision)
-		changed := e.state.inForceChanged
-		e.mu.Unlock()
+		behind, changed := e.readBehind(revision)
 		if len(behind) == 0 {
 			return Applied{Revision: revision, State: Accepted}
 		}
@@ -245,6 +263,14 @@
 	}
 }
 
+// readBehind returns entriesBehind, and a channel that is closed when the revisions in
+// force at any entry change.
+func (e *Entry) readBehind(revision uint64) (behind []string, changed <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.entriesBehind(revision), e.state.inForceChanged
+}
+
 // entriesBehind returns the sorted names of the entries that may be serving and
 // have not reported the config revision as in force: the holders of slices
 // whose process is not known to be gone, and the members that are alive. The
--- a/internal/daemon/entry/panic_test.go
+++ b/internal/daemon/entry/panic_test.go
@@ -50,3 +50,24 @@
 		So(lines.String(), ShouldContainSubstring, "nil pointer dereference")
 	})
 }
+
+// A panic while a request of an operator was served left the state locked, and with it the
+// whole entry.
+func TestPanicOfAnOperatorsRequestLeavesTheStateUnlocked(t *testing.T) {
+	size := scale{entries: 1, teams: 1, pools: 1, instances: 8}
+	requests := map[string]func(e *Entry){
+		"Apply": func(e *Entry) {
+			_, _ = e.Apply(t.Context(), 1, encode(t, size.document()))
+		},
+		"AwaitInForce": func(e *Entry) { e.AwaitInForce(t.Context(), 1) },
+	}
+	for name, request := range requests {
+		Convey("The state of an entry can be used after a panic in "+name, t, func() {
+			e := newScaledEntry(t, size)
+			e.state.barrier = nil
+			So(func() { request(e) }, ShouldPanic)
+			So(e.mu.TryLock(), ShouldBeTrue)
+			e.mu.Unlock()
+		})
+	}
+}
--- a/internal/front/caller/dispatcher.go
+++ b/internal/front/caller/dispatcher.go
@@ -364,12 +364,17 @@
 	admitted.slot.Release()
 	admitted.unit.Release()
 	d.usage.add(r.team, runTime)
-	d.mu.Lock()
-	d.queue(r.service.Pool).scheduler.Finish(d.config.Clock.Now(), admitted.item)
-	d.mu.Unlock()
+	d.recordEnd(r.service.Pool, admitted.item)
 	d.DispatchAll()
 }
 
+// recordEnd records in the queue of a pool that the work of an item has ended.
+func (d *Dispatcher) recordEnd(pool string, item *share.Item[*waiter]) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queue(pool).scheduler.Finish(d.config.Clock.Now(), item)
+}
+
 // releaseUnused releases an admission for which no attempt was sent.
 func (d *Dispatcher) releaseUnused(admitted admission, r request) {
 	admitted.minion.CancelPick(admitted.pickedAt)
--- a/internal/front/caller/panic_test.go
+++ b/internal/front/caller/panic_test.go
@@ -14,6 +14,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/minion"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
+	"gitlab.com/chicorypin/chicorypin/share"
 	"gitlab.com/chicorypin/chicorypin/units"
 )
 
@@ -135,3 +136,17 @@
 		So(eventually(func() bool { return fx.send(http.MethodPost, "again").status == http.StatusOK }), ShouldBeTrue)
 	})
 }
+
+// A panic while the end of a request was recorded left the dispatcher locked, so that the
+// entry admitted nothing and its ledgers were not ticked any more.
+func TestPanicInReleaseLeavesTheDispatcherUnlocked(t *testing.T) {
+	Convey("The dispatcher can be used after a panic while an admission was released", t, func() {
+		fx := newFixture(t, fixtureOptions{}, newFakeMinion(t, respondOK))
+		gate := fx.config.Teams.Account("gate")
+		unknown := admission{unit: gate.Acquire(), slot: gate.Acquire(), item: &share.Item[*waiter]{Team: "unknown"}}
+		release := func() { fx.dispatcher.release(unknown, request{service: fx.index.Service("publish")}, 0) }
+		So(release, ShouldPanic)
+		So(eventually(fx.dispatcher.mu.TryLock), ShouldBeTrue)
+		fx.dispatcher.mu.Unlock()
+	})
+}
