--- a/internal/proof/system/process_test.go
+++ b/internal/proof/system/process_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/daemon/entry"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/minion"
@@ -65,9 +66,9 @@
 	done    chan struct{}
 }
 
-// crashMarks are the texts that a data race, a panic, or a panic that net/http has
-// recovered leaves in the log of a process.
-var crashMarks = []string{"DATA RACE", "panic:", "panic serving"}
+// crashMarks are the texts that a data race, a panic, or a panic of a handler leaves in
+// the log of a process.
+var crashMarks = []string{"DATA RACE", "panic:", "panic serving", fmt.Sprintf(`"event":%d,`, event.HandlerPanicked.Number)}
 
 // startProcess starts a program and kills it at the end of the test. The test fails
 // if the log of the process reports a data race or a panic.
