Run the goroutines of daemons in groups of conc that end the process

The house style asks for conc. background.Group is a conc.WaitGroup whose functions end the process at a panic, with the stack on standard error and status 2, as before this commit; scopes that are waited for at once are plain conc.WaitGroups again, which raise the panic there.

Evidence: the four tests of (TestPanicInALoopEndsTheProcess, TestPanicInAWorkerEndsTheProcess, TestPanicInReceiveEndsTheProcess, TestPanicInServeEndsTheProcess) pass unchanged.

--- a/cmd/chicorypin-demo/main.go
+++ b/cmd/chicorypin-demo/main.go
@@ -12,9 +12,9 @@
 	"net/netip"
 	"os"
 	"strings"
-	"sync"
 	"time"
 
+	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 	"gitlab.com/chicorypin/chicorypin/internal/daemon/entry"
 	"gitlab.com/chicorypin/chicorypin/internal/daemon/host"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
@@ -41,7 +41,7 @@
 	entries []*entry.Entry
 	// cancels holds the cancel function of each entry's context.
 	cancels []context.CancelFunc
-	group   sync.WaitGroup
+	group   background.Group
 }
 
 func main() {
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +14,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/endpoint"
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/journal"
@@ -92,7 +92,7 @@
 	inbox   chan func()
 	ctx     context.Context
 	cancel  context.CancelFunc
-	workers sync.WaitGroup
+	workers background.Group
 	isReady atomic.Bool
 
 	// The fields from here to lastForgotten belong to the loop. pollers is keyed by
--- a/internal/cell/steward/operation.go
+++ b/internal/cell/steward/operation.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
@@ -162,7 +163,7 @@
 	}
 	s.mu.Unlock()
 	var mu sync.Mutex
-	var wait sync.WaitGroup
+	var wait conc.WaitGroup
 	for pool, operations := range byPool {
 		wait.Go(func() {
 			found := s.cordonPool(now, pool, operations)
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -12,6 +12,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
 	"gitlab.com/chicorypin/chicorypin/internal/plan/pools"
 	"gitlab.com/chicorypin/chicorypin/jobs"
@@ -103,7 +104,7 @@
 	config  Config
 	ctx     context.Context
 	cancel  context.CancelFunc
-	workers sync.WaitGroup
+	workers background.Group
 
 	mu       sync.Mutex
 	machines []cloud.Machine
--- a/internal/cell/steward/view.go
+++ b/internal/cell/steward/view.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
@@ -55,7 +56,7 @@
 	v := pools.View{Pools: s.config.Pools()}
 	loads := make(map[string]jobs.Load)
 	var mu sync.Mutex
-	var wait sync.WaitGroup
+	var wait conc.WaitGroup
 	for i := range v.Pools {
 		p := &v.Pools[i]
 		if p.IsStandby {
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/minion"
 	"gitlab.com/chicorypin/chicorypin/internal/back/platform"
+	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/base/fault"
 	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
@@ -88,7 +89,7 @@
 	// sockets are the callers' and the operators' listening sockets, in this
 	// order.
 	sockets    []net.Listener
-	goroutines sync.WaitGroup
+	goroutines background.Group
 
 	// index and isIsolated are read in every request, so they are atomic
 	// instead of being guarded by mu.
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -15,11 +15,13 @@
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/cloud"
 	"gitlab.com/chicorypin/chicorypin/internal/back/endpoint"
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
@@ -108,7 +110,7 @@
 	// directory holds the endpoints that are registered in the store.
 	directory *directory
 
-	workers sync.WaitGroup
+	workers background.Group
 	// manageNow makes manageCells check the ownership at once. It is buffered, so
 	// signals sent before the check are merged.
 	manageNow chan struct{}
@@ -480,7 +482,7 @@
 			event.OperationFailed.Log(d.log, logrus.Fields{"call": "announce", "error": err.Error()})
 		}
 	}
-	var releases sync.WaitGroup
+	var releases conc.WaitGroup
 	releases.Go(func() { d.releaseCells(ctx, owners) })
 	if s != nil {
 		s.Stop()
@@ -500,7 +502,7 @@
 // releaseCells prepares cells for the handover, stops their owners and removes their
 // ownership keys. It returns when all are done.
 func (d *Daemon) releaseCells(ctx context.Context, owners map[string]*owner.Owner) {
-	var releases sync.WaitGroup
+	var releases conc.WaitGroup
 	for cell, o := range owners {
 		releases.Go(func() {
 			o.PrepareHandover(ctx)
--- a/internal/daemon/fleet/late_test.go
+++ b/internal/daemon/fleet/late_test.go
@@ -6,12 +6,12 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
@@ -36,7 +36,7 @@
 		body := fmt.Sprintf(`{"spec":%q,"steps":[{"n":3,"each":{"cpu":50,"mem":10}}]}`, strings.Repeat("x", 3900))
 		var number, accepted atomic.Int64
 		var isOver atomic.Bool
-		var submitters sync.WaitGroup
+		var submitters conc.WaitGroup
 		for i := range lateSubmitters {
 			submitters.Go(func() {
 				for !isOver.Load() {
--- a/internal/daemon/fleet/leave_test.go
+++ b/internal/daemon/fleet/leave_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
 )
 
@@ -31,13 +32,13 @@
 		}
 		s.startAll(1)
 		<-started
-		So(s.eventually(5*time.Second, func() bool { return s.entries[0].daemon.ownerOf("blue") != nil }), ShouldBeTrue)
+		So(await.Until(5*time.Second, func() bool { return s.entries[0].daemon.ownerOf("blue") != nil }), ShouldBeTrue)
 		stopped := make(chan struct{})
 		go func() {
 			s.entries[0].stop()
 			close(stopped)
 		}()
-		So(s.eventually(5*time.Second, func() bool { return strings.Contains(s.entries[0].logs.String(), "event=622") }), ShouldBeTrue)
+		So(await.Until(5*time.Second, func() bool { return strings.Contains(s.entries[0].logs.String(), "event=622") }), ShouldBeTrue)
 		close(confirm)
 		<-stopped
 		_, isOwned := s.store.Get("live/owner/red")
--- a/internal/front/caller/listener.go
+++ b/internal/front/caller/listener.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +20,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/minion"
+	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
 	"gitlab.com/chicorypin/chicorypin/units"
@@ -73,7 +73,7 @@
 	received           atomic.Uint64
 	isKeepAliveStopped atomic.Bool
 	// detached tracks attempts that continue after their callers have disconnected.
-	detached sync.WaitGroup
+	detached background.Group
 
 	answered tally.Counter
 	retried  tally.Counter
--- a/internal/front/caller/outcome_test.go
+++ b/internal/front/caller/outcome_test.go
@@ -149,7 +149,7 @@
 				So(r.retry, ShouldNotBeEmpty)
 			}
 			account := fx.config.Teams.Account("gate")
-			So(eventually(func() bool { return account.Used() == 0 }), ShouldBeTrue)
+			So(await.Until(waitTimeout, func() bool { return account.Used() == 0 }), ShouldBeTrue)
 		})
 	}
 }
--- a/internal/front/caller/panic_test.go
+++ b/internal/front/caller/panic_test.go
@@ -14,6 +14,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/minion"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 	"gitlab.com/chicorypin/chicorypin/share"
 	"gitlab.com/chicorypin/chicorypin/units"
 )
@@ -127,13 +128,13 @@
 		logger.AddHook(faultyHook{isFaulty})
 		config.Log = logrus.NewEntry(logger)
 		fx.server.Config.Handler = NewListener(config, fx.dispatcher)
-		So(eventually(func() bool { return fx.send(http.MethodPost, "swap").status == http.StatusServiceUnavailable }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return fx.send(http.MethodPost, "swap").status == http.StatusServiceUnavailable }), ShouldBeTrue)
 		m.setScript(faults["response to another attempt"].script)
 		isFaulty.Store(true)
-		So(eventually(func() bool { return fx.send(http.MethodPost, "probe").isTruncated }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return fx.send(http.MethodPost, "probe").isTruncated }), ShouldBeTrue)
 		isFaulty.Store(false)
 		m.setScript(respondOK)
-		So(eventually(func() bool { return fx.send(http.MethodPost, "again").status == http.StatusOK }), ShouldBeTrue)
+		So(await.Until(waitTimeout, func() bool { return fx.send(http.MethodPost, "again").status == http.StatusOK }), ShouldBeTrue)
 	})
 }
 
@@ -146,7 +147,7 @@
 		unknown := admission{unit: gate.Acquire(), slot: gate.Acquire(), item: &share.Item[*waiter]{Team: "unknown"}}
 		release := func() { fx.dispatcher.release(unknown, request{service: fx.index.Service("publish")}, 0) }
 		So(release, ShouldPanic)
-		So(eventually(fx.dispatcher.mu.TryLock), ShouldBeTrue)
+		So(await.Until(waitTimeout, fx.dispatcher.mu.TryLock), ShouldBeTrue)
 		fx.dispatcher.mu.Unlock()
 	})
 }
--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/inbound"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
 )
@@ -86,7 +87,7 @@
 type Mesh struct {
 	config  Config
 	inbound *inbound.Listener
-	wait    sync.WaitGroup
+	wait    background.Group
 	ctx     context.Context
 	cancel  context.CancelFunc
 
--- a/internal/mesh/inbound/inbound.go
+++ b/internal/mesh/inbound/inbound.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 )
 
 // Config sets up a Listener.
@@ -29,7 +31,7 @@
 type Listener struct {
 	config   Config
 	listener net.Listener
-	wait     sync.WaitGroup
+	wait     background.Group
 	ctx      context.Context
 	cancel   context.CancelFunc
 
--- a/internal/mesh/peer/mesh.go
+++ b/internal/mesh/peer/mesh.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/inbound"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
@@ -62,7 +63,7 @@
 type Mesh struct {
 	config  Config
 	inbound *inbound.Listener
-	wait    sync.WaitGroup
+	wait    background.Group
 	ctx     context.Context
 	cancel  context.CancelFunc
 
@@ -304,7 +305,7 @@
 // sendAll sends the queued messages of a link until the session ends or ctx is done.
 // A failed write ends the session, so that the link is dialled again.
 func (m *Mesh) sendAll(ctx context.Context, session *yamux.Session, l *link, messages, documents net.Conn) error {
-	var wait sync.WaitGroup
+	var wait background.Group
 	defer wait.Wait()
 	defer session.Close()
 	send := func(stream net.Conn, queue <-chan *wire.Frame) {
@@ -357,7 +358,7 @@
 		return
 	}
 	defer session.Close()
-	var wait sync.WaitGroup
+	var wait background.Group
 	defer wait.Wait()
 	for {
 		stream, err := session.Accept()
