Keep permits of a lapsed loan invalid after its renewal

A borrower had acquired a unit and not started its work; its loan expired, the term and the longest run time passed, and the lender used the unit again. The borrower then renewed the loan for the unit that it still held, and the permit became valid again. In a daemon: a request that waits in the dial to a minion while its process is frozen for more than 45 s, and is sent after the first renewal.

Cause: a permit looked at the newest expiry of its loan, and a renewal that comes after the expiry moves that too.

Ruled out: changing maximum run times; the same sequence fails without them.

Change: a loan counts its renewals that come after the expiry; a permit keeps the count from before it was acquired and is valid only with the same.

Evidence: the new case of TestTerms before: "ledger_test.go Line 80: Expected: false Actual: true"; after: go test -count=1 ./units and with -race pass.

--- a/units/account.go
+++ b/units/account.go
@@ -1,7 +1,6 @@
 package units
 
 import (
-	"math"
 	"sync/atomic"
 	"time"
 )
@@ -42,6 +41,8 @@
 	units  counter
 	// expiry is the end of the term, in nanoseconds since Ledger.created.
 	expiry atomic.Int64
+	// lapses counts the renewals that came after the expiry.
+	lapses atomic.Uint64
 	// lenderCount is the number of units that the lender counts as lent,
 	// according to the last exchange of messages. It is guarded by ledger.mu.
 	lenderCount uint32
@@ -56,13 +57,6 @@
 	expiry time.Time
 }
 
-// noExpiry is the expiry of owned units, which are not bound to a term.
-var noExpiry = func() *atomic.Int64 {
-	end := new(atomic.Int64)
-	end.Store(math.MaxInt64)
-	return end
-}()
-
 // Name returns the name of the resource.
 func (a *Account) Name() string { return a.name }
 
@@ -75,7 +69,7 @@
 		return nil
 	}
 	if a.owned.acquire() {
-		return &Permit{counter: &a.owned, expiry: noExpiry, ledger: a.ledger}
+		return &Permit{counter: &a.owned, ledger: a.ledger}
 	}
 	for _, l := range *a.loans.Load() {
 		if permit := a.acquireBorrowed(now, l); permit != nil {
@@ -88,6 +82,8 @@
 // acquireBorrowed takes one unit of the loan. It returns nil if the loan has
 // expired or has no free unit.
 func (a *Account) acquireBorrowed(now time.Time, l *loan) *Permit {
+	// Read first, so that the permit is not valid if the loan lapses meanwhile.
+	lapses := l.lapses.Load()
 	if !a.ledger.isUnexpired(now, &l.expiry) || !l.units.acquire() {
 		return nil
 	}
@@ -96,7 +92,7 @@
 		l.units.release()
 		return nil
 	}
-	return &Permit{counter: &l.units, expiry: &l.expiry, ledger: a.ledger}
+	return &Permit{counter: &l.units, loan: l, lapses: lapses, ledger: a.ledger}
 }
 
 // SetWaiting sets the number of additional units that could be used immediately
--- a/units/ledger.go
+++ b/units/ledger.go
@@ -329,6 +329,9 @@
 	a.hints[lender] = hint{spare: item.Spare, at: l.config.Now()}
 	loan := a.ensureLoan(lender)
 	before, _ := loan.units.load()
+	if !l.isUnexpired(l.config.Now(), &loan.expiry) {
+		loan.lapses.Add(1)
+	}
 	// The limit is set before the expiry. In the reverse order, an expired loan
 	// would briefly be valid again with its old limit.
 	loan.units.setLimit(item.Units)
--- a/units/ledger_test.go
+++ b/units/ledger_test.go
@@ -67,6 +67,27 @@
 			s.advance(simulatedPauseLimit + time.Millisecond)
 			So(permit.IsValid(s.now), ShouldBeFalse)
 		},
+		// The lender had used the unit again; the late renewal made the permit valid anew.
+		"a permit of a loan that has lapsed stays invalid when the loan is renewed": func() {
+			s, lender, borrower := newLenderAndBorrower(1)
+			borrowUnits(s, borrower, 1)
+			permit := borrower.ledger.Account(resourceName).Acquire()
+			So(permit, ShouldNotBeNil)
+			s.advance(simulatedTerm + simulatedMaxRunTime)
+			lender.ledger.Tick(s.now)
+			So(s.startJob(lender), ShouldBeTrue)
+			s.step()
+			So(permit.IsValid(s.now), ShouldBeFalse)
+		},
+		"a permit stays valid while its loan is renewed in time": func() {
+			s, _, borrower := newLenderAndBorrower(1)
+			borrowUnits(s, borrower, 1)
+			permit := borrower.ledger.Account(resourceName).Acquire()
+			for begin := s.now; s.now.Sub(begin) < 3*simulatedTerm; {
+				s.step()
+			}
+			So(permit.IsValid(s.now), ShouldBeTrue)
+		},
 		"releasing a permit twice returns its unit once": func() {
 			s, lender, _ := newLenderAndBorrower(2)
 			s.tick(lender)
--- a/units/permit.go
+++ b/units/permit.go
@@ -7,8 +7,11 @@
 
 // Permit represents one acquired unit. Its methods are safe for concurrent use.
 type Permit struct {
-	counter    *counter
-	expiry     *atomic.Int64
+	counter *counter
+	// loan is the loan of the unit, nil if the member owns it. lapses is what the loan
+	// had counted when the unit was acquired.
+	loan       *loan
+	lapses     uint64
 	ledger     *Ledger
 	isReleased atomic.Bool
 }
@@ -22,8 +25,14 @@
 }
 
 // IsValid returns whether work may still start on the unit at the given time.
-// It returns false if the loan has expired, or if the last tick of the ledger is
-// older than its pause limit, for example because the process was paused.
+// It returns false if the loan has expired, even if it was renewed later, since the
+// lender may have used the unit meanwhile. It also returns false if the last tick of the
+// ledger is older than its pause limit, for example because the process was paused.
 func (p *Permit) IsValid(now time.Time) bool {
-	return p.ledger.IsTickRecent(now) && p.ledger.isUnexpired(now, p.expiry)
+	return p.ledger.IsTickRecent(now) && (p.loan == nil || p.isLoanValid(now))
+}
+
+func (p *Permit) isLoanValid(now time.Time) bool {
+	// The expiry is read first, since it is set after the count of lapses.
+	return p.ledger.isUnexpired(now, &p.loan.expiry) && p.loan.lapses.Load() == p.lapses
 }
