Count lent units by the run time that the borrower states

The opposite was unsafe: with a higher `longest` in force only at the borrower, the lender counted its units for 30 s and used them while that work could run.

Cause: each ledger counted with its own maximum, which began at 30 s and was never lowered.

Ruled out: the largest maximum over the history of configs that may be in force. The history ends with the holders of the table, but a member that is not in it may borrow, and a lender had to remember settled revisions.

Change: a Want carries the maximum run time of the work that the borrower starts from then on (`run`; absent from earlier versions: the largest that the lender has known). A lending ends at the latest time that any Want has set. A higher maximum is used on borrowed units only after the lender has answered a Want with it. A request that was resolved before the maximum was lowered runs for the lower one. RecoveryTime still never decreases: an entry that is gone cannot state its maximum.

simulation_test.go: startJob releases a permit that is not valid, which it leaked; run times change and requests wait between admission and start.

--- a/internal/daemon/entry/ledgers.go
+++ b/internal/daemon/entry/ledgers.go
@@ -98,11 +98,7 @@
 
 // receiveWant replies to a peer's request for units.
 func (e *Entry) receiveWant(from string, want *wire.Want) {
-	received := units.Want{From: from, To: e.id, Sequence: want.GetSequence()}
-	for _, item := range want.GetItems() {
-		received.Items = append(received.Items, units.WantItem{Name: item.GetName(), Hold: item.GetHold(), Want: item.GetWant()})
-	}
-	reply, ok := e.ledger(want.GetGroup()).ReceiveWant(e.config.Clock.Now(), received)
+	reply, ok := e.ledger(want.GetGroup()).ReceiveWant(e.config.Clock.Now(), decodeWant(from, e.id, want))
 	if ok {
 		e.mesh.Send(from, lendFrame(want.GetGroup(), reply))
 	}
@@ -123,13 +119,27 @@
 }
 
 func wantFrame(group uint32, want units.Want) *wire.Frame {
-	body := &wire.Want{Group: group, Sequence: want.Sequence}
+	// Rounded up, since the lender must not count units for a shorter time.
+	run := (want.MaxRunTime + time.Millisecond - 1) / time.Millisecond
+	body := &wire.Want{Group: group, Sequence: want.Sequence, Run: uint64(run)}
 	for _, item := range want.Items {
 		body.Items = append(body.Items, &wire.WantItem{Name: item.Name, Hold: item.Hold, Want: item.Want})
 	}
 	return &wire.Frame{Body: &wire.Frame_Want{Want: body}}
 }
 
+// decodeWant returns the request of a peer that wantFrame has encoded.
+func decodeWant(from, to string, body *wire.Want) units.Want {
+	want := units.Want{
+		From: from, To: to, Sequence: body.GetSequence(),
+		MaxRunTime: time.Duration(body.GetRun()) * time.Millisecond,
+	}
+	for _, item := range body.GetItems() {
+		want.Items = append(want.Items, units.WantItem{Name: item.GetName(), Hold: item.GetHold(), Want: item.GetWant()})
+	}
+	return want
+}
+
 func lendFrame(group uint32, lend units.Lend) *wire.Frame {
 	body := &wire.Lend{Group: group, Sequence: lend.Sequence, Term: uint64(lend.Term / time.Millisecond)}
 	for _, item := range lend.Items {
--- a/internal/daemon/entry/receive_test.go
+++ b/internal/daemon/entry/receive_test.go
@@ -85,7 +85,7 @@
 		}}}
 	case 1:
 		return &wire.Frame{Body: &wire.Frame_Want{Want: &wire.Want{
-			Group: uint32(rapid.IntRange(0, 3).Draw(t, "group")), Sequence: number("sequence"),
+			Group: uint32(rapid.IntRange(0, 3).Draw(t, "group")), Sequence: number("sequence"), Run: number("run"),
 			Items: []*wire.WantItem{{Name: names.Draw(t, "name"), Hold: uint32(number("hold")), Want: uint32(number("want"))}},
 		}}}
 	case 2:
--- a/internal/front/caller/dispatcher.go
+++ b/internal/front/caller/dispatcher.go
@@ -298,10 +298,9 @@
 
 // finishAttempt releases the unit and the slot of an attempt that started at
 // startTime. They are released at once if the minion no longer runs the work, else
-// when the maximum run time of the service has passed.
+// when the maximum run time of the attempt has passed.
 func (d *Dispatcher) finishAttempt(admitted admission, r request, startTime time.Time, result attemptResult) {
 	runTime := d.config.Clock.Now().Sub(startTime)
-	maxRunTime := time.Duration(r.service.MaxRunTime)
 	switch result {
 	case attemptCompleted:
 		d.predictor.Learn(share.Kind{Team: r.team, Service: r.service.Name}, runTime)
@@ -309,7 +308,7 @@
 	case attemptNotRun:
 		d.release(admitted, r, 0)
 	case attemptLost:
-		time.AfterFunc(max(maxRunTime-runTime, 0), func() { d.release(admitted, r, maxRunTime) })
+		time.AfterFunc(max(r.maxRunTime-runTime, 0), func() { d.release(admitted, r, r.maxRunTime) })
 	}
 }
 
--- a/internal/front/caller/listener.go
+++ b/internal/front/caller/listener.go
@@ -99,6 +99,8 @@
 	team     string
 	incoming *http.Request
 	body     []byte
+	// maxRunTime is the maximum run time of the current attempt.
+	maxRunTime time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -250,13 +252,20 @@
 	l.writeResponse(w, r, response)
 }
 
-// attemptContext returns the context of an attempt, which expires after the maximum
-// run time of the service. It also ends when the caller disconnects if minions stop
+// attemptContext returns the context of an attempt, which expires after its maximum
+// run time. It also ends when the caller disconnects if minions stop
 // the work of this service when the connection is closed.
 func (l *Listener) attemptContext(r request) (context.Context, context.CancelFunc) {
 	parent := r.incoming.Context()
 	if !r.service.IsCancellable {
 		parent = context.WithoutCancel(parent)
 	}
-	return withDeadline(parent, time.Duration(r.service.MaxRunTime), l.config.Clock.Now)
+	return withDeadline(parent, r.maxRunTime, l.config.Clock.Now)
+}
+
+// maxRunTime returns the maximum run time of an attempt that starts now. A request that
+// has waited since an earlier document may not run longer than the current one allows,
+// because lenders count the units only for that long.
+func (l *Listener) maxRunTime(service *document.Service) time.Duration {
+	return time.Duration(min(service.MaxRunTime, l.config.Index().Document.MaxRunTime))
 }
--- a/internal/front/caller/run.go
+++ b/internal/front/caller/run.go
@@ -44,6 +44,7 @@
 		if err != nil {
 			return minionResponse{}, correctOutcome(err, mayHaveRun)
 		}
+		r.maxRunTime = l.maxRunTime(r.service)
 		response, err := l.attempt(r, admitted)
 		if err == nil {
 			return response, nil
@@ -156,7 +157,7 @@
 		Body:   r.body,
 		IsAllowed: func() bool {
 			now := l.config.Clock.Now()
-			return admitted.unit.IsValid(now) && admitted.slot.IsValid(now)
+			return admitted.unit.IsValid(now, r.maxRunTime) && admitted.slot.IsValid(now, r.maxRunTime)
 		},
 	})
 	finish := func(result attemptResult) {
--- a/units/account.go
+++ b/units/account.go
@@ -43,18 +43,22 @@
 	expiry atomic.Int64
 	// lapses counts the renewals that came after the expiry.
 	lapses atomic.Uint64
+	// maxRunTime is the maximum run time in the newest answered Want, in nanoseconds.
+	// The lender counts the units for no longer after the expiry.
+	maxRunTime atomic.Int64
 	// lenderCount is the number of units that the lender counts as lent,
 	// according to the last exchange of messages. It is guarded by ledger.mu.
 	lenderCount uint32
 }
 
 // lending holds the units that one borrower may be using of this member's
-// owned units. It ends no earlier than expiry plus the maximum run time, unless
-// the borrower returns the units.
+// owned units.
 type lending struct {
-	units  uint32
-	want   uint32
-	expiry time.Time
+	units uint32
+	want  uint32
+	// end is the time after which no work of the borrower can be running on the
+	// units. The lending ends earlier only if the borrower returns them.
+	end time.Time
 }
 
 // Name returns the name of the resource.
@@ -79,16 +83,16 @@
 	return nil
 }
 
-// acquireBorrowed takes one unit of the loan. It returns nil if the loan has
-// expired or has no free unit.
+// acquireBorrowed takes one unit of the loan. It returns nil if the loan is not
+// usable or has no free unit.
 func (a *Account) acquireBorrowed(now time.Time, l *loan) *Permit {
 	// Read first, so that the permit is not valid if the loan lapses meanwhile.
 	lapses := l.lapses.Load()
-	if !a.ledger.isUnexpired(now, &l.expiry) || !l.units.acquire() {
+	if !a.ledger.isUsable(now, l) || !l.units.acquire() {
 		return nil
 	}
 	// The loan may have expired between the check and the acquisition.
-	if !a.ledger.isUnexpired(a.ledger.config.Now(), &l.expiry) {
+	if !a.ledger.isUsable(a.ledger.config.Now(), l) {
 		l.units.release()
 		return nil
 	}
@@ -128,7 +132,7 @@
 	free := saturatingSub(limit, used)
 	now := a.ledger.config.Now()
 	for _, l := range *a.loans.Load() {
-		if a.ledger.isUnexpired(now, &l.expiry) {
+		if a.ledger.isUsable(now, l) {
 			limit, used = l.units.load()
 			free += saturatingSub(limit, used)
 		}
@@ -165,11 +169,10 @@
 	return used+a.lentTotal() <= share
 }
 
-// expireLendings removes lendings that expired more than maxRunTime ago. Work
-// that a borrower started before the expiry must have ended by then.
-func (a *Account) expireLendings(now time.Time, maxRunTime time.Duration) {
+// expireLendings removes the lendings on whose units no work can be running any more.
+func (a *Account) expireLendings(now time.Time) {
 	for borrower, l := range a.lent {
-		if now.After(l.expiry.Add(maxRunTime)) {
+		if now.After(l.end) {
 			delete(a.lent, borrower)
 		}
 	}
@@ -179,14 +182,19 @@
 // applyWantItem records what the borrower holds and wants, lends it more free
 // units if it is entitled to them, and returns the item of the reply. Units in
 // the reply may be fewer than the borrower holds; those stay counted as lent
-// until a later Want reports that the borrower holds fewer.
-func (a *Account) applyWantItem(borrower string, item WantItem, expiry time.Time) LendItem {
+// until a later Want reports that the borrower holds fewer. end is the time after which
+// no work can be running any more that the borrower starts after this Want.
+func (a *Account) applyWantItem(borrower string, item WantItem, end time.Time) LendItem {
 	l := a.lent[borrower]
 	if l == nil {
 		l = &lending{}
 		a.lent[borrower] = l
 	}
-	l.units, l.want, l.expiry = item.Hold, item.Want, expiry
+	l.units, l.want = item.Hold, item.Want
+	// Work that was started under an earlier, higher maximum run time may end later.
+	if end.After(l.end) {
+		l.end = end
+	}
 	a.updateOwnedLimit()
 
 	target, reserved := a.entitlement(item.Want)
--- a/units/borrow.go
+++ b/units/borrow.go
@@ -39,6 +39,10 @@
 	// never sent a Want: nothing is borrowed or requested from it.
 	isIdle bool
 	items  []WantItem
+	// maxRunTime is that of the newest Want, answeredRunTime that of the newest
+	// answered one.
+	maxRunTime      time.Duration
+	answeredRunTime time.Duration
 }
 
 // Tick updates the accounts for the given time and returns the Wants to send, at
@@ -53,7 +57,7 @@
 		if a.isSelfSufficient() {
 			continue
 		}
-		a.expireLendings(now, time.Duration(l.maxRunTime.Load()))
+		a.expireLendings(now)
 		l.plan(now, a, items, changes)
 	}
 	l.lastTick.Store(max(int64(now.Sub(l.created)), 1))
@@ -102,6 +106,9 @@
 	changeReturn
 	// changeNewResource means that the previous Want had no item for a resource.
 	changeNewResource
+	// changeRunTime means that the maximum run time differs from the one that the
+	// lender has last answered.
+	changeRunTime
 )
 
 // lenderNames returns the names of all lenders that have items now or have state
@@ -133,6 +140,10 @@
 	if s.isOutstanding && now.Sub(s.sent) < l.config.Timeout {
 		return Want{}, false
 	}
+	maxRunTime := time.Duration(l.maxRunTime.Load())
+	if maxRunTime != s.answeredRunTime {
+		kind = changeRunTime
+	}
 	if !l.isDue(now, s, items, kind) {
 		return Want{}, false
 	}
@@ -141,7 +152,8 @@
 	s.sent = now
 	s.isIdle = false
 	s.items = items
-	return Want{From: l.config.Self, To: lender, Sequence: s.sequence, Items: items}, true
+	s.maxRunTime = maxRunTime
+	return Want{From: l.config.Self, To: lender, Sequence: s.sequence, MaxRunTime: maxRunTime, Items: items}, true
 }
 
 // isDue returns whether a Want with these items is due: as a renewal if nothing
@@ -153,7 +165,7 @@
 	}
 	interval := l.config.Term / renewalsPerTerm
 	switch kind {
-	case changeNewResource:
+	case changeNewResource, changeRunTime:
 		interval = l.config.Interval
 	case changeReturn:
 		interval = l.config.Interval * min(s.backoffFactor, maxReturnBackoffFactor)
--- a/units/ledger.go
+++ b/units/ledger.go
@@ -29,8 +29,7 @@
 	// Term is how long a borrower may start work on lent units, counted from when
 	// it sent the Want.
 	Term time.Duration
-	// MaxRunTime is the maximum run time of any work. Units that a silent borrower
-	// does not return are free again after Term plus this time.
+	// MaxRunTime is the maximum run time of any work, until SetMaxRunTime is called.
 	MaxRunTime time.Duration
 	// Interval is the minimum time between two Wants to the same lender, except
 	// for a Want without items, which is sent at once.
@@ -70,8 +69,10 @@
 	created time.Time
 	// lastTick is the time of the last tick, in nanoseconds since created.
 	lastTick atomic.Int64
-	// maxRunTime is the maximum run time of any work, in nanoseconds.
-	maxRunTime atomic.Int64
+	// maxRunTime is the maximum run time of the work that starts at this member now,
+	// longestRunTime the largest value that it has had, both in nanoseconds.
+	maxRunTime     atomic.Int64
+	longestRunTime atomic.Int64
 
 	// index is a copy of accounts for reads without the lock. It is replaced as a
 	// whole and never changed.
@@ -105,7 +106,7 @@
 	l.index.Store(&map[string]*Account{})
 	l.created = l.config.Now()
 	l.lastTick.Store(1)
-	l.maxRunTime.Store(int64(l.config.MaxRunTime))
+	l.SetMaxRunTime(l.config.MaxRunTime)
 	return l
 }
 
@@ -132,12 +133,14 @@
 	return a
 }
 
-// RaiseMaxRunTime raises the maximum run time to the given one. It never lowers
-// it, since work that was started under the old maximum may still be running.
-func (l *Ledger) RaiseMaxRunTime(maxRunTime time.Duration) {
+// SetMaxRunTime sets the maximum run time of the work that starts at this member from
+// now on. Lenders learn of it from the next Want. After it was raised, no borrowed unit
+// can be acquired until its lender has answered such a Want.
+func (l *Ledger) SetMaxRunTime(maxRunTime time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.maxRunTime.Store(max(l.maxRunTime.Load(), int64(maxRunTime)))
+	l.maxRunTime.Store(int64(maxRunTime))
+	l.longestRunTime.Store(max(l.longestRunTime.Load(), int64(maxRunTime)))
 }
 
 // StopLending stops lending: no more units are lent, and replies to borrowers ask
@@ -151,9 +154,10 @@
 
 // RecoveryTime returns the time after which no work of a member can be running any
 // more, counted from when the member was last known to be able to start work.
-// It is the loan term plus the maximum run time.
+// It is the loan term plus the largest maximum run time so far. It never decreases,
+// since a member may still start work under an old maximum.
 func (l *Ledger) RecoveryTime() time.Duration {
-	return l.config.Term + time.Duration(l.maxRunTime.Load())
+	return l.config.Term + time.Duration(l.longestRunTime.Load())
 }
 
 // Names returns the names of all accounts in no particular order.
@@ -254,11 +258,12 @@
 	b.received = now
 	b.sequence = want.Sequence
 	b.reply = Lend{From: l.config.Self, To: want.From, Sequence: want.Sequence, Term: l.config.Term}
+	end := now.Add(l.workDuration(want))
 	listed := make(map[string]bool, len(want.Items))
 	for _, item := range want.Items {
 		listed[item.Name] = true
 		a := l.account(item.Name)
-		lent := a.applyWantItem(want.From, item, now.Add(l.config.Term))
+		lent := a.applyWantItem(want.From, item, end)
 		if lent.Units != item.Hold || lent.Spare > 0 {
 			b.reply.Items = append(b.reply.Items, lent)
 		}
@@ -267,6 +272,15 @@
 	return b.reply, true
 }
 
+// workDuration returns the time after which no work can be running any more that the
+// borrower starts on the units lent in reply to the Want.
+func (l *Ledger) workDuration(want Want) time.Duration {
+	if want.MaxRunTime <= 0 {
+		return l.RecoveryTime()
+	}
+	return l.config.Term + want.MaxRunTime
+}
+
 // endOmittedLendings removes the lendings to a borrower for which its newest Want
 // has no item: the borrower holds none of their units any more.
 func (l *Ledger) endOmittedLendings(borrower string, listed map[string]bool) {
@@ -290,6 +304,7 @@
 	}
 	s.isOutstanding = false
 	s.renewed = s.sent
+	s.answeredRunTime = s.maxRunTime
 	s.isIdle = len(s.items) == 0
 	isChanged := false
 	expiry := s.sent.Add(reply.Term - reply.Term/termMarginDivisor)
@@ -302,7 +317,7 @@
 		if !ok {
 			item = LendItem{Name: requested.Name, Units: requested.Hold}
 		}
-		isChanged = l.applyLendItem(reply.From, item, expiry) || isChanged
+		isChanged = l.applyLendItem(reply.From, item, s.maxRunTime, expiry) || isChanged
 	}
 	l.updateLenderCounts(reply.From, s.items, lent)
 	s.backoffFactor = nextBackoffFactor(s.backoffFactor, isChanged)
@@ -322,9 +337,10 @@
 	}
 }
 
-// applyLendItem updates the loan and the hint from one item of a reply. It
-// returns whether the number of borrowed units has changed.
-func (l *Ledger) applyLendItem(lender string, item LendItem, expiry time.Time) (isChanged bool) {
+// applyLendItem updates the loan and the hint from one item of a reply to a Want with
+// the given maximum run time. It returns whether the number of borrowed units has
+// changed.
+func (l *Ledger) applyLendItem(lender string, item LendItem, maxRunTime time.Duration, expiry time.Time) (isChanged bool) {
 	a := l.account(item.Name)
 	a.hints[lender] = hint{spare: item.Spare, at: l.config.Now()}
 	loan := a.ensureLoan(lender)
@@ -332,9 +348,10 @@
 	if !l.isUnexpired(l.config.Now(), &loan.expiry) {
 		loan.lapses.Add(1)
 	}
-	// The limit is set before the expiry. In the reverse order, an expired loan
-	// would briefly be valid again with its old limit.
+	// The limit and the maximum run time are set before the expiry. In the reverse
+	// order, an expired loan would briefly be valid again with its old ones.
 	loan.units.setLimit(item.Units)
+	loan.maxRunTime.Store(int64(maxRunTime))
 	loan.expiry.Store(int64(expiry.Sub(l.created)))
 	return item.Units != before
 }
@@ -346,6 +363,12 @@
 	return int64(now.Sub(l.created))-l.lastTick.Load() <= int64(l.config.PauseLimit)
 }
 
+// isUsable returns whether work may start now on the units of the loan: it has not
+// expired, and the lender has learnt of the maximum run time.
+func (l *Ledger) isUsable(now time.Time, borrowed *loan) bool {
+	return l.isUnexpired(now, &borrowed.expiry) && borrowed.maxRunTime.Load() >= l.maxRunTime.Load()
+}
+
 // isUnexpired returns whether now is before the expiry, which is in nanoseconds
 // since l.created.
 func (l *Ledger) isUnexpired(now time.Time, expiry *atomic.Int64) bool {
--- a/units/ledger_test.go
+++ b/units/ledger_test.go
@@ -10,6 +10,9 @@
 // stepDuration is the time by which simulation.step advances the clock.
 const stepDuration = 200 * time.Millisecond
 
+// lowMaxRunTime is lower than simulatedMaxRunTime, that of the members at first.
+const lowMaxRunTime = 3 * time.Second
+
 // newLenderAndBorrower returns a simulation of two members: a lender that owns
 // all units and a borrower that owns none.
 func newLenderAndBorrower(limit uint32) (s *simulation, lender, borrower *simulatedMember) {
@@ -43,6 +46,78 @@
 			lender.ledger.Tick(s.now)
 			So(s.startJob(lender), ShouldBeTrue)
 		},
+		"the units of a silent borrower are counted until its own maximum run time has passed": func() {
+			s, lender, borrower := newLenderAndBorrower(1)
+			borrower.setMaxRunTime(lowMaxRunTime)
+			borrowUnits(s, borrower, 1)
+			s.crash(borrower)
+			s.advance(simulatedTerm + lowMaxRunTime - time.Second)
+			s.tick(lender)
+			So(s.startJob(lender), ShouldBeFalse)
+			s.advance(2 * time.Second)
+			s.tick(lender)
+			So(s.startJob(lender), ShouldBeTrue)
+		},
+		"work that was started under a higher maximum run time is counted until it must have ended": func() {
+			s, lender, borrower := newLenderAndBorrower(1)
+			borrowUnits(s, borrower, 1)
+			requested := borrower.ledger.lenders[lender.name].sent
+			So(s.startJob(borrower), ShouldBeTrue)
+			borrower.setMaxRunTime(lowMaxRunTime)
+			s.step()
+			s.crash(borrower)
+			restarted := s.addMember()
+			s.loadDocuments(restarted)
+			restarted.setMaxRunTime(lowMaxRunTime)
+			borrowUnits(s, restarted, 1)
+			So(s.startJob(restarted), ShouldBeFalse)
+			s.advance(requested.Add(simulatedTerm + simulatedMaxRunTime - time.Second).Sub(s.now))
+			s.tick(lender)
+			So(s.startJob(lender), ShouldBeFalse)
+			s.advance(2 * time.Second)
+			s.tick(lender)
+			So(s.startJob(lender), ShouldBeTrue)
+		},
+		"after the maximum run time was raised, borrowed units are used once the lender has learnt of it": func() {
+			s, lender, borrower := newLenderAndBorrower(1)
+			borrower.setMaxRunTime(lowMaxRunTime)
+			borrowUnits(s, borrower, 1)
+			permit := borrower.ledger.Account(resourceName).Acquire()
+			borrower.setMaxRunTime(simulatedMaxRunTime)
+			So(permit.IsValid(s.now, simulatedMaxRunTime), ShouldBeFalse)
+			So(permit.IsValid(s.now, lowMaxRunTime), ShouldBeTrue)
+			permit.Release()
+			So(borrower.ledger.Account(resourceName).Acquire(), ShouldBeNil)
+			borrower.ledger.Account(resourceName).SetWaiting(1)
+			s.step()
+			So(s.startJob(borrower), ShouldBeTrue)
+			s.crash(borrower)
+			s.advance(simulatedTerm + lowMaxRunTime + time.Second)
+			s.tick(lender)
+			So(s.startJob(lender), ShouldBeFalse)
+		},
+		"an answer covers the maximum run time of its request, not one that was raised meanwhile": func() {
+			s, _, borrower := newLenderAndBorrower(1)
+			borrower.setMaxRunTime(lowMaxRunTime)
+			borrower.ledger.Account(resourceName).SetWaiting(1)
+			s.tick(borrower)
+			reply := s.answerFirstWant()
+			borrower.setMaxRunTime(simulatedMaxRunTime)
+			borrower.ledger.ReceiveLend(reply)
+			So(s.startJob(borrower), ShouldBeFalse)
+		},
+		"a borrower that does not state its maximum run time may have the largest known": func() {
+			s, lender, borrower := newLenderAndBorrower(1)
+			lender.setMaxRunTime(lowMaxRunTime)
+			_, ok := lender.ledger.ReceiveWant(s.now, Want{From: borrower.name, To: lender.name, Sequence: 1, Items: []WantItem{{Name: resourceName, Want: 1}}})
+			So(ok, ShouldBeTrue)
+			s.advance(simulatedTerm + simulatedMaxRunTime - time.Second)
+			s.tick(lender)
+			So(s.startJob(lender), ShouldBeFalse)
+			s.advance(2 * time.Second)
+			s.tick(lender)
+			So(s.startJob(lender), ShouldBeTrue)
+		},
 		"the term counts from when the units were requested": func() {
 			s, _, borrower := newLenderAndBorrower(1)
 			borrower.ledger.Account(resourceName).SetWaiting(1)
@@ -65,7 +140,7 @@
 			s.tick(lender)
 			permit := lender.ledger.Account(resourceName).Acquire()
 			s.advance(simulatedPauseLimit + time.Millisecond)
-			So(permit.IsValid(s.now), ShouldBeFalse)
+			So(permit.IsValid(s.now, simulatedMaxRunTime), ShouldBeFalse)
 		},
 		// The lender had used the unit again; the late renewal made the permit valid anew.
 		"a permit of a loan that has lapsed stays invalid when the loan is renewed": func() {
@@ -77,7 +152,7 @@
 			lender.ledger.Tick(s.now)
 			So(s.startJob(lender), ShouldBeTrue)
 			s.step()
-			So(permit.IsValid(s.now), ShouldBeFalse)
+			So(permit.IsValid(s.now, simulatedMaxRunTime), ShouldBeFalse)
 		},
 		"a permit stays valid while its loan is renewed in time": func() {
 			s, _, borrower := newLenderAndBorrower(1)
@@ -86,7 +161,7 @@
 			for begin := s.now; s.now.Sub(begin) < 3*simulatedTerm; {
 				s.step()
 			}
-			So(permit.IsValid(s.now), ShouldBeTrue)
+			So(permit.IsValid(s.now, simulatedMaxRunTime), ShouldBeTrue)
 		},
 		"releasing a permit twice returns its unit once": func() {
 			s, lender, _ := newLenderAndBorrower(2)
--- a/units/message.go
+++ b/units/message.go
@@ -9,7 +9,11 @@
 	From     string
 	To       string
 	Sequence uint64
-	Items    []WantItem
+	// MaxRunTime is the maximum run time of the work that the borrower starts on the
+	// lent units after this Want. If it is 0, the lender assumes the largest that it
+	// has known.
+	MaxRunTime time.Duration
+	Items      []WantItem
 }
 
 // WantItem requests units of one resource. If a Want has no item for a resource,
--- a/units/permit.go
+++ b/units/permit.go
@@ -24,15 +24,18 @@
 	}
 }
 
-// IsValid returns whether work may still start on the unit at the given time.
-// It returns false if the loan has expired, even if it was renewed later, since the
-// lender may have used the unit meanwhile. It also returns false if the last tick of the
-// ledger is older than its pause limit, for example because the process was paused.
-func (p *Permit) IsValid(now time.Time) bool {
-	return p.ledger.IsTickRecent(now) && (p.loan == nil || p.isLoanValid(now))
+// IsValid returns whether work that runs for at most maxRunTime may still start on the
+// unit at the given time. It returns false if the loan does not cover that run time or has
+// expired, even if it was renewed later, since the lender may have used the unit meanwhile.
+// It also returns false if the last tick of the ledger is older than its pause limit, for
+// example because the process was paused.
+func (p *Permit) IsValid(now time.Time, maxRunTime time.Duration) bool {
+	return p.ledger.IsTickRecent(now) && (p.loan == nil || p.isCovered(now, maxRunTime))
 }
 
-func (p *Permit) isLoanValid(now time.Time) bool {
-	// The expiry is read first, since it is set after the count of lapses.
-	return p.ledger.isUnexpired(now, &p.loan.expiry) && p.loan.lapses.Load() == p.lapses
+// isCovered returns whether the loan allows work on the unit to start.
+func (p *Permit) isCovered(now time.Time, maxRunTime time.Duration) bool {
+	// The expiry is read first, since it is set after the other two.
+	return p.ledger.isUnexpired(now, &p.loan.expiry) && p.loan.lapses.Load() == p.lapses &&
+		int64(maxRunTime) <= p.loan.maxRunTime.Load()
 }
--- a/units/simulation_test.go
+++ b/units/simulation_test.go
@@ -40,6 +40,8 @@
 	limits   []Limits
 	tables   []Table
 	jobs     []*job
+	// requests holds the requests that have a unit and have not started a job yet.
+	requests []*job
 	nextID   int
 	// departed holds the members that crashed or left, with the revisions that
 	// they had in force.
@@ -56,6 +58,8 @@
 	isPartitioned bool
 	// lastTick is the time of the member's last tick.
 	lastTick time.Time
+	// maxRunTime is the maximum run time in the member's documents.
+	maxRunTime time.Duration
 	// isSuspect is true if the member was paused for so long that its slice may
 	// have been assigned to another one. It owns no units until it loads the
 	// newest documents.
@@ -65,9 +69,10 @@
 // job is work that runs on a minion. It continues when the member that started
 // it crashes or pauses.
 type job struct {
-	member  string
-	permit  *Permit
-	started time.Time
+	member     string
+	permit     *Permit
+	started    time.Time
+	maxRunTime time.Duration
 }
 
 // departedMember is a member that crashed at the time since, or left in an
@@ -107,7 +112,7 @@
 func (s *simulation) addMember() *simulatedMember {
 	s.nextID++
 	name := fmt.Sprintf("m%d", s.nextID)
-	m := &simulatedMember{name: name, barrier: NewBarrier(name), lastTick: s.now}
+	m := &simulatedMember{name: name, barrier: NewBarrier(name), lastTick: s.now, maxRunTime: simulatedMaxRunTime}
 	m.ledger = NewLedger(Config{
 		Self: name, Term: simulatedTerm, MaxRunTime: simulatedMaxRunTime, PauseLimit: simulatedPauseLimit,
 		Now: func() time.Time { return s.now },
@@ -124,6 +129,12 @@
 	m.refresh()
 }
 
+// setMaxRunTime gives a member a document with another maximum run time.
+func (m *simulatedMember) setMaxRunTime(maxRunTime time.Duration) {
+	m.ledger.SetMaxRunTime(maxRunTime)
+	m.maxRunTime = maxRunTime
+}
+
 // refresh updates the member's share from its documents and puts the newest
 // revisions in force if what it uses and has lent fits.
 func (m *simulatedMember) refresh() {
@@ -219,13 +230,44 @@
 // it did.
 func (s *simulation) startJob(m *simulatedMember) bool {
 	permit := m.ledger.Account(resourceName).Acquire()
-	if permit == nil || !permit.IsValid(s.now) {
+	if permit == nil {
+		return false
+	}
+	if !permit.IsValid(s.now, m.maxRunTime) {
+		permit.Release()
 		return false
 	}
-	s.jobs = append(s.jobs, &job{member: m.name, permit: permit, started: s.now})
+	s.jobs = append(s.jobs, &job{member: m.name, permit: permit, started: s.now, maxRunTime: m.maxRunTime})
 	return true
 }
 
+// admit lets a member acquire a unit for a request whose job starts later, with the
+// maximum run time of now.
+func (s *simulation) admit(m *simulatedMember) {
+	if permit := m.ledger.Account(resourceName).Acquire(); permit != nil {
+		s.requests = append(s.requests, &job{member: m.name, permit: permit, maxRunTime: m.maxRunTime})
+	}
+}
+
+// startAdmitted starts the job of a request that was admitted earlier, or releases its
+// unit if the permit is no longer valid. A member that is paused does nothing.
+func (s *simulation) startAdmitted(position int) {
+	j := s.requests[position]
+	m := s.find(j.member)
+	if m != nil && m.isPaused {
+		return
+	}
+	s.requests = slices.Delete(s.requests, position, position+1)
+	switch {
+	case m == nil:
+	case j.permit.IsValid(s.now, j.maxRunTime):
+		j.started = s.now
+		s.jobs = append(s.jobs, j)
+	default:
+		j.permit.Release()
+	}
+}
+
 // endJob ends a job. Its member releases the unit: now if it is running, on
 // resuming if it is paused, and never if it has departed.
 func (s *simulation) endJob(position int) {
@@ -250,7 +292,7 @@
 func (s *simulation) advance(step time.Duration) {
 	s.now = s.now.Add(step)
 	for i := len(s.jobs) - 1; i >= 0; i-- {
-		if s.now.Sub(s.jobs[i].started) > simulatedMaxRunTime {
+		if s.now.Sub(s.jobs[i].started) > s.jobs[i].maxRunTime {
 			s.endJob(i)
 		}
 	}
@@ -349,12 +391,50 @@
 			delete(actions, name)
 		}
 		actions["double2"] = actions["double"]
+		actions["runtime2"] = actions["runtime"]
 		actions["sleep"] = func(t *rapid.T) { s.sleep(t) }
 		actions["sleep2"] = actions["sleep"]
 		t.Repeat(actions)
 	})
 }
 
+// TestLoansHoldWhenRunTimesChange guards against units that a lender uses while work
+// that its borrower started under another maximum run time still runs on them. It omits
+// the other faults, and only the member that owns no unit has requests waiting, so that
+// run times change often while the unit is lent.
+func TestLoansHoldWhenRunTimesChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(2, 1)
+		borrower := s.members[0]
+		if borrower.barrier.Share(resourceName) > 0 {
+			t.Fatal("the borrower owns the unit")
+		}
+		all := s.actions()
+		step := func(*rapid.T) {
+			borrower.ledger.Account(resourceName).SetWaiting(1)
+			s.step()
+		}
+		start := func(t *rapid.T) { s.startJob(s.drawMember(t)) }
+		t.Repeat(map[string]func(*rapid.T){
+			"": all[""], "admit": all["admit"], "begin": all["begin"],
+			"start0": start, "start1": start, "step0": step, "step1": step,
+			"runtime": func(t *rapid.T) {
+				s.drawMember(t).setMaxRunTime(rapid.SampledFrom([]time.Duration{time.Second, simulatedMaxRunTime}).Draw(t, "maximum"))
+			},
+			"cut": func(t *rapid.T) {
+				seconds := rapid.SampledFrom([]int{1, 3, 8}).Draw(t, "seconds")
+				for range seconds {
+					s.advance(time.Second)
+					for _, m := range s.members {
+						s.tick(m)
+					}
+					s.inFlight = nil
+				}
+			},
+		})
+	})
+}
+
 // sleep advances the clock by some seconds, during which random members tick and
 // no message is delivered.
 func (s *simulation) sleep(t *rapid.T) {
@@ -409,6 +489,21 @@
 			m.isPaused = false
 			s.startJob(m)
 		},
+		"runtime": func(t *rapid.T) {
+			maximum := rapid.IntRange(1, int(simulatedMaxRunTime/time.Second)).Draw(t, "maximum")
+			s.drawMember(t).setMaxRunTime(time.Duration(maximum) * time.Second)
+		},
+		"admit": func(t *rapid.T) {
+			if m := s.drawMember(t); !m.isPaused {
+				s.admit(m)
+			}
+		},
+		"begin": func(t *rapid.T) {
+			if len(s.requests) == 0 {
+				t.Skip("no request")
+			}
+			s.startAdmitted(rapid.IntRange(0, len(s.requests)-1).Draw(t, "request"))
+		},
 		"pause":  func(t *rapid.T) { s.drawMember(t).isPaused = isOneInFour(t) },
 		"resume": func(t *rapid.T) { s.drawMember(t).isPaused = false },
 		"leave": func(t *rapid.T) {
