Lend units of a lapsed loan again only if they are free

A borrower with a unit in use was silent until the lender had counted its units as returned and used them; its next Want reported the unit as kept, and the lender, whose units were all in use, answered that it may be used. Once the borrower had released the first work, it acquired the unit again: one above the limit, until the lender's own work ended. In a daemon: an entry that is frozen for longer than the term and the longest run time with borrowed units in use.

Cause: the reply to a Want granted the units reported as kept without regard to whether the lender still counted them as lent.

Change: the lender counts the units beyond those that it had counted as lent, but as long as its units in use and lent exceed its share it grants that many fewer, so that the borrower returns them as its work ends.

budget_test.go, TestControlBytesAtTargetScale: the bound is unchanged. Replies after a lapse of all teams at all peers at once are not bounded by a test; they end with the work that the borrowers had running.

--- a/internal/daemon/entry/budget_test.go
+++ b/internal/daemon/entry/budget_test.go
@@ -23,13 +23,19 @@
 // in the worst case of lending: a daemon that needs units of every team,
 // while no peer has any to lend and every peer needs as many.
 func wantAndReplyBytes(e *Entry, s scale) float64 {
-	want := units.Want{From: "entry-1.00000000", To: e.id, Sequence: 1 << 40}
+	first := units.Want{From: "entry-1.00000000", To: e.id, Sequence: 1<<40 - 1}
+	want := units.Want{From: first.From, To: e.id, Sequence: 1 << 40}
 	for i := range s.teams {
 		name := fmt.Sprintf("team-%02d", i)
-		for e.teams.Account(name).Acquire() != nil {
+		first.Items = append(first.Items, units.WantItem{Name: name, Want: 1})
+		want.Items = append(want.Items, units.WantItem{Name: name, Hold: 1, Want: 3})
+	}
+	// The units that the borrower keeps have been lent to it before.
+	e.teams.ReceiveWant(e.config.Clock.Now(), first)
+	for i := range s.teams {
+		for e.teams.Account(fmt.Sprintf("team-%02d", i)).Acquire() != nil {
 			continue
 		}
-		want.Items = append(want.Items, units.WantItem{Name: name, Hold: 1, Want: 3})
 	}
 	reply, _ := e.teams.ReceiveWant(e.config.Clock.Now(), want)
 	return float64(proto.Size(wantFrame(groupTeams, want)) + proto.Size(lendFrame(groupTeams, reply)))
--- a/units/account.go
+++ b/units/account.go
@@ -56,6 +56,9 @@
 type lending struct {
 	units uint32
 	want  uint32
+	// unbacked is how many of the units the borrower holds from before a lapse although
+	// this member has used or lent them again. It may not start work on them.
+	unbacked uint32
 	// end is the time after which no work of the borrower can be running on the
 	// units. The lending ends earlier only if the borrower returns them.
 	end time.Time
@@ -162,6 +165,12 @@
 	a.owned.setLimit(saturatingSub(a.share, a.lentTotal()))
 }
 
+// excess returns by how many the owned units in use and lent exceed the share.
+func (a *Account) excess() uint32 {
+	_, used := a.owned.load()
+	return saturatingSub(used+a.lentTotal(), a.share)
+}
+
 // fits returns whether the owned units in use plus the lent units are at most
 // share.
 func (a *Account) fits(share uint32) bool {
@@ -190,6 +199,7 @@
 		l = &lending{}
 		a.lent[borrower] = l
 	}
+	unbacked := l.unbacked + saturatingSub(item.Hold, l.units)
 	l.units, l.want = item.Hold, item.Want
 	// Work that was started under an earlier, higher maximum run time may end later.
 	if end.After(l.end) {
@@ -197,13 +207,15 @@
 	}
 	a.updateOwnedLimit()
 
+	l.unbacked = min(unbacked, item.Hold, a.excess())
+
 	target, reserved := a.entitlement(item.Want)
-	units := target
+	units := min(target, item.Hold-l.unbacked)
 	if target > item.Hold {
 		extra := min(target-item.Hold, saturatingSub(a.freeOwned(), reserved))
 		extra = a.owned.shrink(extra) // fewer if units were acquired in the meantime
-		l.units = item.Hold + extra
-		units = l.units
+		l.units += extra
+		units += extra
 	}
 	if l.units == 0 && l.want == 0 {
 		delete(a.lent, borrower)
--- a/units/ledger_test.go
+++ b/units/ledger_test.go
@@ -163,6 +163,29 @@
 			}
 			So(permit.IsValid(s.now, simulatedMaxRunTime), ShouldBeTrue)
 		},
+		// The renewal lent the unit a second time, once its first work had been released.
+		"units of a loan that has lapsed are not lent again while the lender uses them": func() {
+			s, lender, borrower := newLenderAndBorrower(2)
+			borrowUnits(s, borrower, 1)
+			permit := borrower.ledger.Account(resourceName).Acquire()
+			s.advance(simulatedTerm)
+			s.tick(lender)
+			s.advance(simulatedMaxRunTime)
+			s.tick(lender)
+			So(s.startJob(lender), ShouldBeTrue)
+			So(s.startJob(lender), ShouldBeTrue)
+			borrower.ledger.Account(resourceName).SetWaiting(1)
+			for range 20 {
+				s.step()
+			}
+			permit.Release()
+			So(s.startJob(borrower), ShouldBeFalse)
+			s.endJob(0)
+			for range 20 {
+				s.step()
+			}
+			So(s.startJob(borrower), ShouldBeTrue)
+		},
 		"releasing a permit twice returns its unit once": func() {
 			s, lender, _ := newLenderAndBorrower(2)
 			s.tick(lender)
