Count the stated run time in the budget of control bytes

The Want in TestControlBytesAtTargetScale was written by hand, so it lacked the maximum run time that every Want now carries. The test becomes stricter by 18 B/s: 10,519 B/s (10,501 before), bound 14,336.

--- a/internal/daemon/entry/budget_test.go
+++ b/internal/daemon/entry/budget_test.go
@@ -24,7 +24,7 @@
 // while no peer has any to lend and every peer needs as many.
 func wantAndReplyBytes(e *Entry, s scale) float64 {
 	first := units.Want{From: "entry-1.00000000", To: e.id, Sequence: 1<<40 - 1}
-	want := units.Want{From: first.From, To: e.id, Sequence: 1 << 40}
+	want := units.Want{From: first.From, To: e.id, Sequence: 1 << 40, MaxRunTime: units.DefaultMaxRunTime}
 	for i := range s.teams {
 		name := fmt.Sprintf("team-%02d", i)
 		first.Items = append(first.Items, units.WantItem{Name: name, Want: 1})
