--- a/units/account.go
+++ b/units/account.go
@@ -1,7 +1,6 @@
 package units
 
 import (
-	"math"
 	"sync/atomic"
 	"time"
 )
@@ -42,27 +41,31 @@
 	units  counter
 	// expiry is the end of the term, in nanoseconds since Ledger.created.
 	expiry atomic.Int64
+	// lapses counts the renewals that came after the expiry.
+	lapses atomic.Uint64
+	// maxRunTime is the maximum run time in the newest answered Want, in nanoseconds.
+	// The lender counts the units for no longer after the expiry.
+	maxRunTime atomic.Int64
 	// lenderCount is the number of units that the lender counts as lent,
 	// according to the last exchange of messages. It is guarded by ledger.mu.
 	lenderCount uint32
 }
 
 // lending holds the units that one borrower may be using of this member's
-// owned units. It ends no earlier than expiry plus the maximum run time, unless
-// the borrower returns the units.
+// owned units.
 type lending struct {
-	units  uint32
-	want   uint32
+	units uint32
+	want  uint32
+	// unbacked is how many of the units the borrower holds from before a lapse although
+	// this member has used or lent them again. It may not start work on them.
+	unbacked uint32
+	// expiry is the end of the term, until which the borrower may start work.
 	expiry time.Time
+	// end is the time after which no work of the borrower can be running on the
+	// units. The lending ends earlier only if the borrower returns them.
+	end time.Time
 }
 
-// noExpiry is the expiry of owned units, which are not bound to a term.
-var noExpiry = func() *atomic.Int64 {
-	end := new(atomic.Int64)
-	end.Store(math.MaxInt64)
-	return end
-}()
-
 // Name returns the name of the resource.
 func (a *Account) Name() string { return a.name }
 
@@ -75,7 +78,7 @@
 		return nil
 	}
 	if a.owned.acquire() {
-		return &Permit{counter: &a.owned, expiry: noExpiry, ledger: a.ledger}
+		return &Permit{counter: &a.owned, ledger: a.ledger}
 	}
 	for _, l := range *a.loans.Load() {
 		if permit := a.acquireBorrowed(now, l); permit != nil {
@@ -85,18 +88,20 @@
 	return nil
 }
 
-// acquireBorrowed takes one unit of the loan. It returns nil if the loan has
-// expired or has no free unit.
+// acquireBorrowed takes one unit of the loan. It returns nil if the loan is not
+// usable or has no free unit.
 func (a *Account) acquireBorrowed(now time.Time, l *loan) *Permit {
-	if !a.ledger.isUnexpired(now, &l.expiry) || !l.units.acquire() {
+	// Read first, so that the permit is not valid if the loan lapses meanwhile.
+	lapses := l.lapses.Load()
+	if !a.ledger.isUsable(now, l) || !l.units.acquire() {
 		return nil
 	}
 	// The loan may have expired between the check and the acquisition.
-	if !a.ledger.isUnexpired(a.ledger.config.Now(), &l.expiry) {
+	if !a.ledger.isUsable(a.ledger.config.Now(), l) {
 		l.units.release()
 		return nil
 	}
-	return &Permit{counter: &l.units, expiry: &l.expiry, ledger: a.ledger}
+	return &Permit{counter: &l.units, loan: l, lapses: lapses, ledger: a.ledger}
 }
 
 // SetWaiting sets the number of additional units that could be used immediately
@@ -132,7 +137,7 @@
 	free := saturatingSub(limit, used)
 	now := a.ledger.config.Now()
 	for _, l := range *a.loans.Load() {
-		if a.ledger.isUnexpired(now, &l.expiry) {
+		if a.ledger.isUsable(now, l) {
 			limit, used = l.units.load()
 			free += saturatingSub(limit, used)
 		}
@@ -162,6 +167,12 @@
 	a.owned.setLimit(saturatingSub(a.share, a.lentTotal()))
 }
 
+// excess returns by how many the owned units in use and lent exceed the share.
+func (a *Account) excess() uint32 {
+	_, used := a.owned.load()
+	return saturatingSub(used+a.lentTotal(), a.share)
+}
+
 // fits returns whether the owned units in use plus the lent units are at most
 // share.
 func (a *Account) fits(share uint32) bool {
@@ -169,15 +180,14 @@
 	return used+a.lentTotal() <= share
 }
 
-// expireLendings removes what expired lendings claim beyond their units, and the units
-// maxRunTime later. Work that a borrower started before the expiry must have ended by
-// then.
-func (a *Account) expireLendings(now time.Time, maxRunTime time.Duration) {
+// expireLendings removes what expired lendings claim beyond their units, and the lendings on
+// whose units no work can be running any more.
+func (a *Account) expireLendings(now time.Time) {
 	for borrower, l := range a.lent {
 		if now.After(l.expiry) {
 			l.want = l.units
 		}
-		if l.units == 0 && l.want == 0 || now.After(l.expiry.Add(maxRunTime)) {
+		if l.units == 0 && l.want == 0 || now.After(l.end) {
 			delete(a.lent, borrower)
 		}
 	}
@@ -187,23 +197,32 @@
 // applyWantItem records what the borrower holds and wants, lends it more free
 // units if it is entitled to them, and returns the item of the reply. Units in
 // the reply may be fewer than the borrower holds; those stay counted as lent
-// until a later Want reports that the borrower holds fewer.
-func (a *Account) applyWantItem(borrower string, item WantItem, expiry time.Time) LendItem {
+// until a later Want reports that the borrower holds fewer. expiry is the end of the term,
+// end the time after which no work can be running any more that the borrower starts
+// after this Want.
+func (a *Account) applyWantItem(borrower string, item WantItem, expiry, end time.Time) LendItem {
 	l := a.lent[borrower]
 	if l == nil {
 		l = &lending{}
 		a.lent[borrower] = l
 	}
+	unbacked := l.unbacked + saturatingSub(item.Hold, l.units)
 	l.units, l.want, l.expiry = item.Hold, item.Want, expiry
+	// Work that was started under an earlier, higher maximum run time may end later.
+	if end.After(l.end) {
+		l.end = end
+	}
 	a.updateOwnedLimit()
 
+	l.unbacked = min(unbacked, item.Hold, a.excess())
+
 	target, reserved := a.entitlement(item.Want)
-	units := target
+	units := min(target, item.Hold-l.unbacked)
 	if target > item.Hold {
 		extra := min(target-item.Hold, saturatingSub(a.freeOwned(), reserved))
 		extra = a.owned.shrink(extra) // fewer if units were acquired in the meantime
-		l.units = item.Hold + extra
-		units = l.units
+		l.units += extra
+		units += extra
 	}
 	if l.units == 0 && l.want == 0 {
 		delete(a.lent, borrower)
