--- a/internal/back/cloud/cloud.go
+++ b/internal/back/cloud/cloud.go
@@ -22,8 +22,8 @@
 	ErrUnknown = errors.New("no such machine for this pool")
 	// ErrRefused means that the call was certainly not carried out. It may be retried.
 	ErrRefused = errors.New("the cloud refused the call")
-	// ErrIndeterminate means that no usable response arrived. The call may have been
-	// carried out.
+	// ErrIndeterminate means that no usable response arrived, or one that does not rule
+	// out an effect. The call may have been carried out.
 	ErrIndeterminate = errors.New("the cloud did not answer")
 )
 
