--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -12,6 +12,7 @@
 	WorkEnded    = define(105, logrus.InfoLevel, "daemon has ended its work")
 	// HandlerPanicked is logged by the listeners of all daemons.
 	HandlerPanicked = define(106, logrus.ErrorLevel, "handler of a request panicked")
+	StopUnnoticed   = define(107, logrus.WarnLevel, "requests still arrive at a leaving daemon")
 )
 
 // Documents: config, fleet and slice table, 200 to 299.
--- a/internal/daemon/entry/shutdown.go
+++ b/internal/daemon/entry/shutdown.go
@@ -71,7 +71,7 @@
 		return now.Sub(quietSince) >= linger
 	})
 	if !isQuiet {
-		e.log.Warn("requests still arrive at the end of the time for the load balancer to notice")
+		event.StopUnnoticed.Log(e.log, nil)
 	}
 }
 
