Count orphan runs for the anti-affinity of their step

Cause, by reading: an owner that finds a run it did not order, such as an earlier copy of a task after a takeover, stops it and reserves its size until it is gone, but did not count it among the runs of its step on the endpoint. So the next task of the step could be placed beside it.

Change: orphan runs of known tasks count in countRuns, which placement and gangs use.

Evidence: TestOrphanRunsCountForAntiAffinity fails before ("Expected [...] to be empty": the task is started), passes now.

--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -235,6 +235,23 @@
 	})
 }
 
+// A run that the owner had not ordered, such as an earlier copy after a takeover, did not count
+// against the limit of its step on one endpoint while it was being stopped.
+func TestOrphanRunsCountForAntiAffinity(t *testing.T) {
+	Convey("No task is started beside a run of its step that is not known, until that has ended", t, func() {
+		b := newTestbed(1)
+		step := batchStep(2, 100)
+		step.AntiAffinity = 1
+		b.submit(firstID, step)
+		orphan := ListedRun{Task: TaskName{Job: firstID, Index: 1}.String(), Run: 3}
+		So(b.answerPoll(0, orphan), ShouldHaveLength, 1)
+		So(b.planAndStore(), ShouldBeEmpty)
+		b.advance(100 * time.Millisecond)
+		b.answerPoll(0)
+		So(b.planAndStore(), ShouldHaveLength, 1)
+	})
+}
+
 // Ends were acknowledged as soon as they were applied, before their records were stored.
 func TestUnstoredEndsAreNotAcknowledged(t *testing.T) {
 	newLoaded := func() (b *testbed, starts []Start) {
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -45,6 +45,8 @@
 	used Size
 	// orphanUsage is the size reserved for runs that this owner did not order.
 	orphanUsage Size
+	// orphanSteps counts these runs by step. Those of unknown tasks do not count.
+	orphanSteps map[*step]int
 	// isReached reports whether the endpoint has listed its runs under this
 	// owner's epoch, after which it refuses the orders of earlier owners.
 	isReached bool
@@ -162,7 +164,8 @@
 	e.born, e.lastClock, e.listedClock, e.grantUntil = born, 0, 0, 0
 	e.listedSince, e.unacknowledgedSince = time.Time{}, time.Time{}
 	e.appliedEnd, e.storedEnd, e.listedEnd = 0, 0, 0
-	e.isReached, e.isFullyListed, e.isUnresponsive, e.mayHaveRestarted, e.orphanUsage = false, false, false, false, Size{}
+	e.isReached, e.isFullyListed, e.isUnresponsive, e.mayHaveRestarted = false, false, false, false
+	e.orphanUsage, e.orphanSteps = Size{}, nil
 	e.consecutiveFailures, e.failedProbes, e.suspectUntil = 0, 0, time.Time{}
 	for _, r := range sortedRuns(e) {
 		switch {
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -29,11 +29,11 @@
 	e.recordContact(now, l.Clock)
 	e.mayHaveRestarted = false
 	present := make(map[string]bool, len(l.Running))
-	e.orphanUsage = Size{}
+	e.orphanUsage, e.orphanSteps = Size{}, nil
 	for _, row := range l.Running {
 		present[row.Task] = true
 		if !c.applyListedRun(now, e, l.Clock, row) {
-			e.orphanUsage = e.orphanUsage.Plus(c.orphanSize(e, row.Task))
+			c.addOrphan(e, row.Task)
 			orphans = append(orphans, Stop{Endpoint: e.ID, Task: row.Task, Run: row.Run, Born: e.born, Reason: "not ordered by this owner"})
 		}
 	}
@@ -98,14 +98,19 @@
 	}
 }
 
-// orphanSize returns the size to reserve on an endpoint for a run that this owner did
-// not order: that of its task, or the endpoint's whole capacity if the task is
-// unknown.
-func (c *Cell) orphanSize(e *Endpoint, task string) Size {
-	if t := c.findTask(task); t != nil {
-		return t.step.Reserved()
-	}
-	return e.Capacity
+// addOrphan counts a run on an endpoint that this owner did not order. It takes the size
+// of its task, or the endpoint's whole capacity if the task is unknown.
+func (c *Cell) addOrphan(e *Endpoint, task string) {
+	t := c.findTask(task)
+	if t == nil {
+		e.orphanUsage = e.orphanUsage.Plus(e.Capacity)
+		return
+	}
+	e.orphanUsage = e.orphanUsage.Plus(t.step.Reserved())
+	if e.orphanSteps == nil {
+		e.orphanSteps = make(map[*step]int)
+	}
+	e.orphanSteps[t.step]++
 }
 
 // applyListedRun updates a run from its row in a listing whose endpoint clock is
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -202,9 +202,10 @@
 	return true
 }
 
-// countRuns returns the number of runs of a step on the endpoint.
+// countRuns returns the number of runs of a step on the endpoint, those that this owner
+// did not order among them.
 func (e *Endpoint) countRuns(s *step) int {
-	count := 0
+	count := e.orphanSteps[s]
 	for _, r := range e.runs {
 		if r.task.step == s {
 			count++
