--- a/internal/daemon/fleet/daemon_test.go
+++ b/internal/daemon/fleet/daemon_test.go
@@ -163,7 +163,7 @@
 			status, content := s.call(int(i%3), http.MethodPost, jobPath("quick", i), twoSteps)
 			SoMsg(content, status, ShouldEqual, http.StatusOK)
 			So(s.completes(number, jobPath("quick", i), 8*time.Second), ShouldBeTrue)
-			So(s.entries[number].daemon.IsReady(), ShouldBeTrue)
+			SoMsg(s.entries[number].logs.String(), s.entries[number].daemon.IsReady(), ShouldBeTrue)
 		}
 		So(s.owner("red"), ShouldEqual, number)
 		So(s.entries[number].daemon.ownerOf("red").Condition().Revision, ShouldEqual, epoch)
