--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -125,6 +125,7 @@
 type snapshotGate struct {
 	// started is closed when the first snapshot is to be written.
 	started, release chan struct{}
+	opening          sync.Once
 	isStored         atomic.Bool
 	// refused counts the writes after that.
 	refused atomic.Int32
@@ -134,6 +135,9 @@
 	return &snapshotGate{started: make(chan struct{}), release: make(chan struct{})}
 }
 
+// open releases the snapshots.
+func (g *snapshotGate) open() { g.opening.Do(func() { close(g.release) }) }
+
 // install puts the gate in front of the commits of a client.
 func (g *snapshotGate) install(client *store.Client) {
 	commit := client.Commit
@@ -169,6 +173,7 @@
 	Convey("A cancellation that the final snapshot does not contain is not confirmed with it", t, func() {
 		gate := newSnapshotGate()
 		o, _ := newOwnerWith(t, func(config *Config) { gate.install(config.Store) })
+		t.Cleanup(gate.open)
 		_, err := o.Submit(context.Background(), jobs.Job{
 			ID: "000000000000000a", Queue: "q", Attempts: 1, Steps: []jobs.Step{{Count: 1, LongRunning: true}},
 		})
@@ -185,7 +190,7 @@
 			cancelled <- err
 		}()
 		So(await.Until(waitTimeout, func() bool { return o.pendingCallbacks() == 1 }), ShouldBeTrue)
-		close(gate.release)
+		gate.open()
 		<-isPrepared
 		o.Stop()
 		So(<-cancelled, ShouldEqual, ErrIndeterminate)
@@ -193,19 +198,24 @@
 }
 
 // endingEndpoint is an endpoint with two runs, the first of which ends as done when ended
-// is closed. A poll with a wait is held open until then.
+// is closed. A poll with a wait is held open until then, also beyond its time limit: an
+// answer without the end would leave its poller waiting for the next write.
 type endingEndpoint struct {
 	mu     sync.Mutex
 	clock  int64
 	starts []jobs.Start
 	ended  chan struct{}
+	// released is closed at the end of the test.
+	released chan struct{}
 	// held counts the polls that are held open, listed those answered with the end.
 	held, listed int
 	// acknowledged is the highest end that was acknowledged.
 	acknowledged int64
 }
 
-func newEndingEndpoint() *endingEndpoint { return &endingEndpoint{ended: make(chan struct{})} }
+func newEndingEndpoint() *endingEndpoint {
+	return &endingEndpoint{ended: make(chan struct{}), released: make(chan struct{})}
+}
 
 // client returns a client of the endpoint.
 func (e *endingEndpoint) client() *endpoint.Client {
@@ -220,7 +230,7 @@
 	return endpoint.Receipt{Answer: jobs.Accepted, Clock: e.clock}
 }
 
-func (e *endingEndpoint) poll(ctx context.Context, target endpoint.Target, poll endpoint.Poll) (jobs.Listing, endpoint.Receipt) {
+func (e *endingEndpoint) poll(_ context.Context, target endpoint.Target, poll endpoint.Poll) (jobs.Listing, endpoint.Receipt) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.acknowledged = max(e.acknowledged, poll.Seen)
@@ -229,7 +239,7 @@
 		e.mu.Unlock()
 		select {
 		case <-e.ended:
-		case <-ctx.Done():
+		case <-e.released:
 		}
 		e.mu.Lock()
 		e.held--
@@ -285,8 +295,9 @@
 	return e.acknowledged
 }
 
-// loadWith makes an owner start both runs and waits for that.
-func (e *endingEndpoint) loadWith(o *Owner) {
+// loadWith makes an owner start both runs and waits until a poll is held open.
+func (e *endingEndpoint) loadWith(t *testing.T, o *Owner) {
+	t.Cleanup(func() { close(e.released) })
 	o.SetEndpoints(e.registration("127.0.0.1:1"))
 	So(await.Until(waitTimeout, func() bool {
 		// The job is rejected until the endpoint has answered a poll.
@@ -306,13 +317,14 @@
 			gate.install(config.Store)
 			config.Endpoints = e.client()
 		})
-		e.loadWith(o)
+		t.Cleanup(gate.open)
+		e.loadWith(t, o)
 		go o.PrepareHandover(context.Background())
 		<-gate.started
 		close(e.ended)
 		So(await.Until(waitTimeout, func() bool { return e.endListings() > 0 }), ShouldBeTrue)
 		So(await.Until(waitTimeout, func() bool { return o.pendingCallbacks() == 1 }), ShouldBeTrue)
-		close(gate.release)
+		gate.open()
 		// By then the next poll would have been sent.
 		So(await.Until(waitTimeout, func() bool { return gate.refused.Load() > 5 }), ShouldBeTrue)
 		So(e.seen(), ShouldEqual, 0)
@@ -325,7 +337,7 @@
 	Convey("A change of an endpoint's address acknowledges no end whose record is not stored", t, func() {
 		e := newEndingEndpoint()
 		o, s := newOwnerWith(t, func(config *Config) { config.Endpoints = e.client() })
-		e.loadWith(o)
+		e.loadWith(t, o)
 		s.SetDown(true)
 		close(e.ended)
 		So(await.Until(waitTimeout, func() bool { return o.isWriteStarted() }), ShouldBeTrue)
