--- a/internal/front/caller/input_test.go
+++ b/internal/front/caller/input_test.go
@@ -108,7 +108,8 @@
 			<-release
 			return respondOK(conn, r, number)
 		})
-		service := document.Service{MaxWaiting: 3, MaxWait: document.Duration(300 * time.Millisecond)}
+		// All requests arrive before the first one has waited for too long.
+		service := document.Service{MaxWaiting: 3, MaxWait: document.Duration(2 * time.Second)}
 		fx := newFixture(t, fixtureOptions{service: service, slots: 1}, m)
 		replies := make(chan reply, 10)
 		for i := range 10 {
