--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -64,6 +64,7 @@
 	JobEnded               = define(603, logrus.InfoLevel, "job ended")
 	JobRequestUnanswered   = define(604, logrus.WarnLevel, "request about a job not answered by the owner of the cell")
 	JobWaiting             = define(605, logrus.InfoLevel, "job waits for free capacity")
+	RunUnresolved          = define(606, logrus.InfoLevel, "long-running task waits until it is known whether its run exists")
 	RunStartOrdered        = define(610, logrus.InfoLevel, "start of a run ordered")
 	OrderRefused           = define(611, logrus.InfoLevel, "order refused by the endpoint")
 	OrderUnanswered        = define(612, logrus.WarnLevel, "order not answered by the endpoint")
--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -147,6 +147,18 @@
 	}
 }
 
+// logUnresolvedRuns logs why long-running tasks without a confirmed run are not placed
+// again; the cell selects a few at a time.
+func (o *Owner) logUnresolvedRuns(now time.Time) {
+	runs, due := o.cell.UnresolvedRuns(now)
+	for _, r := range runs {
+		event.RunUnresolved.Log(o.config.Log, logrus.Fields{
+			"task": r.Task, "run": r.Run, "endpoint": r.Endpoint, "state": r.State, "endpoint_state": r.EndpointState,
+			"since": r.UnresolvedFor.Milliseconds(), "expires": r.ExpiresIn.Milliseconds(), "due": due, "epoch": int64(o.epoch),
+		})
+	}
+}
+
 // sendStart orders an endpoint to start a run whose record is stored.
 func (o *Owner) sendStart(start jobs.Start) {
 	startedAt := boot.Now()
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -223,6 +223,7 @@
 	if !o.isHandingOver {
 		o.cell.Plan(now, time.Now())
 		o.logBlockedTasks(now)
+		o.logUnresolvedRuns(now)
 	}
 	o.sendStops(now)
 	o.sendPaces(now)
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -48,6 +48,8 @@
 	runsCheckedAt time.Time
 	// blockedCheckedAt is when BlockedTasks last checked for blocked jobs.
 	blockedCheckedAt time.Time
+	// unresolvedCheckedAt is when UnresolvedRuns last checked for unresolved runs.
+	unresolvedCheckedAt time.Time
 }
 
 // Counts counts events since this owner acquired the cell: jobs accepted and
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -125,13 +125,13 @@
 	// or the start was found unanswered. Only a listing with a later clock can show
 	// that the run is absent.
 	phaseClock int64
-	// isStopping is set once the run is to be stopped. stopSentAt is when the stop
-	// was last ordered, stopClock the endpoint's clock when it accepted the stop,
-	// 0 before.
-	isStopping bool
-	stopReason string
-	stopSentAt time.Time
-	stopClock  int64
+	// isStopping is set once the run is to be stopped. firstStopSentAt and stopSentAt are
+	// when the stop was first and last ordered, stopClock the endpoint's clock when it
+	// accepted the stop, 0 before.
+	isStopping                  bool
+	stopReason                  string
+	firstStopSentAt, stopSentAt time.Time
+	stopClock                   int64
 	// percent is the progress last listed, progressedAt when it last changed.
 	percent      int
 	progressedAt time.Time
@@ -142,6 +142,8 @@
 	pace, sentPace int
 	// reserved is the size subtracted from the endpoint's free capacity.
 	reserved Size
+	// unresolvedReportedAt is when UnresolvedRuns last reported the run.
+	unresolvedReportedAt time.Time
 }
 
 // addJob registers a job. The tasks of a job that is not timed are created at once.
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -333,6 +333,9 @@
 				continue
 			}
 			r.stopSentAt = now
+			if r.firstStopSentAt.IsZero() {
+				r.firstStopSentAt = now
+			}
 			stops = append(stops, Stop{Endpoint: e.ID, Task: r.task.name, Run: r.number, Born: e.born, Reason: r.stopReason})
 		}
 	}
