Tell the cell on which connection a start was sent

The reply to a start now carries when the connection that it was sent on had been opened, also if it was not answered. A connection ends with the process that accepted it, so the time bounds which incarnation of an endpoint can have received the start. Nothing uses it yet; no decision is changed.

--- a/internal/back/endpoint/endpoint.go
+++ b/internal/back/endpoint/endpoint.go
@@ -27,6 +27,9 @@
 	// Clock is the endpoint's clock in milliseconds, 0 if the response did not
 	// include it.
 	Clock int64
+	// ConnectedAt is when the connection that carried the call had been opened, zero if
+	// no connection was opened or the time is unknown.
+	ConnectedAt time.Time
 	// Reason is the endpoint's reason for a refusal, or the error of a call without
 	// a response.
 	Reason string
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -83,7 +83,7 @@
 func (b *testbed) planAndAccept() []Start {
 	starts := b.planAndStore()
 	for _, s := range starts {
-		b.cell.StartAnswered(b.now, s, Accepted, b.clock)
+		b.cell.StartAnswered(b.now, s, Reply{Answer: Accepted, Clock: b.clock})
 	}
 	return starts
 }
@@ -120,7 +120,7 @@
 		b.submit(firstID, batchStep(1, 100))
 		start := b.planAndStore()[0]
 		b.advance(500 * time.Millisecond)
-		b.cell.StartAnswered(b.now, start, Unanswered, 0)
+		b.cell.StartAnswered(b.now, start, Reply{Answer: Unanswered, Clock: 0})
 		So(b.planAndStore(), ShouldBeEmpty)
 		b.advance(100 * time.Millisecond)
 		b.answerPoll(0)
@@ -141,7 +141,7 @@
 		b := newTestbed(1)
 		b.submit(firstID, batchStep(1, 100))
 		start := b.planAndStore()[0]
-		b.cell.StartAnswered(b.now, start, Unanswered, 0)
+		b.cell.StartAnswered(b.now, start, Reply{Answer: Unanswered, Clock: 0})
 		b.advance(100 * time.Millisecond)
 		So(b.answerPoll(0, ListedRun{Task: start.Task, Run: start.Run}), ShouldBeEmpty)
 		So(b.cell.Stops(b.now), ShouldBeEmpty)
@@ -155,7 +155,7 @@
 			b := newTestbed(1)
 			b.submit(firstID, batchStep(1, 100))
 			start := b.planAndStore()[0]
-			b.cell.StartAnswered(b.now, start, answer, b.clock)
+			b.cell.StartAnswered(b.now, start, Reply{Answer: answer, Clock: b.clock})
 			b.advance(400 * time.Millisecond)
 			b.answerPoll(0)
 			again := b.planAndStore()
@@ -325,10 +325,10 @@
 		b := newTestbed(1)
 		b.submit(firstID, batchStep(2, 100))
 		starts := b.planAndStore()
-		b.cell.StartAnswered(b.now, starts[0], Accepted, b.clock)
+		b.cell.StartAnswered(b.now, starts[0], Reply{Answer: Accepted, Clock: b.clock})
 		b.listEnd(0, starts[0].Task, 1, Done)
 		So(b.planAndStore(), ShouldBeEmpty)
-		b.cell.StartAnswered(b.now, starts[1], Accepted, 1)
+		b.cell.StartAnswered(b.now, starts[1], Reply{Answer: Accepted, Clock: 1})
 		poll, _ := b.cell.NextPoll(b.now, endpointName(0))
 		So(poll.Seen, ShouldEqual, 0)
 		So(poll.IsNeeded, ShouldBeTrue)
@@ -382,7 +382,7 @@
 		b.answerPoll(0)
 		b.submit(firstID, batchStep(3, 100))
 		starts = b.planAndStore()
-		b.cell.StartAnswered(b.now, starts[0], Accepted, b.clock)
+		b.cell.StartAnswered(b.now, starts[0], Reply{Answer: Accepted, Clock: b.clock})
 		b.advance(100 * time.Millisecond)
 		b.listEnd(0, starts[0].Task, 1, Done)
 		So(b.planAndStore(), ShouldBeEmpty)
@@ -403,9 +403,9 @@
 	Convey("Nothing is acknowledged while a start is under way", t, func() {
 		b, starts := newEnded(5000)
 		So(acknowledged(b), ShouldEqual, 0)
-		b.cell.StartAnswered(b.now, starts[1], Accepted, b.clock)
+		b.cell.StartAnswered(b.now, starts[1], Reply{Answer: Accepted, Clock: b.clock})
 		So(acknowledged(b), ShouldEqual, 0)
-		b.cell.StartAnswered(b.now, starts[2], Refused, b.clock)
+		b.cell.StartAnswered(b.now, starts[2], Reply{Answer: Refused, Clock: b.clock})
 		So(acknowledged(b), ShouldEqual, 1)
 	})
 	Convey("Nothing is acknowledged after a start that a later incarnation may have carried out", t, func() {
@@ -420,8 +420,8 @@
 			b.advance(100 * time.Millisecond)
 			askedAt := b.now
 			b.advance(100 * time.Millisecond)
-			b.cell.StartAnswered(b.now, starts[1], c.answer, 150)
-			b.cell.StartAnswered(b.now, starts[2], c.answer, 150)
+			b.cell.StartAnswered(b.now, starts[1], Reply{Answer: c.answer, Clock: 150})
+			b.cell.StartAnswered(b.now, starts[2], Reply{Answer: c.answer, Clock: 150})
 			SoMsg(name, acknowledged(b), ShouldEqual, 0)
 			b.advance(100 * time.Millisecond)
 			// The endpoint may have made this listing before it restarted.
@@ -441,8 +441,8 @@
 		b.ends[endpointName(0)] = 0
 		b.listEnd(0, starts[0].Task, 1, Done)
 		So(b.planAndStore(), ShouldBeEmpty)
-		b.cell.StartAnswered(b.now, starts[1], Accepted, b.clock)
-		b.cell.StartAnswered(b.now, starts[2], Accepted, b.clock)
+		b.cell.StartAnswered(b.now, starts[1], Reply{Answer: Accepted, Clock: b.clock})
+		b.cell.StartAnswered(b.now, starts[2], Reply{Answer: Accepted, Clock: b.clock})
 		So(acknowledged(b), ShouldEqual, 1)
 		So(b.planAndStore(), ShouldHaveLength, 1)
 	})
@@ -465,7 +465,7 @@
 	for name, answer := range map[string]Answer{"accepted": Accepted, "refused": NoRoom} {
 		Convey("A start that the earlier incarnation "+name+" is placed again on the new one", t, func() {
 			b, start := newRestarted()
-			b.cell.StartAnswered(b.now, start, answer, earlierClock+10)
+			b.cell.StartAnswered(b.now, start, Reply{Answer: answer, Clock: earlierClock + 10})
 			var running []ListedRun
 			for range 20 {
 				b.advance(100 * time.Millisecond)
@@ -483,7 +483,7 @@
 	}
 	Convey("A stop that the earlier incarnation answered is given again", t, func() {
 		b, start := newRestarted()
-		b.cell.StartAnswered(b.now, start, Unanswered, 0)
+		b.cell.StartAnswered(b.now, start, Reply{Answer: Unanswered, Clock: 0})
 		b.answerPoll(0, ListedRun{Task: start.Task, Run: 1})
 		So(b.cell.Cancel(b.now, firstID), ShouldBeTrue)
 		stop := b.cell.Stops(b.now)[0]
@@ -513,7 +513,7 @@
 	newStarted := func(answer Answer) *testbed {
 		b := newTestbed(1)
 		b.submit(firstID, batchStep(1, 100))
-		b.cell.StartAnswered(b.now, b.planAndStore()[0], answer, b.clock)
+		b.cell.StartAnswered(b.now, b.planAndStore()[0], Reply{Answer: answer, Clock: b.clock})
 		return b
 	}
 	newInherited := func() *testbed {
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -202,7 +202,7 @@
 	o.send(start.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
 		return e.start(o.epoch, start)
 	}, func(answer jobs.Answer, clock int64) {
-		o.cell.StartAnswered(o.world.now, start, answer, clock)
+		o.cell.StartAnswered(o.world.now, start, jobs.Reply{Answer: answer, Clock: clock})
 	})
 }
 
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -240,9 +240,9 @@
 	}
 }
 
-// StartAnswered applies the answer to a start. clock is the endpoint's clock in the
-// answer, in milliseconds, 0 if there is none.
-func (c *Cell) StartAnswered(now time.Time, s Start, answer Answer, clock int64) {
+// StartAnswered applies the reply to a start.
+func (c *Cell) StartAnswered(now time.Time, s Start, reply Reply) {
+	answer, clock := reply.Answer, reply.Clock
 	e := c.endpoints[s.Endpoint]
 	if e == nil {
 		return
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -130,6 +130,18 @@
 	Percent  int
 }
 
+// Reply is what the sender of an order learned about it.
+type Reply struct {
+	Answer Answer
+	// Clock is the endpoint's clock in the answer, in milliseconds since its start, 0 if
+	// there is none.
+	Clock int64
+	// ConnectedAt is when the connection that carried the order had been opened, zero if
+	// that is unknown. An incarnation of the endpoint that began later cannot carry the
+	// order out, as a connection ends with the process that accepted it.
+	ConnectedAt time.Time
+}
+
 // Answer is the result of an order.
 type Answer int
 
--- a/jobs/unresolved_test.go
+++ b/jobs/unresolved_test.go
@@ -20,19 +20,19 @@
 		most time.Duration
 	}{
 		"whose start is not answered": {
-			prepare: func(b *testbed, start Start) { b.cell.StartAnswered(b.now, start, Unanswered, 0) },
+			prepare: func(b *testbed, start Start) { b.cell.StartAnswered(b.now, start, Reply{Answer: Unanswered, Clock: 0}) },
 			state:   "start not confirmed", most: 6 * time.Second,
 		},
 		"whose endpoint restarted before it listed it": {
 			prepare: func(b *testbed, start Start) {
-				b.cell.StartAnswered(b.now, start, Unanswered, 0)
+				b.cell.StartAnswered(b.now, start, Reply{Answer: Unanswered, Clock: 0})
 				restart(b)
 			},
 			state: "start not confirmed", most: maxStartDelay,
 		},
 		"whose endpoint is silent": {
 			prepare: func(b *testbed, start Start) {
-				b.cell.StartAnswered(b.now, start, Accepted, b.clock)
+				b.cell.StartAnswered(b.now, start, Reply{Answer: Accepted, Clock: b.clock})
 				b.answerPoll(0, ListedRun{Task: start.Task, Run: 1, Percent: 100})
 			},
 			state: "endpoint is silent", most: 6 * time.Second,
@@ -49,7 +49,7 @@
 		},
 		"that does not stop": {
 			prepare: func(b *testbed, start Start) {
-				b.cell.StartAnswered(b.now, start, Accepted, b.clock)
+				b.cell.StartAnswered(b.now, start, Reply{Answer: Accepted, Clock: b.clock})
 				b.cell.stopRun(b.cell.endpoints[endpointName(0)].runs[start.Task], "a test")
 				b.cell.Stops(b.now)
 			},
