Drop runs that an earlier incarnation of an endpoint received

Callers saw a long-running task without a run although endpoints had room. A start that was not answered, or accepted and not listed yet, outlasted a restart of its endpoint under the same ID: handleRestart kept the run because either incarnation could have it, and forgot the grant that would have ended the wait. If the new incarnation was not heard of, the task waited maxStartDelay, 30 s; LOST allows 9 s.

Most such runs cannot be on the new incarnation. A start on a connection opened later, within one poll of the restart, still waits for a listing, at most 30 s: an order may be carried out seconds later, and then run as long as an endpoint grants.

Ruled out: to shorten maxStartDelay. Late starts came after 12 s, and a run on a new incarnation lasts up to the longest grant, 10 s: a shorter wait would run tasks twice.

A case of TestLostEndpoints accepted a start with the clock of the listed incarnation and expected the next one to have it, which cannot be; it answers with a clock of the new incarnation now and expects the same.

--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -202,8 +202,10 @@
 	Convey("An accepted start may have reached the restarted endpoint: the next listing decides", t, func() {
 		b := newTestbed(2)
 		b.submit(firstID, batchStep(1, 100))
-		start := b.planAndAccept()[0]
+		start := b.planAndStore()[0]
+		b.advance(500 * time.Millisecond)
 		b.born, b.clock = 2, 5
+		b.cell.StartAnswered(b.now, start, Reply{Answer: Accepted, Clock: b.clock})
 		b.setEndpoints(2, false)
 		So(b.planAndStore(), ShouldBeEmpty)
 		at := 0
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -66,6 +66,9 @@
 	listedClock int64
 	// listedSince is when the last listing that was applied was asked for.
 	listedSince time.Time
+	// bornAfter is a time at which an earlier incarnation was still up, zero if none was
+	// listed.
+	bornAfter time.Time
 	// startAnsweredAt is when a start was last answered, or found unanswered, that may
 	// have met a later incarnation than the listed one.
 	startAnsweredAt time.Time
@@ -156,11 +159,12 @@
 }
 
 // handleRestart resets an endpoint that has restarted; born identifies its new
-// incarnation. Runs that an earlier incarnation listed are lost. A run that was
-// ordered but not listed may have been started by either incarnation, even if its
-// start was accepted, because the answer does not identify the incarnation. Such a
-// run is kept until the next listing shows whether it exists.
+// incarnation. Runs that an earlier incarnation listed are lost, and those whose start no
+// later incarnation can have received. Any other run that was ordered may have been started
+// by either incarnation, even if its start was accepted, because the answer does not identify
+// the incarnation. Such a run is kept until the next listing shows whether it exists.
 func (c *Cell) handleRestart(e *Endpoint, born int64) {
+	e.bornAfter = later(e.bornAfter, e.listedSince)
 	e.born, e.lastClock, e.listedClock, e.grantUntil = born, 0, 0, 0
 	e.listedSince, e.unacknowledgedSince = time.Time{}, time.Time{}
 	e.appliedEnd, e.storedEnd, e.listedEnd = 0, 0, 0
@@ -170,7 +174,7 @@
 	for _, r := range sortedRuns(e) {
 		switch {
 		case r.phase == placed || r.born >= born:
-		case !r.isListed:
+		case !r.isIncarnationKnown && !r.isSentBefore(e.bornAfter):
 			if r.phase == running {
 				r.phase = unconfirmed
 			}
@@ -182,6 +186,12 @@
 	}
 }
 
+// isSentBefore reports whether the start of a run was sent on a connection that was open at a
+// time. An incarnation of the endpoint that began later cannot have received it.
+func (r *run) isSentBefore(at time.Time) bool {
+	return !r.connectedAt.IsZero() && !r.connectedAt.After(at)
+}
+
 // dropRuns marks all runs that may have reached the endpoint as lost.
 func (c *Cell) dropRuns(e *Endpoint) {
 	for _, r := range sortedRuns(e) {
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -115,8 +115,13 @@
 	// born identifies the incarnation of the endpoint.
 	born  int64
 	phase runPhase
-	// isListed is set once the endpoint has listed the run.
-	isListed bool
+	// isIncarnationKnown is set once it is certain that no later incarnation than born has
+	// carried the start out or will: the endpoint has listed the run, or answered the start
+	// with a clock that a later one cannot have.
+	isIncarnationKnown bool
+	// connectedAt is when the connection that carried the start had been opened, zero if
+	// that is unknown.
+	connectedAt time.Time
 	// orderedAt is when the start was ordered, confirmedAt when the endpoint first
 	// accepted it or listed the run.
 	orderedAt, confirmedAt time.Time
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -120,7 +120,7 @@
 	if r == nil || r.number != row.Run {
 		return false
 	}
-	r.isListed = true
+	r.isIncarnationKnown = true
 	if r.phase != running {
 		r.phase, r.phaseClock = running, clock
 		if r.confirmedAt.IsZero() {
@@ -253,9 +253,15 @@
 	if r == nil || r.number != s.Run || r.phase != ordered {
 		return
 	}
+	r.connectedAt = reply.ConnectedAt
 	switch {
 	case answer == Accepted && isPresent:
 		r.phase, r.phaseClock, r.confirmedAt, r.progressedAt = running, clock, now, now
+		r.isIncarnationKnown = e.isListedIncarnation(now, clock)
+	case (answer == Accepted || answer == Unanswered) && !isPresent && r.isSentBefore(e.bornAfter):
+		// Only an incarnation that has ended can have received the start.
+		c.counts.Lost++
+		c.removeRun(r)
 	case answer == Accepted:
 		// Either incarnation may have accepted the start; the next listing decides.
 		r.phase, r.phaseClock = unconfirmed, e.lastClock
