--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -271,18 +271,25 @@
 		r.phase, r.phaseClock = unconfirmed, e.lastClock
 		e.isUnresponsive = true
 	default:
-		r.task.notBefore = now.Add(refusalDelay)
-		if answer == Unhealthy {
-			e.recordFailure(now)
-		}
-		if answer == BadTicket {
-			delete(r.task.step.tickets, e.ID)
-		}
-		if answer == NoRoom || answer == Refused {
-			e.cordonUntil = later(e.cordonUntil, now.Add(fullEndpointDelay))
-		}
-		c.removeRun(r)
+		c.recordRefusal(now, r, answer)
+	}
+}
+
+// recordRefusal removes a run whose start was refused, and delays the next start of its task
+// or on its endpoint.
+func (c *Cell) recordRefusal(now time.Time, r *run, answer Answer) {
+	e := r.endpoint
+	r.task.notBefore = now.Add(refusalDelay)
+	if answer == Unhealthy {
+		e.recordFailure(now)
+	}
+	if answer == BadTicket {
+		delete(r.task.step.tickets, e.ID)
+	}
+	if answer == NoRoom || answer == Refused {
+		e.cordonUntil = later(e.cordonUntil, now.Add(fullEndpointDelay))
 	}
+	c.removeRun(r)
 }
 
 // Delays after a refused start.
