Hand over how long the grants of silent endpoints last

A task on an endpoint that is gone is placed again when its grant is over. Each owner counted that from its own takeover, 5.6 s, as it did not know what the owners before it had granted.

The owner gives such an endpoint no grant and no start after it. An owner that is killed before it has stored that has granted nothing either.

Ruled out: wall-clock times in the state (clocks of instances are stepped); counting from when the endpoint left service discovery (an endpoint that only the store does not reach may still be granted time); shorter grants (they must outlast a takeover).

TestToldGrantsAreNotExtended, TestOutdatedGrantsAreInherited and TestHandoverForgetsSilence guard the way; the last one fails without the change of the owner.

--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -100,7 +100,7 @@
 	if err := j.restoreHead(items); err != nil {
 		return nil, err
 	}
-	firstSegment, err := j.restore(items, target, now)
+	firstSegment, silent, err := j.restore(items, target, now)
 	if err != nil {
 		return nil, err
 	}
@@ -128,7 +128,16 @@
 		j.sequence = sequence + 1
 	}
 	target.FinishRestore()
-	j.logLoaded(items, firstSegment, readAt)
+	isHandover := len(silent) > 0 && len(j.fullSegments) == 0
+	j.logLoaded(items, firstSegment, readAt, isHandover)
+	if isHandover {
+		// Grants of this owner make what the snapshot says of silent endpoints outdated for
+		// the owners after it. An empty segment tells them.
+		if err := j.Append(ctx, nil); err != nil {
+			return nil, err
+		}
+		target.InheritGrants(now, silent)
+	}
 	return j, nil
 }
 
@@ -143,10 +152,12 @@
 }
 
 // logLoaded logs which snapshot and segments were loaded from items, which were read at
-// the store revision readAt.
-func (j *Journal) logLoaded(items []store.Item, firstSegment, readAt int64) {
+// the store revision readAt, and whether the grants on silent endpoints are those that the
+// snapshot says.
+func (j *Journal) logLoaded(items []store.Item, firstSegment, readAt int64, isHandover bool) {
 	fields := logrus.Fields{
 		"epoch": j.config.Owner.Revision, "from": firstSegment, "segments": len(j.fullSegments), "read": readAt,
+		"handover": isHandover,
 	}
 	for _, item := range items {
 		if item.Key == j.partKey(0) {
@@ -184,8 +195,9 @@
 }
 
 // restore decodes the snapshot among the keys of a cell into target and returns the
-// number of the first segment to replay, 0 if there is no snapshot.
-func (j *Journal) restore(items []store.Item, target *jobs.Cell, now time.Time) (firstSegment int64, err error) {
+// number of the first segment to replay, 0 if there is no snapshot, and the endpoints that
+// were silent when the snapshot was made.
+func (j *Journal) restore(items []store.Item, target *jobs.Cell, now time.Time) (firstSegment int64, silent []jobs.SilentEndpoint, err error) {
 	parts := make(map[string][]byte)
 	for _, item := range items {
 		parts[item.Key] = item.Value
@@ -195,21 +207,21 @@
 		compressed = append(compressed, parts[j.partKey(i)]...)
 	}
 	if compressed == nil {
-		return 0, nil
+		return 0, nil, nil
 	}
 	// Parts that an earlier, larger snapshot has left follow the end of the compressed
 	// data, where the reader stops.
 	data, err := io.ReadAll(flate.NewReader(bytes.NewReader(compressed)))
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	j.snapshotBytes = len(data)
 	var s storedSnapshot
 	if err := json.Unmarshal(data, &s); err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	target.Restore(now, s.State)
-	return s.FirstSegment, nil
+	return s.FirstSegment, s.State.Silent, nil
 }
 
 // replay applies the records of a segment to target.
--- a/internal/cell/journal/journal_test.go
+++ b/internal/cell/journal/journal_test.go
@@ -367,3 +367,61 @@
 		So(next.Active(), ShouldEqual, 5)
 	})
 }
+
+// The grants that the last owner has told of were taken for valid after another owner had extended
+// them.
+func TestOutdatedGrantsAreInherited(t *testing.T) {
+	task := jobs.TaskName{Job: fmt.Sprintf("%016x", 1)}.String()
+	// handOver stores a final snapshot with a run on a silent endpoint.
+	handOver := func(j *Journal, cell *jobs.Cell) {
+		cell.Apply(now, jobRecord(1))
+		cell.Apply(now, jobs.Record{Placement: &jobs.Placement{Task: task, Run: 1, Endpoint: "e", Born: 1}})
+		So(j.WriteSnapshot(context.Background(), cell.HandoverSnapshot(now)), ShouldBeNil)
+	}
+	// isInherited reports whether an owner that loads the cell is told when the run ends.
+	isInherited := func(s *keyvalue.Store) bool {
+		w := &bytes.Buffer{}
+		loadLogged(t, s, takeOwnership(t, s, "b"), w)
+		return strings.Contains(w.String(), `"handover":true`)
+	}
+	for name, c := range map[string]struct {
+		between func(s *keyvalue.Store, j *Journal, cell *jobs.Cell)
+		isValid bool
+	}{
+		"nothing else was stored": {between: func(*keyvalue.Store, *Journal, *jobs.Cell) {}, isValid: true},
+		"the owner that handed over has stored more": {between: func(_ *keyvalue.Store, j *Journal, _ *jobs.Cell) {
+			So(j.Append(context.Background(), []jobs.Record{jobRecord(2)}), ShouldBeNil)
+		}},
+		"another owner has loaded it and stored nothing": {between: func(s *keyvalue.Store, _ *Journal, _ *jobs.Cell) {
+			load(t, s, takeOwnership(t, s, "c"))
+		}},
+		"another owner has stored a snapshot that is not final": {between: func(s *keyvalue.Store, _ *Journal, _ *jobs.Cell) {
+			j, cell := load(t, s, takeOwnership(t, s, "c"))
+			So(j.WriteSnapshot(context.Background(), cell.Snapshot()), ShouldBeNil)
+		}},
+		"another owner has handed over": {between: func(s *keyvalue.Store, _ *Journal, _ *jobs.Cell) {
+			j, cell := load(t, s, takeOwnership(t, s, "c"))
+			So(j.WriteSnapshot(context.Background(), cell.HandoverSnapshot(now)), ShouldBeNil)
+		}, isValid: true},
+	} {
+		Convey("After a hand-over, if "+name, t, func() {
+			s := keyvalue.New()
+			j, cell := load(t, s, takeOwnership(t, s, "a"))
+			handOver(j, cell)
+			c.between(s, j, cell)
+			So(isInherited(s), ShouldEqual, c.isValid)
+			// Loading makes it outdated.
+			So(isInherited(s), ShouldBeFalse)
+		})
+	}
+	Convey("An owner that cannot mark them as outdated does not load the cell", t, func() {
+		s := keyvalue.New()
+		j, cell := load(t, s, takeOwnership(t, s, "a"))
+		handOver(j, cell)
+		condition := takeOwnership(t, s, "b")
+		takeOwnership(t, s, "c")
+		_, err := Load(context.Background(), newConfig(s, condition, io.Discard), jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()}), now)
+		So(errors.Is(err, ErrDeposed), ShouldBeTrue)
+		So(isInherited(s), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/internal/cell/owner/handover_test.go
@@ -0,0 +1,108 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gitlab.com/chicorypin/chicorypin/internal/back/endpoint"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
+	"gitlab.com/chicorypin/chicorypin/jobs"
+)
+
+// fadingEndpoint is an endpoint that answers until it is silenced.
+type fadingEndpoint struct {
+	isSilent atomic.Bool
+
+	mu     sync.Mutex
+	clock  int64
+	starts []jobs.Start
+}
+
+// receipt returns the result of a call, and counts the clock up.
+func (e *fadingEndpoint) receipt() endpoint.Receipt {
+	if e.isSilent.Load() {
+		return endpoint.Receipt{Answer: jobs.Unanswered}
+	}
+	e.clock++
+	return endpoint.Receipt{Answer: jobs.Accepted, Clock: e.clock}
+}
+
+func (e *fadingEndpoint) client() *endpoint.Client {
+	return &endpoint.Client{
+		Start: func(_ context.Context, _ endpoint.Target, _ endpoint.Epoch, order jobs.Start) endpoint.Receipt {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.starts = append(e.starts, order)
+			return e.receipt()
+		},
+		Poll: func(_ context.Context, target endpoint.Target, _ endpoint.Poll) (jobs.Listing, endpoint.Receipt) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			receipt := e.receipt()
+			listing := jobs.Listing{Endpoint: target.ID, Born: 1, Clock: e.clock}
+			for _, start := range e.starts {
+				listing.Running = append(listing.Running, jobs.ListedRun{Task: start.Task, Run: start.Run, Percent: 100})
+			}
+			return listing, receipt
+		},
+	}
+}
+
+func (e *fadingEndpoint) startCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.starts)
+}
+
+// The next owner did not learn for how long an endpoint had been silent.
+func TestHandoverForgetsSilence(t *testing.T) {
+	Convey("An owner that hands over tells the next one how long the grants of a silent endpoint last", t, func() {
+		s := keyvalue.New()
+		e := &fadingEndpoint{}
+		// run starts an owner of the cell, whose log lines are written to w.
+		run := func(w *bytes.Buffer) *Owner {
+			config := newConfig(t, s)
+			config.Endpoints = e.client()
+			log := logrus.New()
+			log.SetOutput(w)
+			log.SetFormatter(&logrus.JSONFormatter{})
+			config.Log = logrus.NewEntry(log)
+			o := New(config)
+			go func() { _ = o.Run() }()
+			So(await.Until(waitTimeout, o.IsServing), ShouldBeTrue)
+			return o
+		}
+		first := run(&bytes.Buffer{})
+		first.SetEndpoints([]endpoint.Registration{{
+			Profile: jobs.Profile{ID: "i-1", Capacity: jobs.Size{CPU: 4000, Memory: 4000}, Born: 1},
+			Address: netip.MustParseAddrPort("127.0.0.1:1"),
+		}})
+		_, err := first.Submit(context.Background(), jobs.Job{
+			ID: "000000000000000a", Queue: "q", Attempts: 1,
+			Steps: []jobs.Step{{Count: 1, Each: jobs.Size{CPU: 500, Memory: 10}, LongRunning: true}},
+		})
+		So(err, ShouldBeNil)
+		So(await.Until(waitTimeout, func() bool { return e.startCount() == 1 }), ShouldBeTrue)
+		e.isSilent.Store(true)
+		// Longer than the owner goes on extending the grant.
+		time.Sleep(1500 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		first.PrepareHandover(ctx)
+		first.Stop()
+
+		log := &bytes.Buffer{}
+		second := run(log)
+		second.Stop()
+		So(log.String(), ShouldContainSubstring, `"handover":true`)
+	})
+}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -263,7 +263,7 @@
 	var snapshot *jobs.Snapshot
 	isFinal := o.isHandingOver && !o.isFinalStored
 	if o.journal.IsSnapshotDue() || isFinal {
-		s := o.cell.Snapshot()
+		s := o.snapshot(now, isFinal)
 		snapshot = &s
 	}
 	o.workers.Go(func() {
@@ -290,6 +290,14 @@
 	})
 }
 
+// snapshot returns the state of the cell, for the next owner if it is final.
+func (o *Owner) snapshot(now time.Time, isFinal bool) jobs.Snapshot {
+	if isFinal {
+		return o.cell.HandoverSnapshot(now)
+	}
+	return o.cell.Snapshot()
+}
+
 // handleStored performs the actions that had to wait until a batch was stored: it sends
 // start orders and logs finished jobs.
 func (o *Owner) handleStored(batch jobs.Batch) {
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -78,6 +78,12 @@
 	// grantUntil is the latest expiry of all grants ordered so far, on the
 	// endpoint's clock.
 	grantUntil int64
+	// inheritedEnd is the time by which all inherited runs have ended if the present
+	// incarnation is not heard of, zero if the previous owner has not told.
+	inheritedEnd time.Time
+	// isGrantFinal reports that the next owner was told when all runs end (see
+	// HandoverSnapshot), so the endpoint gets no starts and no grants any more.
+	isGrantFinal bool
 	// appliedEnd is the number of the last run end that was applied, storedEnd that of
 	// the last one whose records are stored, listedEnd that of the last one in the last
 	// listing, 0 if it had none.
@@ -167,6 +173,7 @@
 	e.bornAfter = later(e.bornAfter, e.listedSince)
 	e.born, e.lastClock, e.listedClock, e.grantUntil = born, 0, 0, 0
 	e.listedSince, e.unacknowledgedSince = time.Time{}, time.Time{}
+	e.inheritedEnd = time.Time{}
 	e.appliedEnd, e.storedEnd, e.listedEnd = 0, 0, 0
 	e.isReached, e.isFullyListed, e.isUnresponsive, e.mayHaveRestarted = false, false, false, false
 	e.orphanUsage, e.orphanSteps = Size{}, nil
@@ -256,7 +263,7 @@
 
 // isSchedulable reports whether starts may be ordered on the endpoint.
 func (e *Endpoint) isSchedulable(now time.Time) bool {
-	return e.isReached && !e.isUnresponsive && e.isListed && !e.IsDraining && !now.Before(e.cordonUntil) &&
+	return e.isReached && !e.isUnresponsive && !e.isGrantFinal && e.isListed && !e.IsDraining && !now.Before(e.cordonUntil) &&
 		now.Sub(e.lastContact) < maxContactAge && !e.isAcknowledgementOverdue(now)
 }
 
@@ -426,7 +433,7 @@
 	// Unanswered polls must not extend the grant, or the runs of a lost endpoint
 	// would never count as ended.
 	isResponsive := e.isReached && now.Sub(e.lastContact) < maxRenewalAge
-	if poll.IsNeeded && isResponsive && len(e.runs) > 0 {
+	if poll.IsNeeded && isResponsive && !e.isGrantFinal && len(e.runs) > 0 {
 		poll.Until = e.extendGrant(now, c.config.Bounds)
 	}
 	return poll, true
--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -12,10 +12,11 @@
 func TestHandoversKeepTaskWithoutRun(t *testing.T) {
 	// handOver replaces the cell by that of the next owner.
 	handOver := func(b *testbed) {
-		state := b.cell.Snapshot()
+		state := b.cell.HandoverSnapshot(b.now)
 		b.cell = New(Config{Bounds: DefaultBounds(), Inherited: b.now})
 		b.cell.Restore(b.now, state)
 		b.cell.FinishRestore()
+		b.cell.InheritGrants(b.now, state.Silent)
 		b.setEndpoints(2, false)
 	}
 	Convey("A task of an endpoint that is gone is placed again once its grant is over, whoever owns the cell by then", t, func() {
@@ -43,3 +44,88 @@
 		So(waited, ShouldBeLessThan, 8*time.Second)
 	})
 }
+
+// What the next owner is told of a silent endpoint must stay true, or tasks would run twice.
+func TestToldGrantsAreNotExtended(t *testing.T) {
+	// newSilent returns a cell with a long-running task on a silent endpoint, and its start.
+	newSilent := func() (*testbed, Start, int) {
+		b := newTestbed(2)
+		b.submit(firstID, longRunningStep(1))
+		start := b.planAndAccept()[0]
+		lost := 0
+		if start.Endpoint == endpointName(1) {
+			lost = 1
+		}
+		for range 15 {
+			b.advance(100 * time.Millisecond)
+			b.cell.NextPoll(b.now, start.Endpoint)
+			b.answerPoll(1 - lost)
+		}
+		return b, start, lost
+	}
+	Convey("Only endpoints with runs that do not answer are told of, with the rest of their grants", t, func() {
+		b, start, _ := newSilent()
+		state := b.cell.HandoverSnapshot(b.now)
+		So(state.Silent, ShouldHaveLength, 1)
+		So(state.Silent[0].Endpoint, ShouldEqual, start.Endpoint)
+		So(state.Silent[0].Born, ShouldEqual, 1)
+		left := time.Duration(state.Silent[0].LeftMilliseconds) * time.Millisecond
+		expiry := b.cell.endpoints[start.Endpoint].grantExpiry(DefaultBounds())
+		So(left, ShouldBeBetweenOrEqual, expiry.Sub(b.now), expiry.Sub(b.now)+time.Second)
+	})
+	Convey("An endpoint that answers after the snapshot gets no grant and no start from this owner", t, func() {
+		b, start, lost := newSilent()
+		b.cell.HandoverSnapshot(b.now)
+		before := b.cell.endpoints[start.Endpoint].grantUntil
+		b.advance(100 * time.Millisecond)
+		b.answerPoll(lost, ListedRun{Task: start.Task, Run: start.Run, Percent: 100})
+		b.advance(100 * time.Millisecond)
+		poll, _ := b.cell.NextPoll(b.now, start.Endpoint)
+		So(poll.IsNeeded, ShouldBeTrue)
+		So(poll.Until, ShouldEqual, 0)
+		So(b.cell.endpoints[start.Endpoint].isSchedulable(b.now), ShouldBeFalse)
+		So(b.cell.endpoints[start.Endpoint].grantUntil, ShouldEqual, before)
+	})
+	for name, c := range map[string]struct {
+		// told changes what the next owner is told, and prepare its cell.
+		told    func(silent []SilentEndpoint) []SilentEndpoint
+		prepare func(b *testbed)
+		// isEarly reports that the task may be placed as soon as the told time is over.
+		isEarly bool
+	}{
+		"with what the snapshot says":           {isEarly: true},
+		"without":                               {told: func([]SilentEndpoint) []SilentEndpoint { return nil }},
+		"of another incarnation":                {told: func(silent []SilentEndpoint) []SilentEndpoint { silent[0].Born++; return silent }},
+		"of an incarnation before the last one": {prepare: func(b *testbed) { b.born = 2; b.setEndpoints(2, false) }},
+	} {
+		Convey("The task of a silent endpoint is placed by the next owner, told of the grants "+name, t, func() {
+			b, start, lost := newSilent()
+			state := b.cell.HandoverSnapshot(b.now)
+			left := time.Duration(state.Silent[0].LeftMilliseconds) * time.Millisecond
+			silent := state.Silent
+			if c.told != nil {
+				silent = c.told(silent)
+			}
+			b.cell = New(Config{Bounds: DefaultBounds(), Inherited: b.now})
+			b.cell.Restore(b.now, state)
+			b.cell.FinishRestore()
+			b.cell.InheritGrants(b.now, silent)
+			b.setEndpoints(2, false)
+			if c.prepare != nil {
+				c.prepare(b)
+			}
+			waited := time.Duration(0)
+			for placed := []Start(nil); len(placed) == 0 && waited < 10*time.Second; waited += 50 * time.Millisecond {
+				b.advance(50 * time.Millisecond)
+				b.cell.NextPoll(b.now, start.Endpoint)
+				b.answerPoll(1 - lost)
+				placed = b.planAndStore()
+			}
+			if c.isEarly {
+				So(waited, ShouldBeBetweenOrEqual, left, left+200*time.Millisecond)
+			} else {
+				So(waited, ShouldBeGreaterThan, DefaultBounds().Grant+inheritedGrantSlack)
+			}
+		})
+	}
+}
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -118,7 +118,11 @@
 	b := c.config.Bounds
 	if r.phase == inherited {
 		longest := time.Duration(float64(b.Grant) / (1 - b.ClockSlack))
-		return c.config.Inherited.Add(longest + inheritedGrantSlack)
+		end := c.config.Inherited.Add(longest + inheritedGrantSlack)
+		if told := r.endpoint.inheritedEnd; !told.IsZero() && told.Before(end) {
+			end = told
+		}
+		return end
 	}
 	if r.endpoint.grantUntil == 0 {
 		return r.orderedAt.Add(maxStartDelay)
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -12,6 +12,8 @@
 	// MeasuredRunTimes are stored only here and not in records, because losing recent
 	// ones makes decisions worse but not wrong.
 	MeasuredRunTimes []MeasuredRunTime `json:"habits,omitempty"`
+	// Silent is set by HandoverSnapshot and used by InheritGrants.
+	Silent []SilentEndpoint `json:"silent,omitempty"`
 }
 
 // JobState is the durable state of a job.
