--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -430,15 +430,18 @@
 			poll.IsUrgent = poll.IsUrgent || r.phase == unconfirmed || r.phase == inherited || r.isStopping
 		}
 	}
-	// Unanswered polls must not extend the grant, or the runs of a lost endpoint
-	// would never count as ended.
-	isResponsive := e.isReached && now.Sub(e.lastContact) < maxRenewalAge
-	if poll.IsNeeded && isResponsive && !e.isGrantFinal && len(e.runs) > 0 {
+	if poll.IsNeeded && e.mayExtendGrant(now) && len(e.runs) > 0 {
 		poll.Until = e.extendGrant(now, c.config.Bounds)
 	}
 	return poll, true
 }
 
+// mayExtendGrant reports whether a poll may extend the grant. Unanswered polls must not, or
+// the runs of a lost endpoint would never count as ended.
+func (e *Endpoint) mayExtendGrant(now time.Time) bool {
+	return e.isReached && !e.isGrantFinal && now.Sub(e.lastContact) < maxRenewalAge
+}
+
 // maxRenewalAge is the age of an endpoint's last answer from which its grant is not
 // extended. It covers a poll that waits for a run to end and the pause before the
 // next poll.
