Mark outdated grants with a record that the store accepts

The write holds a record with the epoch of the owner. Tests that wrote keys without a value to the stand-in write one.

--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -132,8 +132,8 @@
 	j.logLoaded(items, firstSegment, readAt, isHandover)
 	if isHandover {
 		// Grants of this owner make what the snapshot says of silent endpoints outdated for
-		// the owners after it. An empty segment tells them.
-		if err := j.Append(ctx, nil); err != nil {
+		// the owners after it. The record tells them.
+		if err := j.Append(ctx, []jobs.Record{{Owner: config.Owner.Revision}}); err != nil {
 			return nil, err
 		}
 		target.InheritGrants(now, silent)
--- a/internal/cell/ledger/ledger_test.go
+++ b/internal/cell/ledger/ledger_test.go
@@ -35,7 +35,7 @@
 // takeOwnership makes a new owner of a cell in the store; conditions of earlier
 // owners fail from then on.
 func takeOwnership(s *keyvalue.Store, cell string) store.Condition {
-	revision, _ := s.Client(nil).Commit(context.Background(), store.Change{Puts: []store.Put{{Key: "owner/" + cell}}})
+	revision, _ := s.Client(nil).Commit(context.Background(), store.Change{Puts: []store.Put{{Key: "owner/" + cell, Value: []byte("v")}}})
 	return store.Condition{Key: "owner/" + cell, Revision: revision}
 }
 
--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -32,7 +32,7 @@
 // newConfig returns the configuration of the owner of a cell in a store.
 func newConfig(t *testing.T, s *keyvalue.Store) Config {
 	const key = "live/owner/red"
-	revision, err := s.Client(nil).Commit(context.Background(), store.Change{Puts: []store.Put{{Key: key}}})
+	revision, err := s.Client(nil).Commit(context.Background(), store.Change{Puts: []store.Put{{Key: key, Value: []byte("v")}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/cell/roster/roster_test.go
+++ b/internal/cell/roster/roster_test.go
@@ -180,7 +180,7 @@
 			item, _ := s.Get(ownerPrefix + "a")
 			first := store.Condition{Key: item.Key, Revision: item.Revision}
 			s.Defer(func(store.Change) bool { return true })
-			_, err = client.Commit(context.Background(), store.Change{If: []store.Condition{first}, Puts: []store.Put{{Key: "cell/a/state"}}})
+			_, err = client.Commit(context.Background(), store.Change{If: []store.Condition{first}, Puts: []store.Put{{Key: "cell/a/state", Value: []byte("v")}}})
 			SoMsg(name, err, ShouldNotBeNil)
 			s.Defer(nil)
 			if c.isViewCurrent {
--- a/internal/cell/steward/steward_test.go
+++ b/internal/cell/steward/steward_test.go
@@ -142,7 +142,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	key := "owner/steward"
-	revision, _ := f.store.Client(nil).Commit(context.Background(), store.Change{Puts: []store.Put{{Key: key}}})
+	revision, _ := f.store.Client(nil).Commit(context.Background(), store.Change{Puts: []store.Put{{Key: key, Value: []byte("v")}}})
 	return New(Config{
 		Store: f.store.Client(nil),
 		Cloud: &cloud.Client{
--- a/internal/mesh/relay/relay_test.go
+++ b/internal/mesh/relay/relay_test.go
@@ -142,7 +142,7 @@
 		h := newHarness()
 		h.isDirectCut.Store(true)
 		h.isPeerCut[0].Store(true)
-		_, err := h.path.Client().Commit(withTimeout(time.Second), store.Change{Puts: []store.Put{{Key: "a"}}})
+		_, err := h.path.Client().Commit(withTimeout(time.Second), store.Change{Puts: []store.Put{{Key: "a", Value: []byte("v")}}})
 		So(err, ShouldBeNil)
 	})
 	Convey("In an outage of the store all calls fail, and no further peers are tried during the back-off", t, func() {
@@ -150,7 +150,7 @@
 		h.store.SetDown(true)
 		client := h.path.Client()
 		for range 10 {
-			_, err := client.Commit(withTimeout(time.Second), store.Change{Puts: []store.Put{{Key: "a"}}})
+			_, err := client.Commit(withTimeout(time.Second), store.Change{Puts: []store.Put{{Key: "a", Value: []byte("v")}}})
 			So(errors.Is(err, store.ErrRefused), ShouldBeTrue)
 		}
 		So(h.relayedCalls.Load(), ShouldEqual, maxPeersPerCall)
@@ -159,7 +159,7 @@
 		h := newHarness()
 		h.isDirectSilent.Store(true)
 		start := time.Now()
-		_, err := h.path.Client().Commit(withTimeout(600*time.Millisecond), store.Change{Puts: []store.Put{{Key: "a"}}})
+		_, err := h.path.Client().Commit(withTimeout(600*time.Millisecond), store.Change{Puts: []store.Put{{Key: "a", Value: []byte("v")}}})
 		So(err, ShouldBeNil)
 		So(time.Since(start), ShouldBeBetween, 250*time.Millisecond, 600*time.Millisecond)
 	})
@@ -168,7 +168,7 @@
 		h.isDirectCut.Store(true)
 		h.isResponseLost.Store(true)
 		h.isPeerCut[1].Store(true)
-		_, err := h.path.Client().Commit(withTimeout(time.Second), store.Change{Puts: []store.Put{{Key: "a"}}})
+		_, err := h.path.Client().Commit(withTimeout(time.Second), store.Change{Puts: []store.Put{{Key: "a", Value: []byte("v")}}})
 		So(errors.Is(err, store.ErrIndeterminate), ShouldBeTrue)
 		_, isStored := h.store.Get("a")
 		So(isStored, ShouldBeTrue)
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -43,6 +44,10 @@
 	expiry time.Time
 }
 
+// ErrNoValue reports that a change has a write without a value, which the platform's store
+// refuses too.
+var ErrNoValue = errors.New("a write has no value")
+
 // New returns an empty store.
 func New() *Store {
 	return &Store{items: make(map[string]store.Item), leases: make(map[store.Lease]lease)}
@@ -300,6 +305,9 @@
 // apply carries out a change at the next revision. The error is a *store.ConflictError if
 // a condition is not met, and store.ErrNotFound if a lease does not exist.
 func (s *Store) apply(change store.Change) error {
+	if slices.ContainsFunc(change.Puts, func(p store.Put) bool { return len(p.Value) == 0 }) {
+		return ErrNoValue
+	}
 	conflict := &store.ConflictError{}
 	isMet := true
 	for _, condition := range change.If {
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -13,6 +13,9 @@
 	// End is the end of a run that completed or failed. Other ends, and those of
 	// long-running tasks, are not stored.
 	End *End `json:"end,omitempty"`
+	// Owner is the epoch of an owner that begins to serve the cell. It changes no state:
+	// its presence after a snapshot tells that what the snapshot says of grants is outdated.
+	Owner int64 `json:"owner,omitempty"`
 }
 
 // Placement assigns a run of a task to an endpoint.
