Hold the loop for longer in the test of abandoned requests

Trace: a pause of 150 ms between handing in the held function and the request, as a busy machine may make, gives the same failure in every run, as the loop was held for 100 ms only and then carried the request out in time. It is held for 500 ms now; the expectation is the same.

--- a/internal/cell/owner/abandoned_test.go
+++ b/internal/cell/owner/abandoned_test.go
@@ -15,6 +15,8 @@
 // finds that.
 func TestAbandonedRequestsShareNothingWithTheLoop(t *testing.T) {
 	const id = "000000000000000a"
+	// holdTime leaves a busy machine time to hand in the request while the loop is held.
+	const holdTime = 500 * time.Millisecond
 	requests := map[string]func(ctx context.Context, o *Owner) error{
 		"Submit": func(ctx context.Context, o *Owner) error {
 			_, err := o.Submit(ctx, jobs.Job{ID: id, Queue: "q", Attempts: 1, Steps: []jobs.Step{{Count: 1}}})
@@ -54,7 +56,7 @@
 			o, _ := newOwner(t)
 			// The loop is held by time, not by a channel: closing one after the request has
 			// returned would order the accesses for the race detector.
-			o.post(func() { time.Sleep(100 * time.Millisecond) })
+			o.post(func() { time.Sleep(holdTime) })
 			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 			defer cancel()
 			So(request(ctx, o), ShouldEqual, ErrIndeterminate)
