--- a/internal/cell/owner/handover_test.go
+++ b/internal/cell/owner/handover_test.go
@@ -44,6 +44,11 @@
 			e.starts = append(e.starts, order)
 			return e.receipt()
 		},
+		Stop: func(context.Context, endpoint.Target, endpoint.Epoch, jobs.Stop) endpoint.Receipt {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.receipt()
+		},
 		Poll: func(_ context.Context, target endpoint.Target, _ endpoint.Poll) (jobs.Listing, endpoint.Receipt) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -63,46 +68,87 @@
 	return len(e.starts)
 }
 
+// silenceTime is longer than an owner goes on extending the grant of a silent endpoint.
+const silenceTime = 1500 * time.Millisecond
+
+// runLogged runs an owner of the cell whose only endpoint is e, and writes its log lines to w.
+func runLogged(t *testing.T, s *keyvalue.Store, e *fadingEndpoint, w *bytes.Buffer) *Owner {
+	config := newConfig(t, s)
+	config.Endpoints = e.client()
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	config.Log = logrus.NewEntry(log)
+	o := New(config)
+	go func() { _ = o.Run() }()
+	So(await.Until(waitTimeout, o.IsServing), ShouldBeTrue)
+	return o
+}
+
+// submitTo submits a job with one long-running task.
+func submitTo(o *Owner, id string) error {
+	_, err := o.Submit(context.Background(), jobs.Job{
+		ID: id, Queue: "q", Attempts: 1,
+		Steps: []jobs.Step{{Count: 1, Each: jobs.Size{CPU: 500, Memory: 10}, LongRunning: true}},
+	})
+	return err
+}
+
+// submitLongRunning submits a job with a long-running task and waits until that runs on e.
+func submitLongRunning(o *Owner, e *fadingEndpoint) {
+	o.SetEndpoints([]endpoint.Registration{{
+		Profile: jobs.Profile{ID: "i-1", Capacity: jobs.Size{CPU: 4000, Memory: 4000}, Born: 1},
+		Address: netip.MustParseAddrPort("127.0.0.1:1"),
+	}})
+	So(submitTo(o, "000000000000000a"), ShouldBeNil)
+	So(await.Until(waitTimeout, func() bool { return e.startCount() == 1 }), ShouldBeTrue)
+}
+
 // The next owner did not learn for how long an endpoint had been silent.
 func TestHandoverForgetsSilence(t *testing.T) {
 	Convey("An owner that hands over tells the next one how long the grants of a silent endpoint last", t, func() {
 		s := keyvalue.New()
 		e := &fadingEndpoint{}
-		// run starts an owner of the cell, whose log lines are written to w.
-		run := func(w *bytes.Buffer) *Owner {
-			config := newConfig(t, s)
-			config.Endpoints = e.client()
-			log := logrus.New()
-			log.SetOutput(w)
-			log.SetFormatter(&logrus.JSONFormatter{})
-			config.Log = logrus.NewEntry(log)
-			o := New(config)
-			go func() { _ = o.Run() }()
-			So(await.Until(waitTimeout, o.IsServing), ShouldBeTrue)
-			return o
-		}
-		first := run(&bytes.Buffer{})
-		first.SetEndpoints([]endpoint.Registration{{
-			Profile: jobs.Profile{ID: "i-1", Capacity: jobs.Size{CPU: 4000, Memory: 4000}, Born: 1},
-			Address: netip.MustParseAddrPort("127.0.0.1:1"),
-		}})
-		_, err := first.Submit(context.Background(), jobs.Job{
-			ID: "000000000000000a", Queue: "q", Attempts: 1,
-			Steps: []jobs.Step{{Count: 1, Each: jobs.Size{CPU: 500, Memory: 10}, LongRunning: true}},
-		})
-		So(err, ShouldBeNil)
-		So(await.Until(waitTimeout, func() bool { return e.startCount() == 1 }), ShouldBeTrue)
+		first := runLogged(t, s, e, &bytes.Buffer{})
+		submitLongRunning(first, e)
 		e.isSilent.Store(true)
-		// Longer than the owner goes on extending the grant.
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(silenceTime)
 		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 		defer cancel()
 		first.PrepareHandover(ctx)
 		first.Stop()
 
 		log := &bytes.Buffer{}
-		second := run(log)
+		second := runLogged(t, s, e, log)
 		second.Stop()
 		So(log.String(), ShouldContainSubstring, `"handover":true`)
 	})
 }
+
+// What the owner stored after its final snapshot made the next one forget the silence again.
+func TestLastRecordsForgetSilence(t *testing.T) {
+	Convey("What is stored after the final snapshot does not outdate what it says of grants", t, func() {
+		s := keyvalue.New()
+		e := &fadingEndpoint{}
+		first := runLogged(t, s, e, &bytes.Buffer{})
+		submitLongRunning(first, e)
+		So(submitTo(first, "000000000000000b"), ShouldBeNil)
+		e.isSilent.Store(true)
+		time.Sleep(silenceTime)
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		first.PrepareHandover(ctx)
+		isKnown, err := first.Cancel(ctx, "000000000000000b")
+		So(err, ShouldBeNil)
+		So(isKnown, ShouldBeTrue)
+		first.Stop()
+
+		log := &bytes.Buffer{}
+		second := runLogged(t, s, e, log)
+		defer second.Stop()
+		So(log.String(), ShouldContainSubstring, `"handover":true`)
+		state, _, err := second.Status(ctx, "000000000000000b")
+		So(err, ShouldBeNil)
+		So(state, ShouldEqual, jobs.Cancelled)
+	})
+}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -261,7 +261,8 @@
 	o.isWriting, o.writeStarted, o.unconfirmedRecords = true, now, len(batch.Records)
 	callbacks := o.takeCallbacks()
 	var snapshot *jobs.Snapshot
-	isFinal := o.isHandingOver && !o.isFinalStored
+	// Records after a final snapshot would outdate it, so another one takes their place.
+	isFinal := o.isHandingOver
 	if o.journal.IsSnapshotDue() || isFinal {
 		s := o.snapshot(now, isFinal)
 		snapshot = &s
