Emulate hand-overs, connections and answers that overtake each other

The emulator knew only losses of owners, no connections and no late answers, so neither what an owner tells of grants nor what a connection says of incarnations was ever played.

--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -7,6 +7,7 @@
 package emulator
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -28,6 +29,11 @@
 	// minOrderDelay and maxOrderDelay limit the delay of Faults.LateOrders.
 	minOrderDelay = 2 * time.Second
 	maxOrderDelay = 12 * time.Second
+	// maxAnswerDelay limits the delay of Faults.LateAnswers.
+	maxAnswerDelay = 400 * time.Millisecond
+	// handoverDelay is the time from the final snapshot of an owner that hands over to the
+	// takeover.
+	handoverDelay = 40 * time.Millisecond
 )
 
 // Config sets up a World.
@@ -41,6 +47,8 @@
 	// MaxListedEnds is the number of ends that an endpoint lists at a time; with 0 it
 	// lists all.
 	MaxListedEnds int
+	// MaxGrant is the longest grant that an endpoint accepts, 0 for the one that owners give.
+	MaxGrant time.Duration
 	// Limits holds the limits of client accounts; others have none.
 	Limits map[string]jobs.Size
 	// Work returns how long a run of a task takes on a healthy endpoint, 0 for a
@@ -57,22 +65,32 @@
 	// is lost, LateOrders that an order is carried out seconds later and its answer
 	// is lost, LostCommits that a write succeeds but its answer is lost.
 	LostAnswers, LateOrders, LostCommits float64
+	// LateAnswers is the probability that an answer is delayed, so that later ones overtake
+	// it.
+	LateAnswers float64
 }
 
 // World is an emulated cell with its endpoints and owner. It is not safe for
 // concurrent use.
 type World struct {
-	config       Config
-	random       *rand.Rand
-	now          time.Time
-	events       eventQueue
-	lastSequence int
-	faults       Faults
-	endpoints    []*Endpoint
-	owner        *owner
-	epoch        int64
-	journal      []jobs.Record
-	oracle       oracle
+	config Config
+	random *rand.Rand
+	// connectionRandom is the source of the choices of connections, apart from random, so that
+	// they change nothing else.
+	connectionRandom *rand.Rand
+	now              time.Time
+	events           eventQueue
+	lastSequence     int
+	faults           Faults
+	endpoints        []*Endpoint
+	owner            *owner
+	epoch            int64
+	journal          []jobs.Record
+	// final is the last final snapshot, finalLength the length of the journal at that time.
+	// It is nil once an owner has loaded it.
+	final       *jobs.Snapshot
+	finalLength int
+	oracle      oracle
 	// accepted holds the jobs whose acceptance was answered, by ID.
 	accepted map[string]jobs.Job
 }
@@ -107,8 +125,10 @@
 func New(config Config) *World {
 	w := &World{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed)),
-		now: time.Unix(1000, 0), accepted: make(map[string]jobs.Job),
+		connectionRandom: rand.New(rand.NewPCG(config.Seed, ^config.Seed)),
+		now:              time.Unix(1000, 0), accepted: make(map[string]jobs.Job),
 	}
+	w.config.MaxGrant = cmp.Or(config.MaxGrant, jobs.DefaultBounds().Grant)
 	w.oracle = newOracle(w)
 	for i := range config.Endpoints {
 		w.addEndpoint(i)
--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -21,7 +21,10 @@
 	isFailing, isHanging bool
 	isUp                 bool
 	isPartitioned        bool
-	isDraining           bool
+	// cutEpoch is the epoch of an owner that does not reach the endpoint, 0 if there is
+	// none.
+	cutEpoch   int64
+	isDraining bool
 	// isListed reports whether service discovery lists the endpoint while it is
 	// up.
 	isListed bool
@@ -104,6 +107,9 @@
 	e.world.after(duration, func() { e.isPartitioned = false })
 }
 
+// PartitionOwner disconnects the endpoint from the present owner, but not from later ones.
+func (e *Endpoint) PartitionOwner() { e.cutEpoch = e.world.epoch }
+
 // Drain marks the endpoint as leaving, so that it should get no new work.
 func (e *Endpoint) Drain() { e.isDraining = true }
 
@@ -141,8 +147,9 @@
 }
 
 // extendGrant moves the expiry of the grant to a later time on the endpoint's clock.
-// An earlier time is ignored.
+// An earlier time is ignored, and one that is too far away brought nearer.
 func (e *Endpoint) extendGrant(until int64) {
+	until = min(until, e.clock()+e.world.config.MaxGrant.Milliseconds())
 	if until <= e.grantUntil {
 		return
 	}
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -15,12 +15,22 @@
 	// isStopped reports that the owner has stopped; its orders may still be under
 	// way.
 	isStopped bool
+	// isHandingOver reports that the owner places nothing more.
+	isHandingOver bool
+	// connections holds the open connection to each endpoint.
+	connections map[*Endpoint]connection
 	// isCommitting reports that a batch is being written; only one is at a time.
 	isCommitting bool
 	// onStored holds callbacks to be called once the next batch is stored.
 	onStored []func()
 }
 
+// connection is an open connection to an incarnation of an endpoint.
+type connection struct {
+	openedAt    time.Time
+	incarnation int
+}
+
 // Takeover stops the current owner at once and starts a new one. Orders of the old
 // owner that are under way may still be carried out.
 func (w *World) Takeover() {
@@ -28,7 +38,7 @@
 		w.owner.isStopped = true
 	}
 	w.epoch++
-	o := &owner{world: w, epoch: w.epoch}
+	o := &owner{world: w, epoch: w.epoch, connections: make(map[*Endpoint]connection)}
 	o.cell = jobs.New(jobs.Config{Bounds: jobs.DefaultBounds(), Inherited: w.now, AccountLimit: func(account string) (jobs.Size, bool) {
 		limit, ok := w.config.Limits[account]
 		return limit, ok
@@ -56,10 +66,53 @@
 	})
 }
 
-// restore restores the cell from the journal. In half of the cases it replaces a
+// HandOver makes the owner store a final snapshot and hand the cell over. It may go on
+// polling for a while, or be killed before the cell is released.
+func (w *World) HandOver() {
+	o := w.owner
+	if o.isStopped || o.isHandingOver || o.isCommitting {
+		return
+	}
+	o.isHandingOver, o.isCommitting = true, true
+	batch, callbacks := o.cell.TakeBatch(), o.onStored
+	o.onStored = nil
+	final := roundTrip(o.cell.HandoverSnapshot(w.now))
+	w.after(commitDelay, func() {
+		if o.epoch != w.epoch || o.isStopped {
+			return
+		}
+		w.journal = append(w.journal, batch.Records...)
+		w.final, w.finalLength = &final, len(w.journal)
+		o.stored(batch, callbacks)
+		delay := handoverDelay
+		if w.chance(0.2) {
+			delay = time.Duration(w.random.Int64N(int64(ownerLease)))
+		}
+		w.after(delay, func() {
+			switch {
+			case o.isStopped:
+			case w.chance(0.1):
+				w.KillOwner()
+			default:
+				w.Takeover()
+			}
+		})
+	})
+}
+
+// restore restores the cell from the journal. If that ends with a final snapshot, it
+// restores the snapshot and what it says of grants. In half of the cases it replaces a
 // random prefix of the journal by a snapshot.
 func (o *owner) restore(now time.Time) {
 	journal := o.world.journal
+	if final := o.world.final; final != nil && o.world.finalLength == len(journal) {
+		o.world.final = nil
+		o.cell.Restore(now, *final)
+		o.cell.FinishRestore()
+		o.cell.InheritGrants(now, final.Silent)
+		return
+	}
+	o.world.final = nil
 	if len(journal) > 0 && o.world.chance(0.5) {
 		earlier := jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()})
 		split := o.world.random.IntN(len(journal) + 1)
@@ -114,7 +167,9 @@
 	if o.isCommitting {
 		return
 	}
-	o.cell.Plan(w.now, w.now)
+	if !o.isHandingOver {
+		o.cell.Plan(w.now, w.now)
+	}
 	for _, stop := range o.cell.Stops(w.now) {
 		o.sendStop(stop)
 	}
@@ -163,28 +218,32 @@
 // send delivers an order to an endpoint and its answer to onAnswer, subject to the
 // configured faults. handle carries the order out at the endpoint. onAnswer is
 // called at most once, with jobs.Unanswered after orderTimeout.
-func (o *owner) send(id string, handle func(e *Endpoint) (jobs.Answer, int64), onAnswer func(answer jobs.Answer, clock int64)) {
+func (o *owner) send(id string, handle func(e *Endpoint) (jobs.Answer, int64), onAnswer func(reply jobs.Reply)) {
 	w := o.world
 	e := w.endpoint(id)
+	c := o.connect(e)
 	isAnswered := false
 	answer := func(a jobs.Answer, clock int64) {
 		if isAnswered || o.isStopped {
 			return
 		}
 		isAnswered = true
-		onAnswer(a, clock)
+		onAnswer(jobs.Reply{Answer: a, Clock: clock, ConnectedAt: c.openedAt})
 	}
 	w.after(orderTimeout, func() { answer(jobs.Unanswered, 0) })
-	incarnation := e.incarnation
 	deliver := func(isAnswerReceived bool) {
 		// A delayed order is lost if its endpoint is down, has restarted or is
 		// unreachable.
-		if !e.isUp || e.isPartitioned || e.incarnation != incarnation {
+		if !e.isUp || e.isPartitioned || e.cutEpoch == o.epoch || e.incarnation != c.incarnation {
 			return
 		}
 		a, clock := handle(e)
 		if isAnswerReceived {
-			w.after(linkDelay, func() { answer(a, clock) })
+			delay := linkDelay
+			if w.chance(w.faults.LateAnswers) {
+				delay = time.Duration(w.random.Int64N(int64(maxAnswerDelay)))
+			}
+			w.after(delay, func() { answer(a, clock) })
 		}
 	}
 	switch {
@@ -198,20 +257,29 @@
 	}
 }
 
+// connect returns the connection for an order: mostly one that is kept, also if its
+// incarnation has ended unnoticed, else a new one.
+func (o *owner) connect(e *Endpoint) connection {
+	random := o.world.connectionRandom
+	c, isKept := o.connections[e]
+	isNoticed := c.incarnation != e.incarnation && random.Float64() < 0.7
+	if !isKept || isNoticed || random.Float64() < 0.05 {
+		c = connection{openedAt: o.world.now, incarnation: e.incarnation}
+		o.connections[e] = c
+	}
+	return c
+}
+
 func (o *owner) sendStart(start jobs.Start) {
 	o.send(start.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
 		return e.start(o.epoch, start)
-	}, func(answer jobs.Answer, clock int64) {
-		o.cell.StartAnswered(o.world.now, start, jobs.Reply{Answer: answer, Clock: clock})
-	})
+	}, func(reply jobs.Reply) { o.cell.StartAnswered(o.world.now, start, reply) })
 }
 
 func (o *owner) sendStop(stop jobs.Stop) {
 	o.send(stop.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
 		return e.stop(o.epoch, stop)
-	}, func(answer jobs.Answer, clock int64) {
-		o.cell.StopAnswered(o.world.now, stop, answer, clock)
-	})
+	}, func(reply jobs.Reply) { o.cell.StopAnswered(o.world.now, stop, reply.Answer, reply.Clock) })
 }
 
 // pollLoop polls one endpoint, one poll at a time.
@@ -232,8 +300,8 @@
 		listing = received
 		listing.AskedAt = askedAt
 		return answer, received.Clock
-	}, func(answer jobs.Answer, _ int64) {
-		if answer == jobs.Accepted {
+	}, func(reply jobs.Reply) {
+		if reply.Answer == jobs.Accepted {
 			for _, orphan := range o.cell.ApplyListing(w.now, listing) {
 				o.sendStop(orphan)
 			}
--- a/jobs/emulator/world_test.go
+++ b/jobs/emulator/world_test.go
@@ -108,6 +108,8 @@
 		"advance": func(*rapid.T) { w.Advance(drawDuration(15)) },
 		"wait":    func(*rapid.T) { w.Advance(drawDuration(3)) },
 		"kill":    func(*rapid.T) { w.KillOwner() },
+		"release": func(*rapid.T) { w.HandOver() },
+		"part":    func(*rapid.T) { drawEndpoint().PartitionOwner() },
 		"crash":   func(*rapid.T) { drawEndpoint().Crash(drawDuration(40)) },
 		"cut":     func(*rapid.T) { drawEndpoint().Partition(drawDuration(90)) },
 		"drain":   func(*rapid.T) { drawEndpoint().Drain() },
@@ -116,7 +118,7 @@
 		"slow":    func(*rapid.T) { drawEndpoint().SlowRuns(5, drawDuration(30)) },
 		"faults": func(t *rapid.T) {
 			share := func(name string) float64 { return float64(rapid.IntRange(0, 4).Draw(t, name)) / 10 }
-			w.SetFaults(Faults{LostAnswers: share("answers"), LateOrders: share("orders"), LostCommits: share("commits")})
+			w.SetFaults(Faults{LostAnswers: share("answers"), LateOrders: share("orders"), LostCommits: share("commits"), LateAnswers: share("late")})
 		},
 		"calm": func(*rapid.T) { w.SetFaults(Faults{}) },
 	}
