Place long-running tasks on suspect endpoints rather than not at all

Callers saw a long-running task without a run for up to 8 s while the only endpoints with room were suspect, and for longer where short-lived probes took the one slot that a suspect endpoint has. A service without a task is a loss for certain; a start on a suspect endpoint costs one order, and ends early if the endpoint still fails.

Cause: newPlacer left out suspect endpoints until suspectUntil (1.5 s to 8 s) and while a probe was under way, for all tasks alike.

A long-running task whose job has been blocked for a second may now take a suspect endpoint, without regard to the probe. It waits that second so that room on a trusted endpoint, which is about to be free or held for it, comes first: a run can also hang on a suspect one. After a failure the task waits a second before it takes a suspect endpoint again, and before the next probe is due its failures do not delay that probe. Short-lived work is placed as before.

--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -19,6 +19,11 @@
 	// first probe run. It doubles with each failed probe, up to maxProbeDelay.
 	initialProbeDelay = 1500 * time.Millisecond
 	maxProbeDelay     = 8 * time.Second
+	// suspectPatience is how long a job waits for other endpoints before its long-running
+	// tasks are placed on suspect ones, suspectRetryDelay how long such a task waits after
+	// a failed run before it is placed on one again.
+	suspectPatience   = time.Second
+	suspectRetryDelay = time.Second
 	// maxAcknowledgementDelay is how long ends wait to be acknowledged because of starts
 	// before the endpoint gets no new work until they are.
 	maxAcknowledgementDelay = time.Second
@@ -354,8 +359,13 @@
 	return true
 }
 
-// recordFailure records that a run on the endpoint failed or stalled.
-func (e *Endpoint) recordFailure(now time.Time) {
+// recordFailure records that a run of a task on the endpoint failed or stalled. Before the
+// next probe is due, runs of long-running tasks do not delay it further.
+func (e *Endpoint) recordFailure(now time.Time, t *task) {
+	t.noSuspectBefore = now.Add(suspectRetryDelay)
+	if t.step.LongRunning && now.Before(e.suspectUntil) {
+		return
+	}
 	e.consecutiveFailures++
 	if e.consecutiveFailures < suspectThreshold && e.suspectUntil.IsZero() {
 		return
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -82,6 +82,8 @@
 	checkpoint string
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
+	// noSuspectBefore delays the next start on a suspect endpoint after a failure.
+	noSuspectBefore time.Time
 	// noHoldBefore is the time before which no endpoint is held for the task.
 	noHoldBefore time.Time
 	// avoidEndpoint is the ID of the endpoint where the last run failed or stalled.
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -281,7 +281,7 @@
 	e := r.endpoint
 	r.task.notBefore = now.Add(refusalDelay)
 	if answer == Unhealthy {
-		e.recordFailure(now)
+		e.recordFailure(now, r.task)
 	}
 	if answer == BadTicket {
 		delete(r.task.step.tickets, e.ID)
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -10,8 +10,9 @@
 type placer struct {
 	cell *Cell
 	now  time.Time
-	// candidates are the endpoints that may get new runs, sorted by ID.
-	candidates []*Endpoint
+	// candidates are the endpoints that may get new runs, suspects those that may get
+	// only runs of long-running tasks, both sorted by ID.
+	candidates, suspects []*Endpoint
 	// maxFreeCPU is the largest free processor time of any candidate, in thousandths
 	// of a core. Tasks that need more are rejected without a search.
 	maxFreeCPU int64
@@ -26,11 +27,16 @@
 		if e.heldFor != nil && (e.heldFor.run != nil || e.heldFor.step.occurrence.job.isOver() || e.heldFor.isDone) {
 			e.heldFor = nil
 		}
-		if e.isSchedulable(now) && e.isTrusted(now) {
+		switch {
+		case !e.isSchedulable(now):
+		case e.isTrusted(now):
 			p.candidates = append(p.candidates, e)
+		default:
+			p.suspects = append(p.suspects, e)
 		}
 	}
 	slices.SortFunc(p.candidates, byEndpointID)
+	slices.SortFunc(p.suspects, byEndpointID)
 	p.updateMaxFreeCPU()
 	return p
 }
@@ -144,16 +150,34 @@
 }
 
 // chooseEndpoint returns the suitable endpoint with the lowest placement cost, nil
-// if there is none.
+// if there is none. Suspect endpoints without a free probe slot are a last resort.
 func (p *placer) chooseEndpoint(t *task) *Endpoint {
-	s := t.step
-	reserved := s.Reserved()
-	if reserved.CPU > p.maxFreeCPU {
-		return nil
+	if t.step.Reserved().CPU <= p.maxFreeCPU {
+		if e := p.cheapestEndpoint(t, p.candidates); e != nil {
+			return e
+		}
+	}
+	if p.mayUseSuspects(t) {
+		return p.cheapestEndpoint(t, p.suspects)
 	}
+	return nil
+}
+
+// mayUseSuspects reports whether a task may be placed on suspect endpoints whose probe is
+// delayed or under way. A long-running task that has found no other room for a while has
+// more to gain there than to lose: if the endpoint still fails, the run ends early.
+func (p *placer) mayUseSuspects(t *task) bool {
+	since := t.step.occurrence.job.blockedSince
+	return t.step.LongRunning && !since.IsZero() && p.now.Sub(since) >= suspectPatience && !p.now.Before(t.noSuspectBefore)
+}
+
+// cheapestEndpoint returns the suitable one of some endpoints with the lowest placement
+// cost, nil if there is none.
+func (p *placer) cheapestEndpoint(t *task, endpoints []*Endpoint) *Endpoint {
+	reserved := t.step.Reserved()
 	var best *Endpoint
 	var bestCost int64
-	for _, e := range p.candidates {
+	for _, e := range endpoints {
 		if !reserved.Fits(e.available()) || !p.isSuitable(t, e) {
 			continue
 		}
@@ -186,7 +210,7 @@
 	if e.heldFor != nil && e.heldFor != t && !s.LongRunning {
 		return false
 	}
-	if e.runs[t.name] != nil || !e.suspectUntil.IsZero() && !e.isProbeSlotFree() {
+	if e.runs[t.name] != nil || !e.suspectUntil.IsZero() && !e.isProbeSlotFree() && !p.mayUseSuspects(t) {
 		return false
 	}
 	if s.Requires != "" && !slices.Contains(e.Labels, s.Requires) {
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -198,7 +198,7 @@
 				continue
 			}
 			r.task.avoidEndpoint = e.ID
-			e.recordFailure(now)
+			e.recordFailure(now, r.task)
 			c.stopRun(r, "no progress")
 		}
 	}
