Leave out registrations of endpoints older than those applied

It repeats the changes that later pages contain already, so for a moment the directory could go back: to an earlier incarnation of an endpoint that restarted meanwhile, or to an endpoint that was removed before it registered again. Owners must not take the first for another restart.

The directory now leaves out changes of a key that are older than the last one applied. Reads of all keys are linearizable, so they go back no further.

--- a/internal/daemon/fleet/directory.go
+++ b/internal/daemon/fleet/directory.go
@@ -35,6 +35,9 @@
 
 	mu            sync.Mutex
 	registrations map[string]endpoint.Registration
+	// revisions maps endpoint IDs to the revision of the last change of their key that was
+	// applied, since all keys were last read.
+	revisions map[string]int64
 	// isLoaded is set while the registrations are complete and kept up to date by a
 	// watch.
 	isLoaded bool
@@ -44,13 +47,17 @@
 }
 
 func newDirectory(config directoryConfig) *directory {
-	return &directory{config: config, registrations: make(map[string]endpoint.Registration), undecodable: make(map[string]int64)}
+	return &directory{
+		config: config, registrations: make(map[string]endpoint.Registration), revisions: make(map[string]int64),
+		undecodable: make(map[string]int64),
+	}
 }
 
 // replace replaces all registrations by the decoded items.
 func (d *directory) replace(items []store.Item) {
 	d.mu.Lock()
 	clear(d.registrations)
+	clear(d.revisions)
 	d.apply(items)
 	d.isLoaded = true
 	d.mu.Unlock()
@@ -95,11 +102,16 @@
 	return registration, isKnown
 }
 
-// apply updates the registrations from items. One that cannot be decoded is left out.
-// The caller holds d.mu.
+// apply updates the registrations from items. One that cannot be decoded is left out, and so
+// are changes that are older than the last one applied: a watch repeats those that were made
+// while all keys were read. The caller holds d.mu.
 func (d *directory) apply(items []store.Item) {
 	for _, item := range items {
 		id := strings.TrimPrefix(item.Key, d.config.Prefix)
+		if item.Revision < d.revisions[id] {
+			continue
+		}
+		d.revisions[id] = item.Revision
 		if item.IsRemoved {
 			delete(d.registrations, id)
 			continue
--- a/internal/daemon/fleet/directory_test.go
+++ b/internal/daemon/fleet/directory_test.go
@@ -73,3 +73,25 @@
 		So(p.recorded(), ShouldResemble, []int{2})
 	})
 }
+
+// A watch from the revision of a list's first page repeats changes that later pages contain, so
+// that a restarted endpoint seemed to have restarted again.
+func TestDirectoryRepeatsOlderRegistrations(t *testing.T) {
+	Convey("A change that is older than what was read of its key is left out", t, func() {
+		var born []int64
+		d := newDirectory(directoryConfig{Prefix: "servers/", Decode: testEndpoint, OnChange: func(registrations map[string]endpoint.Registration) {
+			born = append(born, registrations["a"].Profile.Born)
+		}})
+		item := func(revision, born int64) []store.Item {
+			value, _ := json.Marshal(endpoint.Registration{Profile: jobs.Profile{ID: "a", Born: born}})
+			return []store.Item{{Key: "servers/a", Value: value, Revision: revision}}
+		}
+		d.replace(item(7, 70))
+		d.update(item(5, 50))
+		d.update([]store.Item{{Key: "servers/a", Revision: 6, IsRemoved: true}})
+		d.update(item(8, 80))
+		d.update([]store.Item{{Key: "servers/a", Revision: 9, IsRemoved: true}})
+		d.update(item(8, 80))
+		So(born, ShouldResemble, []int64{70, 70, 70, 80, 0, 0})
+	})
+}
