Order incarnations of endpoints by what was seen, not by start time

Callers would see an endpoint stay idle for good, and tasks on it without a run for half a minute or until the next owner, after it started again with its wall clock stepped back: listings and registrations with a lower `born` than the known one were ignored. The reverse ended runs that were at work: a stale registration of an earlier incarnation with a higher `born` was taken for a restart, and the task was placed a second time.

`born` is a wall clock time, so it identifies an incarnation and does not order them. What orders them:

- A listing that was asked for after the current incarnation was known to be up comes from that one or a later one, whatever its start time.
Any other listing of another incarnation is ignored; the next poll decides.
- A registration counts as a restart only if discovery listed the current incarnation before and the start time is later, so that neither discovery that lags behind listings nor a late write of an earlier incarnation ends runs.
Other changes make the endpoint list its runs at once.
If it is not heard of again, its runs end with the grant, which is kept until then.
- Placements are stored in the order in which they were decided, so the last one is on the latest incarnation.
- An endpoint that answers on the machine of one that discovery no longer lists, asked after that one was last heard of, has replaced it.

Entries without a start time change nothing, as before. SetEndpoints takes the time, which bounds how old the answers of earlier incarnations can be.

Left: two incarnations of one endpoint that start in the same millisecond of a stepped clock look the same, except for their clocks.

--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -73,7 +73,7 @@
 			}
 			o.startPoller(registration)
 		}
-		o.cell.SetEndpoints(profiles)
+		o.cell.SetEndpoints(now, profiles)
 		for id, p := range o.pollers {
 			if _, isKnown := o.cell.NextPoll(now, id); !isKnown {
 				event.EndpointRemoved.Log(o.config.Log, logrus.Fields{"endpoint": id})
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -49,7 +49,7 @@
 			IsDraining: isDraining && i == 0, Born: b.born,
 		})
 	}
-	b.cell.SetEndpoints(profiles)
+	b.cell.SetEndpoints(b.now, profiles)
 }
 
 // advance advances the clocks of the owner and the endpoints.
--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -41,6 +41,9 @@
 	// MaxListedEnds is the number of ends that an endpoint lists at a time; with 0 it
 	// lists all.
 	MaxListedEnds int
+	// ClockStep is the most by which an endpoint's wall clock is ahead; it differs with each
+	// start of the endpoint.
+	ClockStep time.Duration
 	// Limits holds the limits of client accounts; others have none.
 	Limits map[string]jobs.Size
 	// Work returns how long a run of a task takes on a healthy endpoint, 0 for a
--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -76,6 +76,9 @@
 	e.isUp, e.isListed, e.isDraining = true, true, false
 	e.bootedAt = e.world.now
 	e.born = e.world.now.UnixMilli() + int64(e.incarnation)
+	if step := e.world.config.ClockStep.Milliseconds(); step > 0 {
+		e.born += e.world.random.Int64N(step)
+	}
 	e.epoch, e.grantUntil, e.endCount, e.slowdown = 0, 0, 0, 1
 	e.isFailing, e.isHanging = false, false
 	e.runs, e.endedRuns, e.highestRun = make(map[string]*emulatedRun), nil, make(map[string]int)
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -99,7 +99,7 @@
 			profiles = append(profiles, e.profile())
 		}
 	}
-	o.cell.SetEndpoints(profiles)
+	o.cell.SetEndpoints(o.world.now, profiles)
 	o.world.after(pollInterval*4, o.discover)
 }
 
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -42,8 +42,15 @@
 	IsDraining bool
 	// isListed reports whether service discovery currently lists the endpoint.
 	isListed bool
-	// born identifies the endpoint's current incarnation (see Profile.Born).
+	// born identifies the endpoint's current incarnation (see Profile.Born). Start times do
+	// not order incarnations, as wall clocks may be stepped back.
 	born int64
+	// bornSeenAt is a time by which that incarnation was up, zero if none is known.
+	bornSeenAt time.Time
+	// registeredBorn is the incarnation that service discovery listed last. pastBorn holds
+	// earlier incarnations than the current one.
+	registeredBorn int64
+	pastBorn       map[int64]bool
 	// runs holds the runs that are or may be on the endpoint, by task name.
 	runs map[string]*run
 	// used is the sum of what runs reserve.
@@ -117,14 +124,15 @@
 	Capacity   Size
 	IsDraining bool
 	// Born is the start time of the endpoint's current incarnation, in Unix
-	// milliseconds. It differs after each restart.
+	// milliseconds of its wall clock. It differs after each restart.
 	Born int64
 }
 
 // SetEndpoints replaces the endpoints of the cell by the full list from service
-// discovery. An endpoint that is missing from the list gets no new work and is
-// removed once no run can be left on it.
-func (c *Cell) SetEndpoints(profiles []Profile) {
+// discovery. The list may lag behind the endpoints, but must not be older than the last one.
+// An endpoint that is missing from the list gets no new work and is removed once no run can be
+// left on it.
+func (c *Cell) SetEndpoints(now time.Time, profiles []Profile) {
 	listed := make(map[string]bool, len(profiles))
 	machines := make(map[string]Profile, len(profiles))
 	for _, p := range profiles {
@@ -135,20 +143,19 @@
 		e := c.endpoints[p.ID]
 		if e == nil {
 			e = c.newEndpoint(p.ID, p.Born)
+			e.registeredBorn = p.Born
 		}
 		e.Machine, e.Rack, e.Centre, e.Labels = p.Machine, p.Rack, p.Centre, p.Labels
 		e.Capacity, e.IsDraining, e.isListed = p.Capacity, p.IsDraining, true
-		if p.Born > e.born {
-			c.handleRestart(e, p.Born)
-		}
+		c.applyRegisteredBorn(now, e, p.Born)
 	}
 	for id, e := range c.endpoints {
 		if listed[id] {
 			continue
 		}
 		e.isListed = false
-		if successor, ok := machines[e.Machine]; ok && successor.Born > e.born {
-			// A newer endpoint on the same machine means that this one has ended.
+		// A newer endpoint on the same machine means that this one has ended.
+		if successor, ok := machines[e.Machine]; ok && (successor.Born > e.born || e.isReplacedBy(c.endpoints[successor.ID])) {
 			c.dropRuns(e)
 		}
 		if len(e.runs) == 0 {
@@ -163,6 +170,41 @@
 	return e
 }
 
+// applyRegisteredBorn applies the incarnation that service discovery lists. It is later than
+// the current one if discovery listed that one before and the start time is later, too: a
+// write of an earlier incarnation may be late. Otherwise the endpoint's next listing decides.
+func (c *Cell) applyRegisteredBorn(now time.Time, e *Endpoint, born int64) {
+	if born == 0 {
+		return
+	}
+	previous := e.registeredBorn
+	e.registeredBorn = born
+	switch {
+	case born == e.born || born == previous || e.pastBorn[born]:
+	case previous == e.born && born > e.born:
+		c.handleRestart(e, born)
+		e.bornSeenAt = now
+	default:
+		e.mayHaveRestarted = true
+	}
+}
+
+// isReplacedBy reports whether another endpoint was up on this one's machine after this one
+// was last heard of. It is false for endpoints that discovery still lists.
+func (e *Endpoint) isReplacedBy(other *Endpoint) bool {
+	return !e.isListed && e.Machine != "" && e.Machine == other.Machine && !other.listedSince.IsZero() &&
+		!other.listedSince.Before(e.lastContact)
+}
+
+// dropReplaced marks the runs of the endpoints as lost that an endpoint has replaced.
+func (c *Cell) dropReplaced(e *Endpoint) {
+	for _, other := range c.endpoints {
+		if other != e && other.isReplacedBy(e) {
+			c.dropRuns(other)
+		}
+	}
+}
+
 // handleRestart resets an endpoint that has restarted; born identifies its new
 // incarnation. Runs that an earlier incarnation listed are lost, and those whose start no
 // later incarnation can have received. Any other run that was ordered may have been started
@@ -170,6 +212,11 @@
 // the incarnation. Such a run is kept until the next listing shows whether it exists.
 func (c *Cell) handleRestart(e *Endpoint, born int64) {
 	e.bornAfter = later(e.bornAfter, e.listedSince)
+	if e.pastBorn == nil {
+		e.pastBorn = make(map[int64]bool)
+	}
+	e.pastBorn[e.born] = true
+	delete(e.pastBorn, born)
 	e.born, e.lastClock, e.listedClock, e.grantUntil = born, 0, 0, 0
 	e.listedSince, e.unacknowledgedSince = time.Time{}, time.Time{}
 	e.appliedEnd, e.storedEnd, e.listedEnd = 0, 0, 0
@@ -178,7 +225,7 @@
 	e.consecutiveFailures, e.failedProbes, e.suspectUntil = 0, 0, time.Time{}
 	for _, r := range sortedRuns(e) {
 		switch {
-		case r.phase == placed || r.born >= born:
+		case r.phase == placed || r.born == born:
 		case !r.isIncarnationKnown && !r.isSentBefore(e.bornAfter):
 			if r.phase == running {
 				r.phase = unconfirmed
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -12,22 +12,31 @@
 // ApplyListing applies an endpoint's listing of its runs and returns stops for the
 // runs that this owner did not order. The listing must be the answer to a poll under
 // this owner's epoch, because that poll also makes the endpoint refuse the orders of
-// earlier owners. Listings of an earlier incarnation of the endpoint and those older
-// than the last one applied are ignored.
+// earlier owners. Listings older than the last one applied are ignored, and those of
+// another incarnation of the endpoint than the current one that may be older.
 func (c *Cell) ApplyListing(now time.Time, l Listing) (orphans []Stop) {
 	e := c.endpoints[l.Endpoint]
-	if e == nil || l.Born < e.born {
+	if e == nil {
 		return nil
 	}
-	if l.Born > e.born {
+	if l.Born != e.born {
+		if l.Born == 0 || l.AskedAt.Before(e.bornSeenAt) {
+			return nil
+		}
+		// An incarnation that was up later than the current one cannot be an earlier one.
 		c.handleRestart(e, l.Born)
 	}
 	if l.Clock < e.listedClock {
 		return nil
 	}
+	e.bornSeenAt = now
+	isFirst := !e.isReached
 	e.listedClock, e.listedSince, e.isReached, e.isUnresponsive = l.Clock, l.AskedAt, true, false
 	e.recordContact(now, l.Clock)
 	e.mayHaveRestarted = false
+	if isFirst {
+		c.dropReplaced(e)
+	}
 	present := make(map[string]bool, len(l.Running))
 	e.orphanUsage, e.orphanSteps = Size{}, nil
 	for _, row := range l.Running {
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -150,10 +150,9 @@
 	if e == nil {
 		e = c.newEndpoint(endpointID, born)
 	}
-	if born > e.born {
-		// The endpoint restarted between the placements stored so far and this one.
-		c.handleRestart(e, born)
-	}
+	// Each placement is on the same incarnation as the one stored before it, or on a later
+	// one. Those of a snapshot are in no order; the first listing decides.
+	e.born = born
 	switch {
 	case t.run == nil:
 	case t.step.Speculative && t.run.endpoint != e:
