Return what cells do not use of a limit that is scarce

Callers saw tasks of a client account wait for good, long-running ones too, though the account used a small part of its limit: the allocations of the other cells took up the rest. A cell keeps a reserve of a tenth of the limit and gives excess back only from three tenths on. Four cells that were busy in turn, or nine that never were, so hold the whole limit while they use nothing. Nor would they learn that another cell waits: an entry reads the document only when its own cells are short.

An entry whose cells hold more than they need now reads the document with every third pass (0.9 s). If the allocations leave less than a sixth of the limit, each of its cells returns what it holds beyond its need and a fortieth of the limit, once that is as much again. Below that, reserves are as before.

It costs writes where cells compete for a limit, at most one an entry and pass, and some waiting where reserves happened to cover the turns.

--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -35,6 +35,15 @@
 	// excessDivisor gives the excess over need and reserve that a cell may keep
 	// before it returns it, as the limit divided by it.
 	excessDivisor = 5
+	// A limit is scarce while the allocations leave less than the limit divided by
+	// scarceDivisor. scarceReserveDivisor gives the reserve that a cell keeps then. It may
+	// keep as much again before it returns the excess, so that not each task that ends causes
+	// a write.
+	scarceDivisor        = 6
+	scarceReserveDivisor = 40
+	// scarcityCheckPasses is the number of calls of Balance from one read of the document to
+	// the next that checks whether a limit has become scarce.
+	scarcityCheckPasses = 3
 	// shareDivisor gives the steps of the shares to which allocations beyond a limit are
 	// lowered, as the limit divided by it. Each step takes a write to the store.
 	shareDivisor = 64
@@ -86,6 +95,8 @@
 	// use of an owned cell does not exceed the greater of its allocation there and the use
 	// in its needs.
 	pending allocations
+	// passes counts the calls of Balance since the document was last read.
+	passes int
 	// unanswered holds the lowest allocations of the writes at revision that got no
 	// answer, nil if there are none. The store may carry one of them out as long as the
 	// document has this revision.
@@ -243,7 +254,7 @@
 	if len(cells) == 0 {
 		return nil
 	}
-	if isReloadDue {
+	if isReloadDue || l.isScarcityCheckDue(cells) {
 		if err := l.reload(ctx, owned); err != nil {
 			return err
 		}
@@ -342,6 +353,39 @@
 	return isReloadDue
 }
 
+// isScarcityCheckDue reports whether the document has to be read to see whether the cells have
+// to return what they do not use.
+func (l *Ledger) isScarcityCheckDue(cells []Cell) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.passes++
+	if l.passes < scarcityCheckPasses {
+		return false
+	}
+	for name, account := range l.accounts {
+		for _, cell := range cells {
+			need := cell.needs[name]
+			if !l.stored[name][cell.Name].Fits(scarceBound(need.Used.Plus(need.Wanted), account.Limit)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// scarceBound returns the most that a cell may keep for its need while a limit is scarce.
+func scarceBound(need, limit jobs.Size) jobs.Size {
+	boundOne := func(need, limit int64) int64 {
+		if limit == 0 {
+			return unbounded
+		}
+		return need + 2*(limit/scarceReserveDivisor)
+	}
+	return jobs.Size{
+		CPU: boundOne(need.CPU, limit.CPU), Memory: boundOne(need.Memory, limit.Memory), GPUs: boundOne(need.GPUs, limit.GPUs),
+	}
+}
+
 // isShort reports whether a cell needs more than its current allocation.
 func (l *Ledger) isShort(cells []Cell, current allocations) bool {
 	l.mu.Lock()
@@ -382,7 +426,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.isLoaded = true
+	l.isLoaded, l.passes = true, 0
 	maps.DeleteFunc(l.outdated, func(name string, _ bool) bool { return outdated[name] })
 	for name, revision := range owned {
 		l.loadedEpochs[name] = revision
@@ -418,8 +462,9 @@
 
 // adjust updates the allocation of one cell in row, which holds the allocations of
 // one account by cell. A new cell, or one that needs more, gets what the limit
-// leaves, up to its need and the reserve; excess is returned. While the allocations add up to
-// more than the limit, each is lowered to its share of the limit. An allocation is never
+// leaves, up to its need and the reserve; excess is returned, nearly all of it while the limit
+// is scarce, as other cells may wait for it. While the allocations add up to more than the
+// limit, each is lowered to its share of the limit. An allocation is never
 // set below the use when it is lowered, nor below the pending allocation, up to which the
 // use may have risen since the needs were read.
 func (l *Ledger) adjust(row map[string]jobs.Size, limit jobs.Size, cell Cell, need jobs.Need, pending jobs.Size) (isChanged bool) {
@@ -430,7 +475,7 @@
 		if limit == 0 {
 			return unbounded
 		}
-		reserve := limit / reserveDivisor
+		reserve, scarceReserve := limit/reserveDivisor, limit/scarceReserveDivisor
 		target := min(wanted+reserve, limit)
 		switch {
 		case sum > limit && isKnown:
@@ -441,6 +486,8 @@
 			return min(target, allocation+max(limit-sum, 0))
 		case allocation > target+limit/excessDivisor:
 			return min(max(target, used, pending), allocation)
+		case sum > limit-limit/scarceDivisor && allocation > wanted+2*scarceReserve:
+			return min(max(wanted+scarceReserve, used, pending), allocation)
 		}
 		return allocation
 	}
