Test how long a lowered limit keeps tasks waiting

A limit that is set or lowered leaves a cell without an allocation until all owners have stored their use. A cell without an owner counts with all that it had until the next one has stored its use.

--- a/internal/cell/ledger/idle_test.go
+++ b/internal/cell/ledger/idle_test.go
@@ -59,3 +59,47 @@
 		})
 	}
 }
+
+// TestLoweredLimitKeepsTasksWaiting guards against a limit that is set or lowered and cannot be
+// used for seconds, although less than half of it is in use.
+func TestLoweredLimitKeepsTasksWaiting(t *testing.T) {
+	const limit, wanted, maxPasses = 1000, 100, 9
+	for name, earlier := range map[string]int64{"set": 0, "lowered": 10 * limit, "lowered a little": 1100} {
+		for work, wants := range map[string]bool{"while all cells wait": true, "while one cell waits": false} {
+			Convey("A cell gets what it needs of a limit that is "+name+" "+work, t, func() {
+				s := keyvalue.New()
+				entries, cells := make([]*Ledger, 5), make([]Cell, 5)
+				for i := range entries {
+					entries[i] = New(s.Client(nil), discardLog())
+					entries[i].SetSetup(setupWithLimit(earlier))
+					cell := fmt.Sprintf("c%d", i)
+					cells[i] = Cell{Name: cell, Condition: takeOwnership(s, cell), Needs: needsOf(0, 80)}
+				}
+				balance := func() {
+					for i := range entries {
+						So(entries[i].Balance(context.Background(), cells[i:i+1]), ShouldBeNil)
+					}
+				}
+				balance()
+				for i := range entries {
+					cells[i].Needs = needsOf(80, 0)
+					if wants || i == 2 {
+						cells[i].Needs = needsOf(80, wanted)
+					}
+				}
+				balance()
+				for _, l := range entries {
+					l.SetSetup(setupWithLimit(limit))
+				}
+				passes := 0
+				for ; passes < 100; passes++ {
+					if allocation, _ := entries[2].Allocation("c2", "a"); allocation.CPU >= 80+wanted {
+						break
+					}
+					balance()
+				}
+				So(passes, ShouldBeLessThanOrEqualTo, maxPasses)
+			})
+		}
+	}
+}
