Poll idle suspect endpoints while a long-running task waits

A suspect endpoint without runs is not polled until its next probe is due, up to 8 s. After 2.5 s its last answer is too old for any work, so a long-running task could still not be placed there. Such endpoints are polled now while a long-running task finds no place; otherwise they are left alone as before, as each poll has its price.

Before: TestSuspectEndpointsKeepTaskWaiting with endpoints that had been suspect and idle for 3 s placed 0 of 3 tasks within 3 s. Its other cases answered polls that nobody sends.

--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -44,6 +44,9 @@
 	arrivals arrivals
 	load     measuredLoad
 	counts   Counts
+	// isLongRunningBlocked reports whether a long-running task found no place in the last
+	// planning pass.
+	isLongRunningBlocked bool
 	// runsCheckedAt is when Plan last checked all runs.
 	runsCheckedAt time.Time
 	// blockedCheckedAt is when BlockedTasks last checked for blocked jobs.
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -470,8 +470,7 @@
 	if e.isListingDue() {
 		poll.IsNeeded, poll.IsUrgent = true, true
 	}
-	isPollAllowed := e.suspectUntil.IsZero() || !now.Before(e.suspectUntil)
-	if now.Sub(e.lastContact) >= idlePollInterval && isPollAllowed {
+	if c.isIdlePollDue(now, e) {
 		poll.IsNeeded, poll.IsUrgent = true, len(e.runs) == 0
 	}
 	for _, r := range e.runs {
@@ -489,6 +488,13 @@
 	return poll, true
 }
 
+// isIdlePollDue reports whether an endpoint has to be polled because it has not answered for
+// a while. Suspect ones are left alone until the next probe, unless a long-running task waits
+// that may be placed there.
+func (c *Cell) isIdlePollDue(now time.Time, e *Endpoint) bool {
+	return now.Sub(e.lastContact) >= idlePollInterval && (!now.Before(e.suspectUntil) || c.isLongRunningBlocked)
+}
+
 // maxRenewalAge is the age of an endpoint's last answer from which its grant is not
 // extended. It covers a poll that waits for a run to end and the pause before the
 // next poll.
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -40,8 +40,10 @@
 	clear(c.wanted)
 	p := c.newPlacer(now)
 	p.requiredLabels = c.requiredLabels()
+	c.isLongRunningBlocked = false
 	for _, j := range c.active {
 		p.placeJob(j)
+		c.isLongRunningBlocked = c.isLongRunningBlocked || j.IsLongRunning() && !j.blockedSince.IsZero()
 	}
 	p.releaseUnusedHolds()
 }
--- a/jobs/suspect_test.go
+++ b/jobs/suspect_test.go
@@ -21,11 +21,15 @@
 		}
 		return b
 	}
-	// play advances for a duration with answered polls and calls step every 100 ms.
+	// play advances for a duration, answers the polls that are needed and calls step every
+	// 100 ms.
 	play := func(b *testbed, endpoints int, duration time.Duration, step func()) {
 		for end := b.now.Add(duration); b.now.Before(end); {
 			b.advance(100 * time.Millisecond)
 			for i := range endpoints {
+				if poll, _ := b.cell.NextPoll(b.now, endpointName(i)); !poll.IsNeeded {
+					continue
+				}
 				var running []ListedRun
 				for _, r := range sortedRuns(b.cell.endpoints[endpointName(i)]) {
 					running = append(running, ListedRun{Task: r.task.name, Run: r.number, Percent: 1})
@@ -44,6 +48,14 @@
 			So(count, ShouldEqual, 3)
 		})
 	}
+	Convey("A long-running task is placed though all have been suspect and idle for a while", t, func() {
+		b := newSuspects(1)
+		play(b, 1, 3*time.Second, func() { b.planAndAccept() })
+		b.submit(firstID, longRunningStep(3))
+		count := 0
+		play(b, 1, maxWait, func() { count += len(b.planAndAccept()) })
+		So(count, ShouldEqual, 3)
+	})
 	Convey("A long-running task does not wait for the probe of a suspect endpoint", t, func() {
 		b := newSuspects(1)
 		b.submit("000000000000000c", batchStep(1, 100))
