Ask for advice about endpoints that were not asked about yet

Callers of a queue with advice saw a task wait although the policy allows it an endpoint with room: for as long as the tickets of the step are valid, if the endpoints that they are for are full; for good, if the policy allows none of the 30 least used endpoints, as the same 30 were asked about again and again. Both take a pool of more than 30 endpoints or one that has filled up since.

A step now asks again if no endpoint that it has a ticket for has room for one of its tasks, and only about endpoints with room about which it knows nothing. An endpoint that was not allowed is not asked about for 10 s; what the policy decides does not change, but a decision may have come before the service knew the endpoint. With no room anywhere the step asks as before, but each endpoint once.

AdviceAnswered takes the time for that.

--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -230,7 +230,7 @@
 				event.OperationFailed.Log(o.config.Log, logrus.Fields{"step": q.Step, "error": err.Error()})
 				return
 			}
-			o.post(func() { o.cell.AdviceAnswered(q, tickets, requestedAt.Add(valid)) })
+			o.post(func() { o.cell.AdviceAnswered(boot.Now(), q, tickets, requestedAt.Add(valid)) })
 		})
 	}
 }
--- a/jobs/advice.go
+++ b/jobs/advice.go
@@ -13,6 +13,8 @@
 	// adviceRetryInterval is how long to wait for tickets before they are requested
 	// again.
 	adviceRetryInterval = 3 * time.Second
+	// denialTime is how long an endpoint that the policy did not allow is not asked about.
+	denialTime = 10 * time.Second
 )
 
 // AdviceRequest asks the policy of a queue which of some endpoints may run a step.
@@ -25,8 +27,8 @@
 }
 
 // AdviceRequests returns the requests to send now for queues with advice: one for
-// each step with waiting tasks and no valid ticket. The caller passes the answer to
-// AdviceAnswered.
+// each step with waiting tasks and no valid ticket for an endpoint with room. The caller
+// passes the answer to AdviceAnswered.
 func (c *Cell) AdviceRequests(now time.Time) []AdviceRequest {
 	var requests []AdviceRequest
 	for _, j := range c.active {
@@ -35,7 +37,7 @@
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if !s.isReady || len(s.waiting) == 0 || now.Sub(s.adviceRequested) < adviceRetryInterval || s.hasTicket(c, now) {
+				if !s.isReady || len(s.waiting) == 0 || now.Sub(s.adviceRequested) < adviceRetryInterval || s.hasUsableTicket(c, now) {
 					continue
 				}
 				if q, ok := c.newAdviceRequest(now, s); ok {
@@ -48,27 +50,56 @@
 	return requests
 }
 
-// hasTicket reports whether the step has a valid ticket for an endpoint that can
-// take runs.
-func (s *step) hasTicket(c *Cell, now time.Time) bool {
-	for id, held := range s.tickets {
+// hasUsableTicket reports whether the step has a valid ticket for an endpoint that has room
+// for one of its tasks.
+func (s *step) hasUsableTicket(c *Cell, now time.Time) bool {
+	for id := range s.tickets {
 		e := c.endpoints[id]
-		if e != nil && e.born == held.born && now.Before(held.until) && e.isSchedulable(now) {
+		if e != nil && s.hasTicket(now, e) && e.isSchedulable(now) && s.hasRoom(e) {
 			return true
 		}
 	}
 	return false
 }
 
-// newAdviceRequest returns a request for a step that names the least used endpoints
-// able to run it. It returns false if there is none.
+// hasTicket reports whether the step has a valid ticket for an endpoint.
+func (s *step) hasTicket(now time.Time, e *Endpoint) bool {
+	held, ok := s.tickets[e.ID]
+	return ok && held.born == e.born && now.Before(held.until)
+}
+
+// isDenied reports whether the policy did not allow an endpoint a short time ago.
+func (s *step) isDenied(now time.Time, e *Endpoint) bool {
+	denied, ok := s.denials[e.ID]
+	return ok && denied.born == e.born && now.Before(denied.until)
+}
+
+// hasRoom reports whether an endpoint has room for another task of the step.
+func (s *step) hasRoom(e *Endpoint) bool {
+	return s.Reserved().Fits(e.available()) && (s.AntiAffinity == 0 || e.countRuns(s) < s.AntiAffinity)
+}
+
+// newAdviceRequest returns a request for a step that names the least used endpoints with room
+// for it about which nothing is known. If there is none and the step has no ticket, it names
+// full ones. It returns false if there are no endpoints to name.
 func (c *Cell) newAdviceRequest(now time.Time, s *step) (AdviceRequest, bool) {
-	var candidates []*Endpoint
+	var candidates, full []*Endpoint
+	hasTickets := false
 	for _, e := range c.endpoints {
-		if e.isSchedulable(now) && s.Reserved().Fits(e.Capacity) && (s.Requires == "" || slices.Contains(e.Labels, s.Requires)) {
+		switch {
+		case !e.isSchedulable(now) || !s.Reserved().Fits(e.Capacity) || s.Requires != "" && !slices.Contains(e.Labels, s.Requires):
+		case s.hasTicket(now, e):
+			hasTickets = true
+		case s.isDenied(now, e):
+		case s.hasRoom(e):
 			candidates = append(candidates, e)
+		default:
+			full = append(full, e)
 		}
 	}
+	if len(candidates) == 0 && !hasTickets {
+		candidates = full
+	}
 	if len(candidates) == 0 {
 		return AdviceRequest{}, false
 	}
@@ -90,16 +121,21 @@
 }
 
 // AdviceAnswered records the answer to a request: tickets by endpoint ID, valid until
-// a time. It ends the wait of adviceRetryInterval, so tickets are requested again at
-// once if none of these is valid.
-func (c *Cell) AdviceAnswered(q AdviceRequest, tickets map[string]string, until time.Time) {
+// a time. It ends the wait of adviceRetryInterval, so tickets for other endpoints are requested
+// at once if none of these can be used.
+func (c *Cell) AdviceAnswered(now time.Time, q AdviceRequest, tickets map[string]string, until time.Time) {
 	t := c.findTask(q.name.String())
 	if t == nil {
 		return
 	}
 	s := t.step
 	if s.tickets == nil {
-		s.tickets = make(map[string]ticket)
+		s.tickets, s.denials = make(map[string]ticket), make(map[string]denial)
+	}
+	for _, id := range q.Endpoints {
+		if e := c.endpoints[id]; e != nil && tickets[id] == "" {
+			s.denials[id] = denial{born: e.born, until: now.Add(denialTime)}
+		}
 	}
 	for id, text := range tickets {
 		if e := c.endpoints[id]; e != nil {
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -1027,7 +1027,7 @@
 		So(questions, ShouldHaveLength, 1)
 		So(questions[0].Step, ShouldEqual, firstID+".0.0")
 		So(questions[0].Endpoints, ShouldResemble, []string{endpointName(0), endpointName(1)})
-		b.cell.AdviceAnswered(questions[0], map[string]string{endpointName(1): "ticket"}, b.now.Add(time.Second))
+		b.cell.AdviceAnswered(b.now, questions[0], map[string]string{endpointName(1): "ticket"}, b.now.Add(time.Second))
 		starts := b.planAndStore()
 		So(starts, ShouldHaveLength, 1)
 		So(starts[0].Endpoint, ShouldEqual, endpointName(1))
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -52,6 +52,8 @@
 	isReady bool
 	// tickets are the permissions of the queue's policy, by endpoint ID.
 	tickets map[string]ticket
+	// denials are the endpoints that the policy did not allow, by ID.
+	denials map[string]denial
 	// adviceRequested is when tickets were last requested, zero if no request is
 	// outstanding.
 	adviceRequested time.Time
@@ -65,6 +67,12 @@
 	until time.Time
 }
 
+// denial keeps one incarnation (born) of an endpoint from being asked about until a time.
+type denial struct {
+	born  int64
+	until time.Time
+}
+
 // task is the state of one task of a step.
 type task struct {
 	name  string
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -220,8 +220,7 @@
 		return false
 	}
 	if s.occurrence.job.Advised {
-		held, ok := s.tickets[e.ID]
-		return ok && held.born == e.born && p.now.Before(held.until)
+		return s.hasTicket(p.now, e)
 	}
 	return true
 }
