Repeat a call for advice soon after it failed

A call for advice that failed at once, as with a 429 or a broken connection, was repeated only after 3 s, the time that a call may take. The tasks of the step waited all the while. It is now repeated 0.5 s after the failure, unless another one has been made meanwhile.

Before: without AdviceFailed, the case of TestAdviceKeepsTaskWaiting gets no request 0.6 s after the first.

--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -228,6 +228,7 @@
 			tickets, valid, err := o.config.Advise(ctx, q.Step, q.Endpoints)
 			if err != nil {
 				event.OperationFailed.Log(o.config.Log, logrus.Fields{"step": q.Step, "error": err.Error()})
+				o.post(func() { o.cell.AdviceFailed(boot.Now(), q) })
 				return
 			}
 			o.post(func() { o.cell.AdviceAnswered(boot.Now(), q, tickets, requestedAt.Add(valid)) })
--- a/jobs/advice.go
+++ b/jobs/advice.go
@@ -13,6 +13,8 @@
 	// adviceRetryInterval is how long to wait for tickets before they are requested
 	// again.
 	adviceRetryInterval = 3 * time.Second
+	// adviceFailureDelay is how long to wait after a failed call.
+	adviceFailureDelay = 500 * time.Millisecond
 	// denialTime is how long an endpoint that the policy did not allow is not asked about.
 	denialTime = 10 * time.Second
 )
@@ -24,11 +26,13 @@
 	Endpoints []string
 	// name is the first task of the step, which AdviceAnswered looks up.
 	name TaskName
+	// requestedAt is when the request was made.
+	requestedAt time.Time
 }
 
 // AdviceRequests returns the requests to send now for queues with advice: one for
 // each step with waiting tasks and no valid ticket for an endpoint with room. The caller
-// passes the answer to AdviceAnswered.
+// passes the answer to AdviceAnswered, or reports the failure of the call to AdviceFailed.
 func (c *Cell) AdviceRequests(now time.Time) []AdviceRequest {
 	var requests []AdviceRequest
 	for _, j := range c.active {
@@ -111,8 +115,9 @@
 	})
 	o := s.occurrence
 	q := AdviceRequest{
-		Step: fmt.Sprintf("%s.%d.%d", o.job.ID, o.number, s.number),
-		name: TaskName{Job: o.job.ID, Occurrence: o.number, Step: s.number},
+		Step:        fmt.Sprintf("%s.%d.%d", o.job.ID, o.number, s.number),
+		name:        TaskName{Job: o.job.ID, Occurrence: o.number, Step: s.number},
+		requestedAt: now,
 	}
 	for _, e := range candidates[:min(len(candidates), maxAdviceEndpoints)] {
 		q.Endpoints = append(q.Endpoints, e.ID)
@@ -144,3 +149,11 @@
 	}
 	s.adviceRequested = time.Time{}
 }
+
+// AdviceFailed records that a request got no answer. Tickets are requested again soon, unless
+// they have been since.
+func (c *Cell) AdviceFailed(now time.Time, q AdviceRequest) {
+	if t := c.findTask(q.name.String()); t != nil && t.step.adviceRequested.Equal(q.requestedAt) {
+		t.step.adviceRequested = now.Add(adviceFailureDelay - adviceRetryInterval)
+	}
+}
--- a/jobs/advice_test.go
+++ b/jobs/advice_test.go
@@ -77,4 +77,17 @@
 		So(waited, ShouldEqual, 10*time.Second)
 		So(calls, ShouldBeLessThanOrEqualTo, 6)
 	})
+	Convey("A call that failed is repeated soon", t, func() {
+		b := newTestbed(1)
+		submit(b)
+		b.planAndStore()
+		calls := b.cell.AdviceRequests(b.now)
+		So(calls, ShouldHaveLength, 1)
+		b.advance(100 * time.Millisecond)
+		b.cell.AdviceFailed(b.now, calls[0])
+		So(b.cell.AdviceRequests(b.now), ShouldBeEmpty)
+		b.advance(adviceFailureDelay)
+		b.answerPoll(0)
+		So(b.cell.AdviceRequests(b.now), ShouldHaveLength, 1)
+	})
 }
