--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -191,7 +191,8 @@
 		c.handleRestart(e, born)
 		e.bornSeenAt = now
 	default:
-		e.mayHaveRestarted = true
+		// Nothing is known about the grants of an incarnation that may be later.
+		e.mayHaveRestarted, e.inheritedEnd = true, time.Time{}
 	}
 }
 
--- a/jobs/incarnation_test.go
+++ b/jobs/incarnation_test.go
@@ -133,6 +133,26 @@
 		So(b.cell.endpoints[endpointName(0)].born, ShouldEqual, earlierBorn)
 		So(b.planAndStore(), ShouldHaveLength, 1)
 	})
+	Convey("A hand-over after such placements names the last incarnation for all runs, so that its grant counts", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, longRunningStep(2))
+		b.planAndAccept()
+		state := b.cell.Snapshot()
+		b.cell = New(Config{Bounds: DefaultBounds(), Inherited: b.now})
+		b.cell.Restore(b.now, state)
+		for i, born := range []int64{earlierBorn, laterBorn} {
+			task := TaskName{Job: firstID, Index: 1 - i}.String()
+			b.cell.Apply(b.now, Record{Placement: &Placement{Task: task, Run: 2, Endpoint: endpointName(0), Born: born}})
+		}
+		b.cell.FinishRestore()
+		final := b.cell.HandoverSnapshot(b.now)
+		next := New(Config{Bounds: DefaultBounds(), Inherited: b.now})
+		next.Restore(b.now, final)
+		next.FinishRestore()
+		next.InheritGrants(b.now, final.Silent)
+		So(final.Silent, ShouldHaveLength, 1)
+		So(next.endpoints[endpointName(0)].inheritedEnd.IsZero(), ShouldBeFalse)
+	})
 	Convey("An endpoint that answers on the machine of one that is gone ends its runs, whatever its start time", t, func() {
 		b, start := newRunning(laterBorn)
 		successor := Profile{ID: "e9", Machine: "m" + endpointName(0), Capacity: Size{CPU: 4000, Memory: 4000}, Born: earlierBorn}
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -41,7 +41,7 @@
 	// Saved is the last checkpoint, empty if none.
 	Saved string `json:"save,omitempty"`
 	// Endpoint is where the last run is or may be, empty if it has ended. Born is
-	// the start time of the endpoint's incarnation, in Unix milliseconds.
+	// the start time of the endpoint's current incarnation, in Unix milliseconds.
 	Endpoint string `json:"e,omitempty"`
 	Born     int64  `json:"b,omitempty"`
 }
@@ -88,7 +88,7 @@
 func (t *task) snapshot() TaskState {
 	state := TaskState{Task: t.name, Run: t.lastRun, Failed: t.failedRuns, IsDone: t.isDone, Saved: t.checkpoint}
 	if t.run != nil {
-		state.Endpoint, state.Born = t.run.endpoint.ID, t.run.born
+		state.Endpoint, state.Born = t.run.endpoint.ID, t.run.endpoint.born
 	}
 	return state
 }
@@ -152,8 +152,8 @@
 	if e == nil {
 		e = c.newEndpoint(endpointID, born)
 	}
-	// Each placement is on the same incarnation as the one stored before it, or on a later
-	// one. Those of a snapshot are in no order; the first listing decides.
+	// Each placement is on the same incarnation of the endpoint as the one stored before it, or
+	// on a later one. A snapshot names one incarnation for all.
 	e.born = born
 	switch {
 	case t.run == nil:
