--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -102,6 +102,9 @@
 	appliedEnd, storedEnd, listedEnd int64
 	// cordonUntil is the time before which no new work is placed here.
 	cordonUntil time.Time
+	// isReportedEmpty is set once the endpoint was reported to have no long-running tasks
+	// while it is cordoned: planned work may have begun since.
+	isReportedEmpty bool
 	// consecutiveFailures counts the runs that failed or stalled since the last
 	// success.
 	consecutiveFailures int
