Keep a run that is listed although it was to be stopped as not carried out

Cause: a run whose start was not answered and that is not listed is stopped, so that its endpoint rejects it and the task can be placed again. If the start was carried out after that listing and the stop was not answered, the stop was repeated every 450 ms, and the task ended whenever one came through, seconds after it had begun to serve. Stops that waited for a free connection to the endpoint were sent whatever had been listed since.

Such a stop is now revocable: once the run is listed and no stop was accepted, it is kept as the current run of its task; queued stops are dropped; none is repeated while the endpoint has not listed its runs since it failed to answer. Stops for any other reason replace it and are repeated as before. Until a stop is accepted or the run is listed, the task is not placed elsewhere, so this cannot start it twice. A stop without an answer may still end the run later: its end is listed and the task placed again; until 15 s after it was ordered, the task counts as unavailable for planned work.

TestDoubtfulStartStoppedAtWork fails before (three ways to settle the stop, the answer that comes after the listing, the queued stop, the endpoint that does not list). TestPlannedWorkDespiteUnansweredStop fails with the rest of this change and load.go as before.

--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -194,7 +194,7 @@
 	event.RunStopOrdered.Log(o.config.Log, logrus.Fields{
 		"task": stop.Task, "run": stop.Run, "endpoint": stop.Endpoint, "reason": stop.Reason,
 	})
-	o.sendOrder(stop.Endpoint, nil, func(ctx context.Context, target endpoint.Target) endpoint.Receipt {
+	o.sendOrder(stop.Endpoint, func() bool { return o.cell.IsStopCurrent(stop) }, func(ctx context.Context, target endpoint.Target) endpoint.Receipt {
 		return o.config.Endpoints.Stop(ctx, target, o.epoch, stop)
 	}, func(receipt endpoint.Receipt) {
 		o.logUnaccepted("stop", stop.Endpoint, stop.Task, stop.Run, receipt)
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -132,11 +132,13 @@
 // stopRun marks a run for stopping; Stops then returns the order. A start that has
 // not been ordered yet will not be.
 func (c *Cell) stopRun(r *run, why string) {
-	if r.isStopping {
+	if r.isStopping && !r.isStopRevocable {
 		return
 	}
-	r.isStopping, r.stopReason = true, why
-	c.counts.Stopped++
+	if !r.isStopping {
+		c.counts.Stopped++
+	}
+	r.isStopping, r.isStopRevocable, r.stopReason = true, false, why
 }
 
 // removeRun removes a run that has certainly ended, so that its task may be placed
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -137,6 +137,10 @@
 	stopReason                  string
 	firstStopSentAt, stopSentAt time.Time
 	stopClock                   int64
+	// isStopRevocable is set if the run is to be stopped only because its start was not
+	// answered and the endpoint did not list it. The stop keeps the start from being carried
+	// out later; it is revoked if the run is listed before a stop was accepted.
+	isStopRevocable bool
 	// percent is the progress last listed, progressedAt when it last changed.
 	percent      int
 	progressedAt time.Time
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -57,8 +57,9 @@
 		case r.isAbsent(clock, isFirst):
 			c.counts.Lost++
 			c.removeRun(r)
-		case r.phase == unconfirmed && clock > r.phaseClock:
+		case r.phase == unconfirmed && clock > r.phaseClock && !r.isStopping:
 			c.stopRun(r, "start was not answered and has not been carried out")
+			r.isStopRevocable = true
 		}
 	}
 }
@@ -134,8 +135,12 @@
 	if row.Saved != "" {
 		r.task.checkpoint = row.Saved
 	}
-	if r.task.run != r || r.task.isDone {
+	switch {
+	case r.task.run != r || r.task.isDone:
 		c.stopRun(r, "superseded")
+	case r.isStopRevocable && r.stopClock == 0:
+		// The start has been carried out, so its run is the current one of the task.
+		r.isStopping, r.isStopRevocable, r.firstStopSentAt = false, false, time.Time{}
 	}
 	if r.task.step.LongRunning && row.Percent >= 100 {
 		r.task.lastServing = now
@@ -325,7 +330,8 @@
 		return
 	}
 	if answer == Accepted {
-		r.stopClock = clock
+		// The run ends even if its stop was revoked in the meantime.
+		r.isStopping, r.stopClock = true, clock
 		if r.phase == running || r.phase == inherited {
 			r.phaseClock = max(r.phaseClock, clock)
 		}
@@ -342,7 +348,7 @@
 	var stops []Stop
 	for _, e := range c.endpoints {
 		for _, r := range e.runs {
-			if !r.isStopping || r.phase == placed || r.phase == ordered || now.Sub(r.stopSentAt) < stopRetryInterval {
+			if !r.isStopNeeded() || r.phase == placed || r.phase == ordered || now.Sub(r.stopSentAt) < stopRetryInterval {
 				continue
 			}
 			r.stopSentAt = now
@@ -354,3 +360,20 @@
 	}
 	return stops
 }
+
+// IsStopCurrent reports whether a stop that is queued for sending is still needed. It is not
+// if it was ordered because the run had not been started, and the run may have been since.
+func (c *Cell) IsStopCurrent(s Stop) bool {
+	e := c.endpoints[s.Endpoint]
+	if e == nil {
+		return true
+	}
+	r := e.runs[s.Task]
+	return r == nil || r.number != s.Run || r.isStopNeeded()
+}
+
+// isStopNeeded reports whether a stop of the run may be sent now. A revocable one is sent only
+// while the last listing of the endpoint can be relied on.
+func (r *run) isStopNeeded() bool {
+	return r.isStopping && (!r.isStopRevocable || !r.endpoint.isListingDue())
+}
--- a/jobs/load.go
+++ b/jobs/load.go
@@ -98,8 +98,13 @@
 // and may still be on their way: the tasks are listed as serving until they end.
 const inheritedStopTime = 1500 * time.Millisecond
 
+// maxStopDelay is how long after it was ordered a stop may still be carried out. Orders
+// have been seen 12 s late.
+const maxStopDelay = 15 * time.Second
+
 // isDisruptionAllowed reports whether a long-running task may be stopped for planned
-// work now: fewer than MaxUnavailable other tasks of its step are unavailable.
+// work now: fewer than MaxUnavailable other tasks of its step are unavailable, or may
+// become so by a stop that was ordered.
 func (c *Cell) isDisruptionAllowed(now time.Time, r *run) bool {
 	s := r.task.step
 	if s.MaxUnavailable == 0 {
@@ -117,7 +122,15 @@
 	return unavailable < s.MaxUnavailable
 }
 
-// isServing reports whether a long-running task was listed at 100 percent recently.
+// isServing reports whether a long-running task was listed at 100 percent recently, and no
+// stop that was ordered can end it.
 func (t *task) isServing(now time.Time) bool {
-	return t.run != nil && t.run.phase == running && !t.run.isStopping && t.run.percent >= 100 && now.Sub(t.lastServing) < 2*idlePollInterval
+	r := t.run
+	return r != nil && r.phase == running && !r.mayBeStopped(now) && r.percent >= 100 && now.Sub(t.lastServing) < 2*idlePollInterval
+}
+
+// mayBeStopped reports whether a run is to be stopped, or a stop that was revoked may still
+// be carried out.
+func (r *run) mayBeStopped(now time.Time) bool {
+	return r.isStopping || !r.stopSentAt.IsZero() && now.Sub(r.stopSentAt) < maxStopDelay
 }
