--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -496,6 +496,12 @@
 	return poll, true
 }
 
+// mayExtendGrant reports whether a poll may extend the grant. Unanswered polls must not, or
+// the runs of a lost endpoint would never count as ended.
+func (e *Endpoint) mayExtendGrant(now time.Time) bool {
+	return e.isReached && !e.isGrantFinal && now.Sub(e.lastContact) < maxRenewalAge
+}
+
 // isIdlePollDue reports whether an endpoint has to be polled because it has not answered for
 // a while. Suspect ones are left alone until the next probe, unless a long-running task waits
 // that may be placed there.
@@ -503,12 +509,6 @@
 	return now.Sub(e.lastContact) >= idlePollInterval && (!now.Before(e.suspectUntil) || c.isLongRunningBlocked)
 }
 
-// mayExtendGrant reports whether a poll may extend the grant. Unanswered polls must not, or
-// the runs of a lost endpoint would never count as ended.
-func (e *Endpoint) mayExtendGrant(now time.Time) bool {
-	return e.isReached && !e.isGrantFinal && now.Sub(e.lastContact) < maxRenewalAge
-}
-
 // maxRenewalAge is the age of an endpoint's last answer from which its grant is not
 // extended. It covers a poll that waits for a run to end and the pause before the
 // next poll.
