Cordon endpoints though tasks wait for the limit of their account

A task that waits for the limit of its client account waits for no place: with an account at its limit, no endpoint with room could be emptied any more, neither for waves nor for moves. Found by reading before the landing. The new case of TestCordonsKeepTaskWaiting fails without the change.

--- a/jobs/blocked.go
+++ b/jobs/blocked.go
@@ -75,8 +75,7 @@
 	if s.Gang {
 		b.GangSize = len(s.tasks)
 	}
-	limit, isBounded := c.config.AccountLimit(j.Account)
-	isOverLimit := j.Account != "" && isBounded && !c.used[j.Account].Plus(s.Each.Times(int64(b.GangSize))).Fits(limit)
+	isOverLimit := !c.isWithinLimit(j, s.Each.Times(int64(b.GangSize)))
 	for _, e := range c.endpoints {
 		switch {
 		case isOverLimit:
--- a/jobs/cordon_test.go
+++ b/jobs/cordon_test.go
@@ -78,4 +78,15 @@
 		So(starts, ShouldBeEmpty)
 		So(load.IsKnown, ShouldBeTrue)
 	})
+	Convey("A task that waits for the limit of its account keeps no endpoint from being cordoned", t, func() {
+		b := newCordoned(false)
+		b.cell.config.AccountLimit = func(account string) (Size, bool) { return Size{}, account == "red" }
+		b.cell.Submit(b.now, Job{ID: secondID, Queue: "q", Account: "red", Attempts: 2, Steps: []Step{longRunningStep(1)}})
+		starts, _ := play(b, 2*time.Second)
+		So(starts, ShouldBeEmpty)
+		b.cell.endpoints[endpointName(0)].isReportedEmpty = false
+		load := b.cell.Evacuate(b.now, endpointName(0), b.now.Add(cordonDuration), true)
+		So(load.IsKnown, ShouldBeTrue)
+		So(b.cell.endpoints[endpointName(0)].cordonUntil, ShouldEqual, b.now.Add(cordonDuration))
+	})
 }
--- a/jobs/load.go
+++ b/jobs/load.go
@@ -73,16 +73,21 @@
 			continue
 		}
 		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.LongRunning && s.isReady && len(s.waiting) > 0 && s.hasRoom(e) && (s.Requires == "" || slices.Contains(e.Labels, s.Requires)) {
-					return true
-				}
+			if slices.ContainsFunc(o.steps, func(s *step) bool { return c.isPlaceFor(e, s) }) {
+				return true
 			}
 		}
 	}
 	return false
 }
 
+// isPlaceFor reports whether a long-running task of a step waits that an endpoint has room for.
+// Tasks that wait for the limit of their client account do not count.
+func (c *Cell) isPlaceFor(e *Endpoint, s *step) bool {
+	isWaiting := s.LongRunning && s.isReady && len(s.waiting) > 0 && c.isWithinLimit(s.occurrence.job, s.Each)
+	return isWaiting && s.hasRoom(e) && (s.Requires == "" || slices.Contains(e.Labels, s.Requires))
+}
+
 // cordonPatience is how long a long-running job waits for other endpoints before it keeps
 // endpoints from being cordoned.
 const cordonPatience = time.Second
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -135,14 +135,16 @@
 	return !isBlocked
 }
 
+// isWithinLimit reports whether the client account of a job may use another size.
+func (c *Cell) isWithinLimit(j *job, size Size) bool {
+	limit, isBounded := c.config.AccountLimit(j.Account)
+	return j.Account == "" || !isBounded || c.used[j.Account].Plus(size).Fits(limit)
+}
+
 // checkAccountLimit reports whether the client account of a job may use another
 // size. If not, the size is added to the account's unmet demand.
 func (p *placer) checkAccountLimit(j *job, size Size) bool {
-	limit, isBounded := p.cell.config.AccountLimit(j.Account)
-	if j.Account == "" || !isBounded {
-		return true
-	}
-	if p.cell.used[j.Account].Plus(size).Fits(limit) {
+	if p.cell.isWithinLimit(j, size) {
 		return true
 	}
 	p.cell.wanted[j.Account] = p.cell.wanted[j.Account].Plus(size)
