--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -49,6 +49,9 @@
 	MaxListedEnds int
 	// MaxGrant is the longest grant that an endpoint accepts, 0 for the one that owners give.
 	MaxGrant time.Duration
+	// ClockStep is the most by which an endpoint's wall clock is ahead; it differs with each
+	// start of the endpoint.
+	ClockStep time.Duration
 	// Limits holds the limits of client accounts; others have none.
 	Limits map[string]jobs.Size
 	// Work returns how long a run of a task takes on a healthy endpoint, 0 for a
--- a/jobs/load.go
+++ b/jobs/load.go
@@ -1,6 +1,9 @@
 package jobs
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Load is the number and size of the runs on an endpoint.
 type Load struct {
@@ -36,21 +39,59 @@
 // Evacuate cordons an endpoint until a time, unless it is cordoned for longer
 // already, and returns its load. If isEvacuating is set, its long-running tasks are
 // also stopped, so that they move elsewhere, as far as their steps allow it now and
-// other endpoints have room for them.
+// other endpoints have room for them. An endpoint is not cordoned, and its load is reported as
+// unknown, while long-running tasks wait that have no other place; planned work must not begin
+// there. That does not apply once it was reported to have none, until the cordon ends.
 func (c *Cell) Evacuate(now time.Time, id string, until time.Time, isEvacuating bool) Load {
 	e := c.endpoints[id]
 	if e == nil {
 		return Load{Endpoint: id}
 	}
+	if !now.Before(e.cordonUntil) {
+		e.isReportedEmpty = false
+	}
+	if !e.isReportedEmpty && c.isOnlyPlace(now, e) {
+		e.cordonUntil = now
+		return Load{Endpoint: id}
+	}
 	if until.After(e.cordonUntil) {
 		e.cordonUntil = until
 	}
 	if isEvacuating {
 		c.evacuate(now, e)
 	}
-	return e.load()
+	load := e.load()
+	e.isReportedEmpty = e.isReportedEmpty || load.LongRunningRuns == 0
+	return load
+}
+
+// isOnlyPlace reports whether an endpoint that may be cordoned has room for a long-running task
+// that has found no place for a while.
+func (c *Cell) isOnlyPlace(now time.Time, e *Endpoint) bool {
+	for _, j := range c.active {
+		if j.isOver() || !j.IsLongRunning() || j.blockedSince.IsZero() || now.Sub(j.blockedSince) < cordonPatience {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if slices.ContainsFunc(o.steps, func(s *step) bool { return c.isPlaceFor(e, s) }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isPlaceFor reports whether a long-running task of a step waits that an endpoint has room for.
+// Tasks that wait for the limit of their client account do not count.
+func (c *Cell) isPlaceFor(e *Endpoint, s *step) bool {
+	isWaiting := s.LongRunning && s.isReady && len(s.waiting) > 0 && c.isWithinLimit(s.occurrence.job, s.Each)
+	return isWaiting && s.hasRoom(e) && (s.Requires == "" || slices.Contains(e.Labels, s.Requires))
 }
 
+// cordonPatience is how long a long-running job waits for other endpoints before it keeps
+// endpoints from being cordoned.
+const cordonPatience = time.Second
+
 // evacuate stops long-running tasks on an endpoint that can run elsewhere now.
 func (c *Cell) evacuate(now time.Time, e *Endpoint) {
 	var p *placer
@@ -98,8 +139,13 @@
 // and may still be on their way: the tasks are listed as serving until they end.
 const inheritedStopTime = 1500 * time.Millisecond
 
+// maxStopDelay is how long after it was ordered a stop may still be carried out. Orders
+// have been seen 12 s late.
+const maxStopDelay = 15 * time.Second
+
 // isDisruptionAllowed reports whether a long-running task may be stopped for planned
-// work now: fewer than MaxUnavailable other tasks of its step are unavailable.
+// work now: fewer than MaxUnavailable other tasks of its step are unavailable, or may
+// become so by a stop that was ordered.
 func (c *Cell) isDisruptionAllowed(now time.Time, r *run) bool {
 	s := r.task.step
 	if s.MaxUnavailable == 0 {
@@ -117,7 +163,15 @@
 	return unavailable < s.MaxUnavailable
 }
 
-// isServing reports whether a long-running task was listed at 100 percent recently.
+// isServing reports whether a long-running task was listed at 100 percent recently, and no
+// stop that was ordered can end it.
 func (t *task) isServing(now time.Time) bool {
-	return t.run != nil && t.run.phase == running && !t.run.isStopping && t.run.percent >= 100 && now.Sub(t.lastServing) < 2*idlePollInterval
+	r := t.run
+	return r != nil && r.phase == running && !r.mayBeStopped(now) && r.percent >= 100 && now.Sub(t.lastServing) < 2*idlePollInterval
+}
+
+// mayBeStopped reports whether a run is to be stopped, or a stop that was revoked may still
+// be carried out.
+func (r *run) mayBeStopped(now time.Time) bool {
+	return r.isStopping || !r.stopSentAt.IsZero() && now.Sub(r.stopSentAt) < maxStopDelay
 }
