Pass on how long a maintenance wave has been known

Waves were late if the stewardship passed on during them: the time of a wave was counted from when the entry of the steward had first read it, so after a roll of the entries, where each process is new, it began anew. Machines of busy pools are maintained only after 0.45 of that time, and the others are spread over what seems to be left of 0.6 of it: a roll after two fifths of the time ends the wave after it is due, and rolls that follow each other keep machines of busy pools from maintenance for good.

The stored state of the steward has now how long each open wave has been known, as a duration, as entries have no clock in common; it is saved each second while there is such a wave. What passes between the last save and the next holder is not counted, up to a second and the takeover.

Ruled out: times of the store, which has only revisions.

TestHandoversForgetTimeOfWaves failed before: no machine was maintained by six holders of 2 s each, with the wave to be done in 8 s.

--- a/internal/cell/steward/state.go
+++ b/internal/cell/steward/state.go
@@ -26,8 +26,15 @@
 	// Ordered lists the machines that were recently ordered. It is written before the
 	// orders are sent.
 	Ordered []string `json:"ordered,omitempty"`
+	// Elapsed is how long each wave that is not completed has been known, in milliseconds, by
+	// wave number.
+	Elapsed map[int]int64 `json:"elapsed,omitempty"`
 }
 
+// elapsedSaveInterval is how often the state is saved while a wave is not completed, so that
+// the next holder knows how much of its time has passed.
+const elapsedSaveInterval = time.Second
+
 // maxCommitAttempts is the number of times a write is tried when the steward does not know
 // the revisions of the keys, because an earlier attempt got no answer.
 const maxCommitAttempts = 3
@@ -95,9 +102,34 @@
 		s.quietUntil[machine] = now.Add(s.config.QuietPeriod)
 		s.lastOrdered[machine] = now
 	}
+	for number, elapsed := range saved.Elapsed {
+		s.knownSince[number] = now.Add(-time.Duration(elapsed) * time.Millisecond)
+	}
 	return true
 }
 
+// elapsed returns how long a wave has been known to this entry or to an earlier holder. The
+// caller holds s.mu.
+func (s *Steward) elapsed(now time.Time, w Wave) time.Duration {
+	since := w.FirstSeen
+	if earlier, isKnown := s.knownSince[w.Number]; isKnown && earlier.Before(since) {
+		since = earlier
+	}
+	return now.Sub(since)
+}
+
+// openWaves returns how long each wave that is not completed has been known, in milliseconds,
+// by number. The caller holds s.mu.
+func (s *Steward) openWaves(now time.Time) map[int]int64 {
+	open := make(map[int]int64)
+	for _, w := range s.config.Waves() {
+		if !s.published[w.Number] {
+			open[w.Number] = s.elapsed(now, w).Milliseconds()
+		}
+	}
+	return open
+}
+
 // saveState stores the state for the next holder, including the machines of
 // operations whose orders are about to be sent. Orders may be sent only if it returns
 // true.
@@ -106,7 +138,7 @@
 	for _, op := range pending {
 		s.lastOrdered[op.machine] = now
 	}
-	current := state{Maintained: s.maintained}
+	current := state{Maintained: s.maintained, Elapsed: s.openWaves(now)}
 	for machine, orderedAt := range s.lastOrdered {
 		if now.Sub(orderedAt) < orderRetention {
 			current.Ordered = append(current.Ordered, machine)
@@ -116,7 +148,7 @@
 	}
 	slices.Sort(current.Ordered)
 	value, err := json.Marshal(current)
-	s.isStateChanged = false
+	s.isStateChanged, s.savedAt = false, now
 	s.mu.Unlock()
 	if err == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
@@ -138,15 +170,16 @@
 	return err == nil
 }
 
-// publishWaveStatus saves the state if it has changed, and then writes the status of
+// publishWaveStatus saves the state if it has changed or is too old, and then writes the status of
 // each wave whose completion has changed. A wave is complete when each of its
 // machines that is still listed has been maintained; it does not become incomplete
 // again.
 func (s *Steward) publishWaveStatus() {
+	now := boot.Now()
 	s.mu.Lock()
-	isChanged := s.isStateChanged
+	isDue := s.isStateChanged || now.Sub(s.savedAt) >= elapsedSaveInterval && len(s.openWaves(now)) > 0
 	s.mu.Unlock()
-	if isChanged && !s.saveState(boot.Now(), nil) {
+	if isDue && !s.saveState(now, nil) {
 		return
 	}
 	due := s.dueWaveStatuses()
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -118,6 +118,10 @@
 	// completion last written for each wave.
 	maintained map[int][]string
 	published  map[int]bool
+	// knownSince is since when earlier holders had known each wave, by number.
+	knownSince map[int]time.Time
+	// savedAt is when the state was last saved.
+	savedAt time.Time
 	// isStateChanged is set while maintained differs from the stored state.
 	isStateChanged bool
 	// lastOrdered is when each machine was last ordered, quietUntil the time before
@@ -143,7 +147,7 @@
 func New(config Config) *Steward {
 	s := &Steward{
 		config: config, operations: make(map[string]*operation), maintained: make(map[int][]string),
-		published: make(map[int]bool), idleSince: make(map[string]time.Time),
+		published: make(map[int]bool), knownSince: make(map[int]time.Time), idleSince: make(map[string]time.Time),
 		lastOrdered: make(map[string]time.Time), quietUntil: make(map[string]time.Time), labels: pools.NewLabelHistory(),
 		revisions: make(map[string]int64),
 	}
--- a/internal/cell/steward/steward_test.go
+++ b/internal/cell/steward/steward_test.go
@@ -294,6 +294,28 @@
 	})
 }
 
+// Each holder counted the time of a wave from when its entry had first read it.
+func TestHandoversForgetTimeOfWaves(t *testing.T) {
+	Convey("A wave in a busy pool becomes late although the stewardship passes on all the while", t, func() {
+		f := newFakeFleet(6)
+		f.demand = jobs.Demand{LongRunningCPU: 90000}
+		for id := range f.loads {
+			f.loads[id] = jobs.Load{Endpoint: id, IsKnown: true, Runs: 1, LongRunningRuns: 1}
+		}
+		wave := newWave("m0", "m1")
+		wave.Seconds = 8
+		// Machines of busy pools are maintained after 0.45 of the time of the wave, which takes
+		// longer than any of these holders.
+		for epoch := range int64(6) {
+			w := f.newSteward(epoch+1, wave)
+			go w.Run()
+			time.Sleep(2 * time.Second)
+			w.Stop()
+		}
+		So(f.executed(), ShouldNotBeEmpty)
+	})
+}
+
 func TestManyWaves(t *testing.T) {
 	Convey("The statuses of more waves than fit into one change of the store are all published", t, func() {
 		f := newFakeFleet(2)
--- a/internal/cell/steward/view.go
+++ b/internal/cell/steward/view.go
@@ -133,7 +133,7 @@
 // describeWave returns a wave as input for the planner. The caller holds s.mu.
 func (s *Steward) describeWave(now time.Time, w Wave, machines []pools.Machine) pools.Wave {
 	described := pools.Wave{
-		Number: w.Number, MaxDown: w.MaxDown, Elapsed: now.Sub(w.FirstSeen), Duration: time.Duration(w.Seconds * float64(time.Second)),
+		Number: w.Number, MaxDown: w.MaxDown, Elapsed: s.elapsed(now, w), Duration: time.Duration(w.Seconds * float64(time.Second)),
 	}
 	for _, m := range machines {
 		op := s.operations[m.ID]
