Repeat stops of short tasks in doubt without a new listing

A short task that is ended loses what it has done since; it waits for a place until the stop is accepted, and its stop occupies one of two connections meanwhile.

--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -372,8 +372,10 @@
 	return r == nil || r.number != s.Run || r.isStopNeeded()
 }
 
-// isStopNeeded reports whether a stop of the run may be sent now. A revocable one is sent only
-// while the last listing of the endpoint can be relied on.
+// isStopNeeded reports whether a stop of the run may be sent now. The revocable stop of a
+// long-running task is sent only while the last listing of the endpoint can be relied on:
+// otherwise the task may be at work.
 func (r *run) isStopNeeded() bool {
-	return r.isStopping && (!r.isStopRevocable || !r.endpoint.isListingDue())
+	mayBeAtWork := r.isStopRevocable && r.task.step.LongRunning && r.endpoint.isListingDue()
+	return r.isStopping && !mayBeAtWork
 }
--- a/jobs/stop_test.go
+++ b/jobs/stop_test.go
@@ -141,6 +141,18 @@
 		d.advance(time.Second)
 		So(d.cell.Stops(d.now), ShouldHaveLength, 1)
 	})
+	Convey("The stop of a task that is not long-running is repeated also while the endpoint does not list its runs", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, batchStep(1, 100))
+		b.cell.StartAnswered(b.now, b.planAndStore()[0], Reply{Answer: Unanswered})
+		b.advance(100 * time.Millisecond)
+		b.answerPoll(0)
+		stop := b.cell.Stops(b.now)[0]
+		b.cell.MarkUnresponsive(endpointName(0))
+		b.advance(time.Second)
+		So(b.cell.IsStopCurrent(stop), ShouldBeTrue)
+		So(b.cell.Stops(b.now), ShouldHaveLength, 1)
+	})
 	for name, list := range map[string]func(d *doubtfulStart){
 		"ended by a late stop": func(d *doubtfulStart) { d.listEnd(d.endpoint, d.start.Task, d.start.Run, Stopped) },
 		"gone":                 func(d *doubtfulStart) { d.answerPoll(d.endpoint) },
