--- a/internal/cell/owner/handover_test.go
+++ b/internal/cell/owner/handover_test.go
@@ -18,8 +18,8 @@
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
 
-// fadingEndpoint is an endpoint that answers until it is silenced.
-type fadingEndpoint struct {
+// silencedEndpoint is an endpoint that answers until it is silenced.
+type silencedEndpoint struct {
 	isSilent atomic.Bool
 
 	mu     sync.Mutex
@@ -28,7 +28,7 @@
 }
 
 // receipt returns the result of a call, and counts the clock up.
-func (e *fadingEndpoint) receipt() endpoint.Receipt {
+func (e *silencedEndpoint) receipt() endpoint.Receipt {
 	if e.isSilent.Load() {
 		return endpoint.Receipt{Answer: jobs.Unanswered}
 	}
@@ -36,7 +36,7 @@
 	return endpoint.Receipt{Answer: jobs.Accepted, Clock: e.clock}
 }
 
-func (e *fadingEndpoint) client() *endpoint.Client {
+func (e *silencedEndpoint) client() *endpoint.Client {
 	return &endpoint.Client{
 		Start: func(_ context.Context, _ endpoint.Target, _ endpoint.Epoch, order jobs.Start) endpoint.Receipt {
 			e.mu.Lock()
@@ -62,7 +62,7 @@
 	}
 }
 
-func (e *fadingEndpoint) startCount() int {
+func (e *silencedEndpoint) startCount() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return len(e.starts)
@@ -72,7 +72,7 @@
 const silenceTime = 1500 * time.Millisecond
 
 // runLogged runs an owner of the cell whose only endpoint is e, and writes its log lines to w.
-func runLogged(t *testing.T, s *keyvalue.Store, e *fadingEndpoint, w *bytes.Buffer) *Owner {
+func runLogged(t *testing.T, s *keyvalue.Store, e *silencedEndpoint, w *bytes.Buffer) *Owner {
 	config := newConfig(t, s)
 	config.Endpoints = e.client()
 	log := logrus.New()
@@ -95,7 +95,7 @@
 }
 
 // submitLongRunning submits a job with a long-running task and waits until that runs on e.
-func submitLongRunning(o *Owner, e *fadingEndpoint) {
+func submitLongRunning(o *Owner, e *silencedEndpoint) {
 	o.SetEndpoints([]endpoint.Registration{{
 		Profile: jobs.Profile{ID: "i-1", Capacity: jobs.Size{CPU: 4000, Memory: 4000}, Born: 1},
 		Address: netip.MustParseAddrPort("127.0.0.1:1"),
@@ -108,7 +108,7 @@
 func TestHandoverForgetsSilence(t *testing.T) {
 	Convey("An owner that hands over tells the next one how long the grants of a silent endpoint last", t, func() {
 		s := keyvalue.New()
-		e := &fadingEndpoint{}
+		e := &silencedEndpoint{}
 		first := runLogged(t, s, e, &bytes.Buffer{})
 		submitLongRunning(first, e)
 		e.isSilent.Store(true)
@@ -129,7 +129,7 @@
 func TestLastRecordsForgetSilence(t *testing.T) {
 	Convey("What is stored after the final snapshot does not outdate what it says of grants", t, func() {
 		s := keyvalue.New()
-		e := &fadingEndpoint{}
+		e := &silencedEndpoint{}
 		first := runLogged(t, s, e, &bytes.Buffer{})
 		submitLongRunning(first, e)
 		So(submitTo(first, "000000000000000b"), ShouldBeNil)
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -19,11 +19,11 @@
 	// first probe run. It doubles with each failed probe, up to maxProbeDelay.
 	initialProbeDelay = 1500 * time.Millisecond
 	maxProbeDelay     = 8 * time.Second
-	// suspectPatience is how long a job waits for other endpoints before its long-running
+	// suspectFallbackDelay is how long a job waits for other endpoints before its long-running
 	// tasks are placed on suspect ones, suspectRetryDelay how long such a task waits after
 	// a failed run before it is placed on one again.
-	suspectPatience   = time.Second
-	suspectRetryDelay = time.Second
+	suspectFallbackDelay = time.Second
+	suspectRetryDelay    = time.Second
 	// maxAcknowledgementDelay is how long ends wait to be acknowledged because of starts
 	// before the endpoint gets no new work until they are.
 	maxAcknowledgementDelay = time.Second
@@ -91,10 +91,10 @@
 	// endpoint's clock.
 	grantUntil int64
 	// inheritedEnd is the time by which all inherited runs have ended if the present
-	// incarnation is not heard of, zero if the previous owner has not told.
+	// incarnation does not answer, zero if the previous owner has stored none.
 	inheritedEnd time.Time
-	// isGrantFinal reports that the next owner was told when all runs end (see
-	// HandoverSnapshot), so the endpoint gets no starts and no grants any more.
+	// isGrantFinal reports that the time by which all runs end was stored for the next owner
+	// (see HandoverSnapshot), so the endpoint gets no starts and no grants any more.
 	isGrantFinal bool
 	// appliedEnd is the number of the last run end that was applied, storedEnd that of
 	// the last one whose records are stored, listedEnd that of the last one in the last
--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -45,8 +45,8 @@
 	})
 }
 
-// What the next owner is told of a silent endpoint must stay true, or tasks would run twice.
-func TestToldGrantsAreNotExtended(t *testing.T) {
+// A grant that was extended after the next owner had got its end let a task run twice.
+func TestHandedOverGrantsAreExtended(t *testing.T) {
 	// newSilent returns a cell with a long-running task on a silent endpoint, and its start.
 	newSilent := func() (*testbed, Start, int) {
 		b := newTestbed(2)
--- a/jobs/load.go
+++ b/jobs/load.go
@@ -69,7 +69,7 @@
 // that has found no place for a while.
 func (c *Cell) isOnlyPlace(now time.Time, e *Endpoint) bool {
 	for _, j := range c.active {
-		if j.isOver() || !j.IsLongRunning() || j.blockedSince.IsZero() || now.Sub(j.blockedSince) < cordonPatience {
+		if j.isOver() || !j.IsLongRunning() || j.blockedSince.IsZero() || now.Sub(j.blockedSince) < cordonExemptionDelay {
 			continue
 		}
 		for _, o := range j.occurrences {
@@ -88,9 +88,9 @@
 	return isWaiting && s.hasRoom(e) && (s.Requires == "" || slices.Contains(e.Labels, s.Requires))
 }
 
-// cordonPatience is how long a long-running job waits for other endpoints before it keeps
+// cordonExemptionDelay is how long a long-running job waits for other endpoints before it keeps
 // endpoints from being cordoned.
-const cordonPatience = time.Second
+const cordonExemptionDelay = time.Second
 
 // evacuate stops long-running tasks on an endpoint that can run elsewhere now.
 func (c *Cell) evacuate(now time.Time, e *Endpoint) {
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -170,7 +170,7 @@
 // more to gain there than to lose: if the endpoint still fails, the run ends early.
 func (p *placer) mayUseSuspects(t *task) bool {
 	since := t.step.occurrence.job.blockedSince
-	return t.step.LongRunning && !since.IsZero() && p.now.Sub(since) >= suspectPatience && !p.now.Before(t.noSuspectBefore)
+	return t.step.LongRunning && !since.IsZero() && p.now.Sub(since) >= suspectFallbackDelay && !p.now.Before(t.noSuspectBefore)
 }
 
 // cheapestEndpoint returns the suitable one of some endpoints with the lowest placement
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -121,8 +121,8 @@
 	if r.phase == inherited {
 		longest := time.Duration(float64(b.Grant) / (1 - b.ClockSlack))
 		end := c.config.Inherited.Add(longest + inheritedGrantSlack)
-		if told := r.endpoint.inheritedEnd; !told.IsZero() && told.Before(end) {
-			end = told
+		if earlier := r.endpoint.inheritedEnd; !earlier.IsZero() && earlier.Before(end) {
+			return earlier
 		}
 		return end
 	}
