Send starts and grants only to the incarnation that they are meant for

An order names the ID of an endpoint, which a restart keeps. On a connection opened after a restart that its owner had not seen, a start or a grant met an incarnation that the owner did not know:

- Callers could see a task run twice: a grant is a time on the clock of the incarnation before; the next one takes it as far ahead as it accepts, 10 s, while owners count 5 s.
Cut off within some 4 s, its runs outlived what was counted.

A start for another one is refused without being sent; a poll goes without its grant, and its listing shows the restart. A connection leads to one process, so a start on it is dropped with the restart.

--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -29,6 +29,8 @@
 type connection struct {
 	openedAt    time.Time
 	incarnation int
+	// born is the start time that the incarnation told.
+	born int64
 }
 
 // Takeover stops the current owner at once and starts a new one. Orders of the old
@@ -218,10 +220,8 @@
 // send delivers an order to an endpoint and its answer to onAnswer, subject to the
 // configured faults. handle carries the order out at the endpoint. onAnswer is
 // called at most once, with jobs.Unanswered after orderTimeout.
-func (o *owner) send(id string, handle func(e *Endpoint) (jobs.Answer, int64), onAnswer func(reply jobs.Reply)) {
+func (o *owner) send(c connection, e *Endpoint, handle func(e *Endpoint) (jobs.Answer, int64), onAnswer func(reply jobs.Reply)) {
 	w := o.world
-	e := w.endpoint(id)
-	c := o.connect(e)
 	isAnswered := false
 	answer := func(a jobs.Answer, clock int64) {
 		if isAnswered || o.isStopped {
@@ -264,20 +264,32 @@
 	c, isKept := o.connections[e]
 	isNoticed := c.incarnation != e.incarnation && random.Float64() < 0.7
 	if !isKept || isNoticed || random.Float64() < 0.05 {
-		c = connection{openedAt: o.world.now, incarnation: e.incarnation}
+		c = connection{openedAt: o.world.now, incarnation: e.incarnation, born: e.born}
 		o.connections[e] = c
 	}
 	return c
 }
 
+// sendStart sends a start on a connection of the incarnation that it is meant for, or not at
+// all.
 func (o *owner) sendStart(start jobs.Start) {
-	o.send(start.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
+	e := o.world.endpoint(start.Endpoint)
+	c := o.connect(e)
+	if c.born != start.Born {
+		o.cell.StartAnswered(o.world.now, start, jobs.Reply{Answer: jobs.Refused})
+		return
+	}
+	o.send(c, e, func(e *Endpoint) (jobs.Answer, int64) {
 		return e.start(o.epoch, start)
-	}, func(reply jobs.Reply) { o.cell.StartAnswered(o.world.now, start, reply) })
+	}, func(reply jobs.Reply) {
+		reply.IsIncarnationChecked = true
+		o.cell.StartAnswered(o.world.now, start, reply)
+	})
 }
 
 func (o *owner) sendStop(stop jobs.Stop) {
-	o.send(stop.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
+	e := o.world.endpoint(stop.Endpoint)
+	o.send(o.connect(e), e, func(e *Endpoint) (jobs.Answer, int64) {
 		return e.stop(o.epoch, stop)
 	}, func(reply jobs.Reply) { o.cell.StopAnswered(o.world.now, stop, reply.Answer, reply.Clock) })
 }
@@ -295,7 +307,11 @@
 	}
 	var listing jobs.Listing
 	askedAt := w.now
-	o.send(e.id, func(e *Endpoint) (jobs.Answer, int64) {
+	c := o.connect(e)
+	if c.born != poll.Born {
+		poll.Until = 0
+	}
+	o.send(c, e, func(e *Endpoint) (jobs.Answer, int64) {
 		received, answer := e.poll(o.epoch, poll.Seen, poll.Until)
 		listing = received
 		listing.AskedAt = askedAt
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -449,8 +449,10 @@
 	// them.
 	Seen int64
 	// Until is the expiry of the grant on the endpoint's clock, in milliseconds;
-	// 0 leaves the grant as it is.
+	// 0 leaves the grant as it is. It must reach only the incarnation that is identified by
+	// Born, since the clock of another one means another time.
 	Until int64
+	Born  int64
 	// IsUrgent reports that the endpoint should answer at once instead of waiting
 	// for a run to end.
 	IsUrgent bool
@@ -477,7 +479,7 @@
 	if e == nil {
 		return Poll{}, false
 	}
-	poll.Seen = e.endToAcknowledge(now)
+	poll.Seen, poll.Born = e.endToAcknowledge(now), e.born
 	if e.isListingDue() {
 		poll.IsNeeded, poll.IsUrgent = true, true
 	}
