Find long-running tasks that do not run in emulated cells

Callers saw a long-running task without a run although there was room, and no test of a cell could find that: the emulator checked only that the tasks run a minute after the last fault.

The oracle now checks the rule itself, against what the endpoints really run: from 6 s after its last run a task must not be without one for 3 s if these and the 4 s before them are calm, there is room for it twice over and its client account has half of its limit left. Hand-overs and draining endpoints are planned work and count as calm.

The emulator gets the faults that the hypotheses name: endpoints that end for good, that restart behind a partition and are then gone, partitions of one direction, planned hand-overs, and owners that keep a connection per endpoint. Service discovery lists an endpoint for another 1.5 s after a crash; before, it dropped it at once.

--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -28,6 +28,12 @@
 	// minOrderDelay and maxOrderDelay limit the delay of Faults.LateOrders.
 	minOrderDelay = 2 * time.Second
 	maxOrderDelay = 12 * time.Second
+	// delistDelay is the time from a crash until service discovery drops the endpoint.
+	delistDelay = 1500 * time.Millisecond
+	// maxHandoverEnd is the longest time from the final snapshot of an owner to its end,
+	// handoverDelay the time from there to the takeover by the next.
+	maxHandoverEnd = 60 * time.Millisecond
+	handoverDelay  = 30 * time.Millisecond
 )
 
 // Config sets up a World.
@@ -57,6 +63,9 @@
 	// is lost, LateOrders that an order is carried out seconds later and its answer
 	// is lost, LostCommits that a write succeeds but its answer is lost.
 	LostAnswers, LateOrders, LostCommits float64
+	// NewConnections is the probability that an order is sent on a new connection although
+	// the owner has one to the endpoint.
+	NewConnections float64
 }
 
 // World is an emulated cell with its endpoints and owner. It is not safe for
@@ -72,7 +81,11 @@
 	owner        *owner
 	epoch        int64
 	journal      []jobs.Record
-	oracle       oracle
+	// finalSnapshot is that of the last owner that handed the cell over, nil if none did;
+	// finalRecords is the number of records in the journal that it contains.
+	finalSnapshot *jobs.Snapshot
+	finalRecords  int
+	oracle        oracle
 	// accepted holds the jobs whose acceptance was answered, by ID.
 	accepted map[string]jobs.Job
 }
@@ -114,6 +127,7 @@
 		w.addEndpoint(i)
 	}
 	w.Takeover()
+	w.checkLost()
 	return w
 }
 
@@ -159,7 +173,7 @@
 // record has been stored.
 func (w *World) Submit(job jobs.Job) (verdict jobs.Verdict) {
 	o := w.owner
-	if o == nil || o.isStopped {
+	if o == nil || o.isStopped || o.isHandingOver {
 		return jobs.Verdict{Reason: "no owner", RetryAfter: time.Second}
 	}
 	verdict = o.cell.Admit(w.now, &job)
@@ -170,6 +184,7 @@
 	if o.cell.Submit(w.now, job) {
 		o.onStored = append(o.onStored, func() {
 			w.accepted[job.ID] = job
+			w.oracle.recordAcceptance(job)
 		})
 	}
 	return verdict
@@ -177,7 +192,8 @@
 
 // Cancel cancels a job; without an owner it does nothing.
 func (w *World) Cancel(id string) {
-	if o := w.owner; o != nil && o.cell.Cancel(w.now, id) {
+	if o := w.owner; o != nil && !o.isStopped && o.cell.Cancel(w.now, id) {
+		w.oracle.cancelRequested[id] = true
 		o.onStored = append(o.onStored, func() { w.oracle.recordCancellation(id) })
 	}
 }
@@ -202,7 +218,15 @@
 	return nil
 }
 
-func (w *World) addEndpoint(number int) {
+// AddEndpoint starts another endpoint.
+func (w *World) AddEndpoint() {
+	e := w.addEndpoint(len(w.endpoints))
+	if o := w.owner; o != nil && !o.isStopped {
+		o.pollLoop(e)
+	}
+}
+
+func (w *World) addEndpoint(number int) *Endpoint {
 	endpointsPerRack := max(w.config.PerRack, 1)
 	e := &Endpoint{
 		world: w, id: fmt.Sprintf("e%d", number), rack: fmt.Sprintf("r%d", number/endpointsPerRack),
@@ -210,4 +234,5 @@
 	}
 	e.boot()
 	w.endpoints = append(w.endpoints, e)
+	return e
 }
--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -20,11 +20,15 @@
 	// isFailing makes new runs fail; isHanging makes them never end.
 	isFailing, isHanging bool
 	isUp                 bool
-	isPartitioned        bool
-	isDraining           bool
-	// isListed reports whether service discovery lists the endpoint while it is
-	// up.
-	isListed bool
+	// isGone reports that the endpoint has ended for good, isVanishing that it will.
+	isGone      bool
+	isVanishing bool
+	isDraining  bool
+	// downSince is when the endpoint last stopped.
+	downSince time.Time
+	// partitionedUntil and answersLostUntil are the ends of the last partitions: one that
+	// cuts both directions, and one that cuts only the direction of the answers.
+	partitionedUntil, answersLostUntil time.Time
 	// incarnation counts the starts of the endpoint; born identifies the current
 	// one to owners.
 	incarnation int
@@ -70,10 +74,10 @@
 func (e *Endpoint) ID() string { return e.id }
 
 // boot starts a new incarnation of the endpoint. It has no runs, and all faults except
-// a partition are over.
+// partitions are over.
 func (e *Endpoint) boot() {
 	e.incarnation++
-	e.isUp, e.isListed, e.isDraining = true, true, false
+	e.isUp, e.isDraining = true, false
 	e.bootedAt = e.world.now
 	e.born = e.world.now.UnixMilli() + int64(e.incarnation)
 	e.epoch, e.grantUntil, e.endCount, e.slowdown = 0, 0, 0, 1
@@ -84,29 +88,100 @@
 // Crash stops the endpoint and all its runs. It starts again under the same ID after
 // downtime.
 func (e *Endpoint) Crash(downtime time.Duration) {
-	for _, r := range e.runs {
-		e.world.oracle.removeRun(r.task, e)
+	if e.isGone {
+		return
 	}
-	e.isUp = false
-	e.runs = make(map[string]*emulatedRun)
+	e.shutDown()
+	e.world.oracle.disrupt(e.world.now)
 	incarnation := e.incarnation
 	e.world.after(downtime, func() {
-		if e.incarnation == incarnation && !e.isUp {
+		if e.incarnation == incarnation && !e.isUp && !e.isGone {
 			e.boot()
 		}
 	})
 }
 
+// CrashForGood stops the endpoint and all its runs. It is never heard of again.
+func (e *Endpoint) CrashForGood() {
+	if e.isGone {
+		return
+	}
+	e.shutDown()
+	e.world.oracle.disrupt(e.world.now)
+	e.isGone = true
+}
+
+// RestartAndVanish restarts the endpoint under the same ID, cut off from the owner, and
+// stops the new incarnation for good after uptime. Only service discovery has then seen it.
+func (e *Endpoint) RestartAndVanish(downtime, uptime time.Duration) {
+	e.isVanishing = true
+	e.Partition(downtime + uptime)
+	e.Crash(downtime)
+	e.world.after(downtime+uptime, e.CrashForGood)
+}
+
+// shutDown ends the present incarnation and all its runs.
+func (e *Endpoint) shutDown() {
+	for _, r := range e.runs {
+		e.world.oracle.removeRun(r.task, e)
+	}
+	if e.isUp {
+		e.downSince = e.world.now
+	}
+	e.isUp = false
+	e.runs = make(map[string]*emulatedRun)
+}
+
+// isDiscovered reports whether service discovery lists the endpoint.
+func (e *Endpoint) isDiscovered() bool {
+	return e.isUp || e.world.now.Sub(e.downSince) < delistDelay
+}
+
+// isPartitioned reports whether no order reaches the endpoint, isAnswerLost whether none of
+// its answers reaches the owner.
+func (e *Endpoint) isPartitioned() bool { return e.world.now.Before(e.partitionedUntil) }
+
+func (e *Endpoint) isAnswerLost() bool {
+	return e.isPartitioned() || e.world.now.Before(e.answersLostUntil)
+}
+
+// isDisrupted reports whether the endpoint is affected by a fault. One that is gone for good
+// is not: nothing about it will change.
+func (e *Endpoint) isDisrupted() bool {
+	return !e.isGone && (!e.isUp || e.isAnswerLost() || e.isFailing || e.isHanging || e.slowdown != 1)
+}
+
 // Partition disconnects the endpoint from the owner for duration. Its runs go on
 // until its grant expires.
 func (e *Endpoint) Partition(duration time.Duration) {
-	e.isPartitioned = true
-	e.world.after(duration, func() { e.isPartitioned = false })
+	if until := e.world.now.Add(duration); until.After(e.partitionedUntil) {
+		e.partitionedUntil = until
+	}
+}
+
+// LoseAnswers makes the answers of the endpoint to the owner get lost for duration. Orders
+// are carried out.
+func (e *Endpoint) LoseAnswers(duration time.Duration) {
+	if until := e.world.now.Add(duration); until.After(e.answersLostUntil) {
+		e.answersLostUntil = until
+	}
 }
 
 // Drain marks the endpoint as leaving, so that it should get no new work.
 func (e *Endpoint) Drain() { e.isDraining = true }
 
+// Leave marks the endpoint as leaving and stops it for good after remaining, as planned.
+func (e *Endpoint) Leave(remaining time.Duration) {
+	e.Drain()
+	incarnation := e.incarnation
+	e.world.after(remaining, func() {
+		if e.incarnation == incarnation && e.isUp {
+			e.shutDown()
+			e.isGone = true
+		}
+	})
+}
+
 // FailRuns makes all runs that start on the endpoint within duration fail.
 func (e *Endpoint) FailRuns(duration time.Duration) {
 	e.isFailing = true
--- a/jobs/emulator/oracle.go
+++ b/jobs/emulator/oracle.go
@@ -29,23 +29,41 @@
 	failed             map[string]int
 	// cancelledAt holds when the cancellation of a job was accepted, by job ID.
 	cancelledAt map[string]time.Time
-	violations  []string
+	// cancelRequested holds the IDs of the jobs whose cancellation was requested.
+	cancelRequested map[string]bool
+	// longRunning holds the accepted jobs with long-running steps in the order of their
+	// acceptance, acceptedAt when that was, by job ID.
+	longRunning []jobs.Job
+	acceptedAt  map[string]time.Time
+	// lastRunEnd holds when the last run of a task ended, missingSince since when a
+	// long-running task has had no run although it should, both by task name.
+	lastRunEnd, missingSince map[string]time.Time
+	// reports holds the last report of the cell on a run or task that kept a task from
+	// running, by task name.
+	reports map[string]string
+	// disruptedUntil is the time up to which faults were seen.
+	disruptedUntil time.Time
+	violations     []string
 }
 
 func newOracle(w *World) oracle {
 	return oracle{
 		world: w, submitted: make(map[string]bool), running: make(map[string]map[*Endpoint]bool),
 		done: make(map[string]bool), acknowledged: make(map[string]bool), failed: make(map[string]int),
-		cancelledAt: make(map[string]time.Time),
+		cancelledAt: make(map[string]time.Time), cancelRequested: make(map[string]bool),
+		acceptedAt: make(map[string]time.Time), lastRunEnd: make(map[string]time.Time),
+		missingSince: make(map[string]time.Time), reports: make(map[string]string),
 	}
 }
 
 // report records a violation of the named rule.
 func (o *oracle) report(rule, format string, values ...any) {
-	at := o.world.now.Sub(time.Unix(1000, 0))
-	o.violations = append(o.violations, fmt.Sprintf("%s at %s: %s", rule, at, fmt.Sprintf(format, values...)))
+	o.violations = append(o.violations, fmt.Sprintf("%s at %s: %s", rule, o.elapsed(), fmt.Sprintf(format, values...)))
 }
 
+// elapsed returns the time since the world began.
+func (o *oracle) elapsed() time.Duration { return o.world.now.Sub(time.Unix(1000, 0)) }
+
 // checkStart checks a start against all invariants and returns the capacity that
 // the run reserves.
 func (o *oracle) checkStart(order jobs.Start, e *Endpoint) jobs.Size {
@@ -123,16 +141,20 @@
 	if step.AntiAffinity == 0 {
 		return
 	}
-	count := 1
-	for k := range step.Count {
+	if count := o.countTasks(job, name, e) + 1; count > step.AntiAffinity {
+		o.report("ROUTE", "%d tasks of a step on %s", count, e.id)
+	}
+}
+
+// countTasks returns how many tasks of the step of a task run on an endpoint.
+func (o *oracle) countTasks(job jobs.Job, name jobs.TaskName, e *Endpoint) (count int) {
+	for k := range job.Steps[name.Step].Count {
 		task := jobs.TaskName{Job: name.Job, Occurrence: name.Occurrence, Step: name.Step, Index: k}.String()
 		if o.running[task][e] {
 			count++
 		}
 	}
-	if count > step.AntiAffinity {
-		o.report("ROUTE", "%d tasks of a step on %s", count, e.id)
-	}
+	return count
 }
 
 // isDone reports whether all tasks of a step are done, and if not, names one that is
@@ -158,14 +180,7 @@
 	if !isBounded {
 		return
 	}
-	var used jobs.Size
-	for task, places := range o.running {
-		name, _ := jobs.ParseTaskName(task)
-		other, _ := o.job(name.Job)
-		if other.Account == job.Account && len(places) > 0 {
-			used = used.Plus(other.Steps[name.Step].Each.Times(int64(len(places))))
-		}
-	}
+	used := o.accountUsage(job.Account)
 	// Usage may exceed the limit by the permitted overcommit and one task.
 	allowed := jobs.Size{
 		CPU:    limit.CPU + limit.CPU/overcommitDivisor + each.CPU,
@@ -177,8 +192,23 @@
 	}
 }
 
+// accountUsage returns the size of what a client account has running.
+func (o *oracle) accountUsage(account string) (used jobs.Size) {
+	for task, places := range o.running {
+		name, _ := jobs.ParseTaskName(task)
+		other, _ := o.job(name.Job)
+		if other.Account == account && len(places) > 0 {
+			used = used.Plus(other.Steps[name.Step].Each.Times(int64(len(places))))
+		}
+	}
+	return used
+}
+
 // removeRun records that a task no longer runs on an endpoint.
-func (o *oracle) removeRun(task string, e *Endpoint) { delete(o.running[task], e) }
+func (o *oracle) removeRun(task string, e *Endpoint) {
+	delete(o.running[task], e)
+	o.lastRunEnd[task] = o.world.now
+}
 
 func (o *oracle) recordEnd(task string, outcome jobs.Outcome, e *Endpoint) {
 	o.removeRun(task, e)
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -17,8 +17,19 @@
 	isStopped bool
 	// isCommitting reports that a batch is being written; only one is at a time.
 	isCommitting bool
+	// isHandingOver reports that the owner has stopped planning, isFinalStored that its final
+	// snapshot is stored.
+	isHandingOver, isFinalStored bool
 	// onStored holds callbacks to be called once the next batch is stored.
 	onStored []func()
+	// connections holds the open connections by endpoint ID.
+	connections map[string]connection
+}
+
+// connection is an open connection to an incarnation of an endpoint.
+type connection struct {
+	incarnation int
+	openedAt    time.Time
 }
 
 // Takeover stops the current owner at once and starts a new one. Orders of the old
@@ -28,7 +39,7 @@
 		w.owner.isStopped = true
 	}
 	w.epoch++
-	o := &owner{world: w, epoch: w.epoch}
+	o := &owner{world: w, epoch: w.epoch, connections: make(map[string]connection)}
 	o.cell = jobs.New(jobs.Config{Bounds: jobs.DefaultBounds(), Inherited: w.now, AccountLimit: func(account string) (jobs.Size, bool) {
 		limit, ok := w.config.Limits[account]
 		return limit, ok
@@ -47,20 +58,46 @@
 	if w.owner == nil || w.owner.isStopped {
 		return
 	}
-	w.owner.isStopped = true
+	w.owner.isStopped, w.owner.isHandingOver = true, false
+	w.takeOverIn(ownerLease)
+}
+
+// takeOverIn starts a new owner after delay, unless another one has started by then.
+func (w *World) takeOverIn(delay time.Duration) {
 	epoch := w.epoch
-	w.after(ownerLease, func() {
+	w.after(delay, func() {
 		if w.epoch == epoch {
 			w.Takeover()
 		}
 	})
 }
 
-// restore restores the cell from the journal. In half of the cases it replaces a
-// random prefix of the journal by a snapshot.
+// HandOver makes the owner hand the cell over as planned. It stops planning and stores a
+// final snapshot, which the next owner restores. Until it ends, a little later, it goes on
+// polling and sends the last starts.
+func (w *World) HandOver() {
+	if o := w.owner; o != nil && !o.isStopped {
+		o.isHandingOver = true
+	}
+}
+
+// endHandover ends the owner, whose final snapshot is stored, and starts the next one.
+func (o *owner) endHandover() {
+	if o.isStopped {
+		return
+	}
+	o.isStopped = true
+	o.world.takeOverIn(handoverDelay)
+}
+
+// restore restores the cell from the last final snapshot and the journal since. Without
+// one, in half of the cases it replaces a random prefix of the journal by a snapshot.
 func (o *owner) restore(now time.Time) {
 	journal := o.world.journal
-	if len(journal) > 0 && o.world.chance(0.5) {
+	if final := o.world.finalSnapshot; final != nil {
+		o.cell.Restore(now, roundTrip(*final))
+		journal = journal[o.world.finalRecords:]
+	} else if len(journal) > 0 && o.world.chance(0.5) {
 		earlier := jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()})
 		split := o.world.random.IntN(len(journal) + 1)
 		for _, record := range journal[:split] {
@@ -95,7 +132,7 @@
 	}
 	var profiles []jobs.Profile
 	for _, e := range o.world.endpoints {
-		if e.isListed && e.isUp {
+		if e.isDiscovered() {
 			profiles = append(profiles, e.profile())
 		}
 	}
@@ -114,7 +151,10 @@
 	if o.isCommitting {
 		return
 	}
-	o.cell.Plan(w.now, w.now)
+	if !o.isHandingOver {
+		o.cell.Plan(w.now, w.now)
+		w.oracle.recordReports(o.cell)
+	}
 	for _, stop := range o.cell.Stops(w.now) {
 		o.sendStop(stop)
 	}
@@ -122,13 +162,24 @@
 	callbacks := o.onStored
 	o.onStored = nil
 	o.isCommitting = true
+	var final *jobs.Snapshot
+	if o.isHandingOver && !o.isFinalStored {
+		snapshot := o.cell.Snapshot()
+		final = &snapshot
+	}
 	w.after(commitDelay, func() {
 		// Writes are conditional on ownership, so a deposed owner writes nothing.
 		if o.epoch != w.epoch || o.isStopped {
 			return
 		}
 		w.journal = append(w.journal, batch.Records...)
+		if final != nil {
+			o.isFinalStored = true
+			w.finalSnapshot, w.finalRecords = final, len(w.journal)
+			w.after(time.Duration(w.random.Int64N(int64(maxHandoverEnd))), o.endHandover)
+		}
 		if w.chance(w.faults.LostCommits) {
+			w.oracle.disrupt(w.now.Add(orderTimeout))
 			// The owner retries the write, which is already stored, and learns of
 			// that after a delay.
 			w.after(orderTimeout, func() { o.stored(batch, callbacks) })
@@ -160,38 +211,66 @@
 	}
 }
 
-// send delivers an order to an endpoint and its answer to onAnswer, subject to the
-// configured faults. handle carries the order out at the endpoint. onAnswer is
-// called at most once, with jobs.Unanswered after orderTimeout.
-func (o *owner) send(id string, handle func(e *Endpoint) (jobs.Answer, int64), onAnswer func(answer jobs.Answer, clock int64)) {
+// connect returns when the connection for the next call to an endpoint was opened. It opens
+// one if there is none to the present incarnation, and sometimes although there is.
+func (o *owner) connect(e *Endpoint) (openedAt time.Time, isConnected bool) {
+	w := o.world
+	open, isOpen := o.connections[e.id]
+	if isOpen && open.incarnation == e.incarnation && !w.chance(w.faults.NewConnections) {
+		return open.openedAt, true
+	}
+	if !e.isUp || e.isPartitioned() {
+		return time.Time{}, false
+	}
+	o.connections[e.id] = connection{incarnation: e.incarnation, openedAt: w.now}
+	return w.now, true
+}
+
+// send delivers an order to an endpoint and its reply to onReply, subject to the
+// configured faults. handle carries the order out at the endpoint. onReply is called at
+// most once, with jobs.Unanswered after orderTimeout, or jobs.Refused if the endpoint could
+// not be connected to.
+func (o *owner) send(id string, handle func(e *Endpoint) (jobs.Answer, int64), onReply func(reply jobs.Reply)) {
 	w := o.world
 	e := w.endpoint(id)
 	isAnswered := false
-	answer := func(a jobs.Answer, clock int64) {
+	answer := func(reply jobs.Reply) {
 		if isAnswered || o.isStopped {
 			return
 		}
 		isAnswered = true
-		onAnswer(a, clock)
+		onReply(reply)
 	}
-	w.after(orderTimeout, func() { answer(jobs.Unanswered, 0) })
 	incarnation := e.incarnation
+	connectedAt, isConnected := o.connect(e)
+	if !isConnected {
+		w.after(orderTimeout, func() { answer(jobs.Reply{Answer: jobs.Refused}) })
+		return
+	}
+	w.after(orderTimeout, func() {
+		if open := o.connections[id]; !isAnswered && open.openedAt.Equal(connectedAt) {
+			delete(o.connections, id)
+		}
+		answer(jobs.Reply{Answer: jobs.Unanswered, ConnectedAt: connectedAt})
+	})
 	deliver := func(isAnswerReceived bool) {
 		// A delayed order is lost if its endpoint is down, has restarted or is
 		// unreachable.
-		if !e.isUp || e.isPartitioned || e.incarnation != incarnation {
+		if !e.isUp || e.isPartitioned() || e.incarnation != incarnation {
 			return
 		}
 		a, clock := handle(e)
-		if isAnswerReceived {
-			w.after(linkDelay, func() { answer(a, clock) })
+		if isAnswerReceived && !e.isAnswerLost() {
+			w.after(linkDelay, func() { answer(jobs.Reply{Answer: a, Clock: clock, ConnectedAt: connectedAt}) })
 		}
 	}
 	switch {
 	case w.chance(w.faults.LateOrders):
+		w.oracle.disrupt(w.now.Add(maxOrderDelay))
 		delay := minOrderDelay + time.Duration(w.random.Int64N(int64(maxOrderDelay-minOrderDelay)))
 		w.after(delay, func() { deliver(false) })
 	case w.chance(w.faults.LostAnswers):
+		w.oracle.disrupt(w.now)
 		w.after(linkDelay, func() { deliver(false) })
 	default:
 		w.after(linkDelay, func() { deliver(true) })
@@ -201,16 +280,16 @@
 func (o *owner) sendStart(start jobs.Start) {
 	o.send(start.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
 		return e.start(o.epoch, start)
-	}, func(answer jobs.Answer, clock int64) {
-		o.cell.StartAnswered(o.world.now, start, jobs.Reply{Answer: answer, Clock: clock})
+	}, func(reply jobs.Reply) {
+		o.cell.StartAnswered(o.world.now, start, reply)
 	})
 }
 
 func (o *owner) sendStop(stop jobs.Stop) {
 	o.send(stop.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
 		return e.stop(o.epoch, stop)
-	}, func(answer jobs.Answer, clock int64) {
-		o.cell.StopAnswered(o.world.now, stop, answer, clock)
+	}, func(reply jobs.Reply) {
+		o.cell.StopAnswered(o.world.now, stop, reply.Answer, reply.Clock)
 	})
 }
 
@@ -232,8 +311,8 @@
 		listing = received
 		listing.AskedAt = askedAt
 		return answer, received.Clock
-	}, func(answer jobs.Answer, _ int64) {
-		if answer == jobs.Accepted {
+	}, func(reply jobs.Reply) {
+		if reply.Answer == jobs.Accepted {
 			for _, orphan := range o.cell.ApplyListing(w.now, listing) {
 				o.sendStop(orphan)
 			}
