Hand cells over with their grants in the emulator, bound its grants

An emulated endpoint took any grant as given, minutes too. Real ones shorten it to a maximum, so a task was said to run twice for longer than it could.

--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -23,6 +23,9 @@
 	pollInterval = 100 * time.Millisecond
 	orderTimeout = 450 * time.Millisecond
 	stopGrace    = 100 * time.Millisecond
+	// maxGrant is the longest time for which an endpoint goes on without contact, whatever
+	// it is granted.
+	maxGrant = 10 * time.Second
 	// ownerLease is the time from the end of an owner to the takeover by the next.
 	ownerLease = 2 * time.Second
 	// minOrderDelay and maxOrderDelay limit the delay of Faults.LateOrders.
--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -216,8 +216,9 @@
 }
 
 // extendGrant moves the expiry of the grant to a later time on the endpoint's clock.
-// An earlier time is ignored.
+// An earlier time is ignored, a later one than maxGrant shortened.
 func (e *Endpoint) extendGrant(until int64) {
+	until = min(until, e.clock()+maxGrant.Milliseconds())
 	if until <= e.grantUntil {
 		return
 	}
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -45,6 +45,8 @@
 		return limit, ok
 	}})
 	o.restore(w.now)
+	// What the final snapshot says of grants is valid only for the first owner after it.
+	w.journal = append(w.journal, jobs.Record{Owner: w.epoch})
 	w.owner = o
 	o.discover()
 	for _, e := range w.endpoints {
@@ -111,6 +113,9 @@
 		o.cell.Apply(now, roundTrip(record))
 	}
 	o.cell.FinishRestore()
+	if final := o.world.finalSnapshot; final != nil && len(journal) == 0 {
+		o.cell.InheritGrants(now, roundTrip(final.Silent))
+	}
 }
 
 // roundTrip encodes and decodes a value as the store does.
@@ -164,7 +169,7 @@
 	o.isCommitting = true
 	var final *jobs.Snapshot
 	if o.isHandingOver && !o.isFinalStored {
-		snapshot := o.cell.Snapshot()
+		snapshot := o.cell.HandoverSnapshot(w.now)
 		final = &snapshot
 	}
 	w.after(commitDelay, func() {
