--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -194,7 +194,7 @@
 	event.RunStopOrdered.Log(o.config.Log, logrus.Fields{
 		"task": stop.Task, "run": stop.Run, "endpoint": stop.Endpoint, "reason": stop.Reason,
 	})
-	o.sendOrder(stop.Endpoint, nil, func(ctx context.Context, target endpoint.Target) endpoint.Receipt {
+	o.sendOrder(stop.Endpoint, func() bool { return o.cell.IsStopCurrent(stop) }, func(ctx context.Context, target endpoint.Target) endpoint.Receipt {
 		return o.config.Endpoints.Stop(ctx, target, o.epoch, stop)
 	}, func(receipt endpoint.Receipt) {
 		o.logUnaccepted("stop", stop.Endpoint, stop.Task, stop.Run, receipt)
@@ -228,9 +228,10 @@
 			tickets, valid, err := o.config.Advise(ctx, q.Step, q.Endpoints)
 			if err != nil {
 				event.OperationFailed.Log(o.config.Log, logrus.Fields{"step": q.Step, "error": err.Error()})
+				o.post(func() { o.cell.AdviceFailed(boot.Now(), q) })
 				return
 			}
-			o.post(func() { o.cell.AdviceAnswered(q, tickets, requestedAt.Add(valid)) })
+			o.post(func() { o.cell.AdviceAnswered(boot.Now(), q, tickets, requestedAt.Add(valid)) })
 		})
 	}
 }
--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -29,6 +29,9 @@
 	// partitionedUntil and answersLostUntil are the ends of the last partitions: one that
 	// cuts both directions, and one that cuts only the direction of the answers.
 	partitionedUntil, answersLostUntil time.Time
+	// cutEpoch is the epoch of an owner that does not reach the endpoint, 0 if there is
+	// none.
+	cutEpoch int64
 	// incarnation counts the starts of the endpoint; born identifies the current
 	// one to owners.
 	incarnation int
@@ -80,6 +83,9 @@
 	e.isUp, e.isDraining = true, false
 	e.bootedAt = e.world.now
 	e.born = e.world.now.UnixMilli() + int64(e.incarnation)
+	if step := e.world.config.ClockStep.Milliseconds(); step > 0 {
+		e.born += e.world.random.Int64N(step)
+	}
 	e.epoch, e.grantUntil, e.endCount, e.slowdown = 0, 0, 0, 1
 	e.isFailing, e.isHanging = false, false
 	e.runs, e.endedRuns, e.highestRun = make(map[string]*emulatedRun), nil, make(map[string]int)
@@ -148,7 +154,8 @@
 // isDisrupted reports whether the endpoint is affected by a fault. One that is gone for good
 // is not: nothing about it will change.
 func (e *Endpoint) isDisrupted() bool {
-	return !e.isGone && (!e.isUp || e.isAnswerLost() || e.isFailing || e.isHanging || e.slowdown != 1)
+	isCut := e.isAnswerLost() || e.cutEpoch == e.world.epoch
+	return !e.isGone && (!e.isUp || isCut || e.isFailing || e.isHanging || e.slowdown != 1)
 }
 
 // Partition disconnects the endpoint from the owner for duration. Its runs go on
@@ -167,6 +174,9 @@
 	}
 }
 
+// PartitionOwner disconnects the endpoint from the present owner, but not from later ones.
+func (e *Endpoint) PartitionOwner() { e.cutEpoch = e.world.epoch }
+
 // Drain marks the endpoint as leaving, so that it should get no new work.
 func (e *Endpoint) Drain() { e.isDraining = true }
 
@@ -216,9 +226,9 @@
 }
 
 // extendGrant moves the expiry of the grant to a later time on the endpoint's clock.
-// An earlier time is ignored, a later one than maxGrant shortened.
+// An earlier time is ignored, and one that is too far away brought nearer.
 func (e *Endpoint) extendGrant(until int64) {
-	until = min(until, e.clock()+maxGrant.Milliseconds())
+	until = min(until, e.clock()+e.world.config.MaxGrant.Milliseconds())
 	if until <= e.grantUntil {
 		return
 	}
--- a/jobs/emulator/lost.go
+++ b/jobs/emulator/lost.go
@@ -53,7 +53,7 @@
 			return true
 		}
 	}
-	return w.owner.isStopped && !w.owner.isHandingOver
+	return w.owner.isStopped
 }
 
 // checkLost checks periodically that all long-running tasks run.
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -15,21 +15,20 @@
 	// isStopped reports that the owner has stopped; its orders may still be under
 	// way.
 	isStopped bool
+	// isHandingOver reports that the owner places nothing more.
+	isHandingOver bool
+	// connections holds the open connection to each endpoint.
+	connections map[*Endpoint]connection
 	// isCommitting reports that a batch is being written; only one is at a time.
 	isCommitting bool
-	// isHandingOver reports that the owner has stopped planning, isFinalStored that its final
-	// snapshot is stored.
-	isHandingOver, isFinalStored bool
 	// onStored holds callbacks to be called once the next batch is stored.
 	onStored []func()
-	// connections holds the open connections by endpoint ID.
-	connections map[string]connection
 }
 
 // connection is an open connection to an incarnation of an endpoint.
 type connection struct {
-	incarnation int
 	openedAt    time.Time
+	incarnation int
 }
 
 // Takeover stops the current owner at once and starts a new one. Orders of the old
@@ -39,14 +38,12 @@
 		w.owner.isStopped = true
 	}
 	w.epoch++
-	o := &owner{world: w, epoch: w.epoch, connections: make(map[string]connection)}
+	o := &owner{world: w, epoch: w.epoch, connections: make(map[*Endpoint]connection)}
 	o.cell = jobs.New(jobs.Config{Bounds: jobs.DefaultBounds(), Inherited: w.now, AccountLimit: func(account string) (jobs.Size, bool) {
 		limit, ok := w.config.Limits[account]
 		return limit, ok
 	}})
 	o.restore(w.now)
-	// What the final snapshot says of grants is valid only for the first owner after it.
-	w.journal = append(w.journal, jobs.Record{Owner: w.epoch})
 	w.owner = o
 	o.discover()
 	for _, e := range w.endpoints {
@@ -60,46 +57,67 @@
 	if w.owner == nil || w.owner.isStopped {
 		return
 	}
-	w.owner.isStopped, w.owner.isHandingOver = true, false
-	w.takeOverIn(ownerLease)
-}
-
-// takeOverIn starts a new owner after delay, unless another one has started by then.
-func (w *World) takeOverIn(delay time.Duration) {
+	w.owner.isStopped = true
 	epoch := w.epoch
-	w.after(delay, func() {
+	w.after(ownerLease, func() {
 		if w.epoch == epoch {
 			w.Takeover()
 		}
 	})
 }
 
-// HandOver makes the owner hand the cell over as planned. It stops planning and stores a
-// final snapshot, which the next owner restores. Until it ends, a little later, it goes on
-// polling and sends the last starts.
+// HandOver makes the owner store a final snapshot and hand the cell over. It may go on
+// polling for a while, or be killed before the cell is released.
 func (w *World) HandOver() {
-	if o := w.owner; o != nil && !o.isStopped {
-		o.isHandingOver = true
-	}
-}
-
-// endHandover ends the owner, whose final snapshot is stored, and starts the next one.
-func (o *owner) endHandover() {
-	if o.isStopped {
+	o := w.owner
+	if o.isStopped || o.isHandingOver || o.isCommitting {
 		return
 	}
-	o.isStopped = true
-	o.world.takeOverIn(handoverDelay)
+	o.isHandingOver, o.isCommitting = true, true
+	batch, callbacks := o.cell.TakeBatch(), o.onStored
+	o.onStored = nil
+	final := roundTrip(o.cell.HandoverSnapshot(w.now))
+	w.after(commitDelay, func() {
+		if o.epoch != w.epoch || o.isStopped {
+			return
+		}
+		w.journal = append(w.journal, batch.Records...)
+		w.final, w.finalLength = &final, len(w.journal)
+		o.stored(batch, callbacks)
+		delay := handoverDelay
+		if w.chance(0.2) {
+			// Nothing is placed until then, so it counts as a fault.
+			delay = time.Duration(w.random.Int64N(int64(ownerLease)))
+			w.oracle.disrupt(w.now.Add(delay))
+		}
+		w.after(delay, func() {
+			switch {
+			case o.isStopped:
+			case w.chance(0.1):
+				w.KillOwner()
+			default:
+				w.Takeover()
+			}
+		})
+	})
 }
 
-// restore restores the cell from the last final snapshot and the journal since. Without
-// one, in half of the cases it replaces a random prefix of the journal by a snapshot.
+// restore restores the cell from the journal. If the last owner has stored a final snapshot,
+// it restores that, the records since and what the snapshot says of grants. In half of the
+// other cases it replaces a random prefix of the journal by a snapshot.
 func (o *owner) restore(now time.Time) {
 	journal := o.world.journal
-	if final := o.world.finalSnapshot; final != nil {
-		o.cell.Restore(now, roundTrip(*final))
-		journal = journal[o.world.finalRecords:]
-	} else if len(journal) > 0 && o.world.chance(0.5) {
+	if final := o.world.final; final != nil {
+		o.world.final = nil
+		o.cell.Restore(now, *final)
+		for _, record := range journal[o.world.finalLength:] {
+			o.cell.Apply(now, roundTrip(record))
+		}
+		o.cell.FinishRestore()
+		o.cell.InheritGrants(now, final.Silent)
+		return
+	}
+	if len(journal) > 0 && o.world.chance(0.5) {
 		earlier := jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()})
 		split := o.world.random.IntN(len(journal) + 1)
 		for _, record := range journal[:split] {
@@ -113,9 +131,6 @@
 		o.cell.Apply(now, roundTrip(record))
 	}
 	o.cell.FinishRestore()
-	if final := o.world.finalSnapshot; final != nil && len(journal) == 0 {
-		o.cell.InheritGrants(now, roundTrip(final.Silent))
-	}
 }
 
 // roundTrip encodes and decodes a value as the store does.
@@ -141,7 +156,7 @@
 			profiles = append(profiles, e.profile())
 		}
 	}
-	o.cell.SetEndpoints(profiles)
+	o.cell.SetEndpoints(o.world.now, profiles)
 	o.world.after(pollInterval*4, o.discover)
 }
 
@@ -167,22 +182,12 @@
 	callbacks := o.onStored
 	o.onStored = nil
 	o.isCommitting = true
-	var final *jobs.Snapshot
-	if o.isHandingOver && !o.isFinalStored {
-		snapshot := o.cell.HandoverSnapshot(w.now)
-		final = &snapshot
-	}
 	w.after(commitDelay, func() {
 		// Writes are conditional on ownership, so a deposed owner writes nothing.
 		if o.epoch != w.epoch || o.isStopped {
 			return
 		}
 		w.journal = append(w.journal, batch.Records...)
-		if final != nil {
-			o.isFinalStored = true
-			w.finalSnapshot, w.finalRecords = final, len(w.journal)
-			w.after(time.Duration(w.random.Int64N(int64(maxHandoverEnd))), o.endHandover)
-		}
 		if w.chance(w.faults.LostCommits) {
 			w.oracle.disrupt(w.now.Add(orderTimeout))
 			// The owner retries the write, which is already stored, and learns of
@@ -216,57 +221,40 @@
 	}
 }
 
-// connect returns when the connection for the next call to an endpoint was opened. It opens
-// one if there is none to the present incarnation, and sometimes although there is.
-func (o *owner) connect(e *Endpoint) (openedAt time.Time, isConnected bool) {
-	w := o.world
-	open, isOpen := o.connections[e.id]
-	if isOpen && open.incarnation == e.incarnation && !w.chance(w.faults.NewConnections) {
-		return open.openedAt, true
-	}
-	if !e.isUp || e.isPartitioned() {
-		return time.Time{}, false
-	}
-	o.connections[e.id] = connection{incarnation: e.incarnation, openedAt: w.now}
-	return w.now, true
-}
-
-// send delivers an order to an endpoint and its reply to onReply, subject to the
-// configured faults. handle carries the order out at the endpoint. onReply is called at
-// most once, with jobs.Unanswered after orderTimeout, or jobs.Refused if the endpoint could
-// not be connected to.
-func (o *owner) send(id string, handle func(e *Endpoint) (jobs.Answer, int64), onReply func(reply jobs.Reply)) {
+// send delivers an order to an endpoint and its answer to onAnswer, subject to the
+// configured faults. handle carries the order out at the endpoint. onAnswer is
+// called at most once, with jobs.Unanswered after orderTimeout, or jobs.Refused if no
+// connection could be opened.
+func (o *owner) send(id string, handle func(e *Endpoint) (jobs.Answer, int64), onAnswer func(reply jobs.Reply)) {
 	w := o.world
 	e := w.endpoint(id)
+	c, isConnected := o.connect(e)
 	isAnswered := false
-	answer := func(reply jobs.Reply) {
+	answer := func(a jobs.Answer, clock int64) {
 		if isAnswered || o.isStopped {
 			return
 		}
 		isAnswered = true
-		onReply(reply)
+		onAnswer(jobs.Reply{Answer: a, Clock: clock, ConnectedAt: c.openedAt})
 	}
-	incarnation := e.incarnation
-	connectedAt, isConnected := o.connect(e)
 	if !isConnected {
-		w.after(orderTimeout, func() { answer(jobs.Reply{Answer: jobs.Refused}) })
+		w.after(orderTimeout, func() { answer(jobs.Refused, 0) })
 		return
 	}
-	w.after(orderTimeout, func() {
-		if open := o.connections[id]; !isAnswered && open.openedAt.Equal(connectedAt) {
-			delete(o.connections, id)
-		}
-		answer(jobs.Reply{Answer: jobs.Unanswered, ConnectedAt: connectedAt})
-	})
+	w.after(orderTimeout, func() { answer(jobs.Unanswered, 0) })
 	deliver := func(isAnswerReceived bool) {
 		// A delayed order is lost if its endpoint is down, has restarted or is
 		// unreachable.
-		if !e.isUp || e.isPartitioned() || e.incarnation != incarnation {
+		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || e.incarnation != c.incarnation {
 			return
 		}
 		a, clock := handle(e)
 		if isAnswerReceived && !e.isAnswerLost() {
-			w.after(linkDelay, func() { answer(jobs.Reply{Answer: a, Clock: clock, ConnectedAt: connectedAt}) })
+			delay := linkDelay
+			if w.chance(w.faults.LateAnswers) {
+				delay = time.Duration(w.random.Int64N(int64(maxAnswerDelay)))
+			}
+			w.after(delay, func() { answer(a, clock) })
 		}
 	}
 	switch {
@@ -282,20 +270,32 @@
 	}
 }
 
+// connect returns the connection for an order: mostly one that is kept, also if its
+// incarnation has ended unnoticed, else a new one if the endpoint can be reached.
+func (o *owner) connect(e *Endpoint) (c connection, isConnected bool) {
+	random := o.world.connectionRandom
+	c, isKept := o.connections[e]
+	isNoticed := c.incarnation != e.incarnation && random.Float64() < 0.7
+	if !isKept || isNoticed || random.Float64() < 0.05 {
+		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch {
+			return connection{}, false
+		}
+		c = connection{openedAt: o.world.now, incarnation: e.incarnation}
+		o.connections[e] = c
+	}
+	return c, true
+}
+
 func (o *owner) sendStart(start jobs.Start) {
 	o.send(start.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
 		return e.start(o.epoch, start)
-	}, func(reply jobs.Reply) {
-		o.cell.StartAnswered(o.world.now, start, reply)
-	})
+	}, func(reply jobs.Reply) { o.cell.StartAnswered(o.world.now, start, reply) })
 }
 
 func (o *owner) sendStop(stop jobs.Stop) {
 	o.send(stop.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
 		return e.stop(o.epoch, stop)
-	}, func(reply jobs.Reply) {
-		o.cell.StopAnswered(o.world.now, stop, reply.Answer, reply.Clock)
-	})
+	}, func(reply jobs.Reply) { o.cell.StopAnswered(o.world.now, stop, reply.Answer, reply.Clock) })
 }
 
 // pollLoop polls one endpoint, one poll at a time.
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -52,6 +52,8 @@
 	isReady bool
 	// tickets are the permissions of the queue's policy, by endpoint ID.
 	tickets map[string]ticket
+	// denials are the endpoints that the policy did not allow, by ID.
+	denials map[string]denial
 	// adviceRequested is when tickets were last requested, zero if no request is
 	// outstanding.
 	adviceRequested time.Time
@@ -65,6 +67,12 @@
 	until time.Time
 }
 
+// denial keeps one incarnation (born) of an endpoint from being asked about until a time.
+type denial struct {
+	born  int64
+	until time.Time
+}
+
 // task is the state of one task of a step.
 type task struct {
 	name  string
@@ -82,6 +90,8 @@
 	checkpoint string
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
+	// noSuspectBefore delays the next start on a suspect endpoint after a failure.
+	noSuspectBefore time.Time
 	// noHoldBefore is the time before which no endpoint is held for the task.
 	noHoldBefore time.Time
 	// avoidEndpoint is the ID of the endpoint where the last run failed or stalled.
@@ -137,6 +147,10 @@
 	stopReason                  string
 	firstStopSentAt, stopSentAt time.Time
 	stopClock                   int64
+	// isStopRevocable is set if the run is to be stopped only because its start was not
+	// answered and the endpoint did not list it. The stop keeps the start from being carried
+	// out later; it is revoked if the run is listed before a stop was accepted.
+	isStopRevocable bool
 	// percent is the progress last listed, progressedAt when it last changed.
 	percent      int
 	progressedAt time.Time
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -12,22 +12,31 @@
 // ApplyListing applies an endpoint's listing of its runs and returns stops for the
 // runs that this owner did not order. The listing must be the answer to a poll under
 // this owner's epoch, because that poll also makes the endpoint refuse the orders of
-// earlier owners. Listings of an earlier incarnation of the endpoint and those older
-// than the last one applied are ignored.
+// earlier owners. Listings older than the last one applied are ignored, and those of
+// another incarnation of the endpoint than the current one that may be older.
 func (c *Cell) ApplyListing(now time.Time, l Listing) (orphans []Stop) {
 	e := c.endpoints[l.Endpoint]
-	if e == nil || l.Born < e.born {
+	if e == nil {
 		return nil
 	}
-	if l.Born > e.born {
+	if l.Born != e.born {
+		if l.Born == 0 || l.AskedAt.Before(e.bornSeenAt) {
+			return nil
+		}
+		// An incarnation that was up later than the current one cannot be an earlier one.
 		c.handleRestart(e, l.Born)
 	}
 	if l.Clock < e.listedClock {
 		return nil
 	}
+	e.bornSeenAt = now
+	isFirst := !e.isReached
 	e.listedClock, e.listedSince, e.isReached, e.isUnresponsive = l.Clock, l.AskedAt, true, false
 	e.recordContact(now, l.Clock)
 	e.mayHaveRestarted = false
+	if isFirst {
+		c.dropReplaced(e)
+	}
 	present := make(map[string]bool, len(l.Running))
 	e.orphanUsage, e.orphanSteps = Size{}, nil
 	for _, row := range l.Running {
@@ -57,8 +66,9 @@
 		case r.isAbsent(clock, isFirst):
 			c.counts.Lost++
 			c.removeRun(r)
-		case r.phase == unconfirmed && clock > r.phaseClock:
+		case r.phase == unconfirmed && clock > r.phaseClock && !r.isStopping:
 			c.stopRun(r, "start was not answered and has not been carried out")
+			r.isStopRevocable = true
 		}
 	}
 }
@@ -134,8 +144,12 @@
 	if row.Saved != "" {
 		r.task.checkpoint = row.Saved
 	}
-	if r.task.run != r || r.task.isDone {
+	switch {
+	case r.task.run != r || r.task.isDone:
 		c.stopRun(r, "superseded")
+	case r.isStopRevocable && r.stopClock == 0:
+		// The start has been carried out, so its run is the current one of the task.
+		r.isStopping, r.isStopRevocable, r.firstStopSentAt = false, false, time.Time{}
 	}
 	if r.task.step.LongRunning && row.Percent >= 100 {
 		r.task.lastServing = now
@@ -281,7 +295,7 @@
 	e := r.endpoint
 	r.task.notBefore = now.Add(refusalDelay)
 	if answer == Unhealthy {
-		e.recordFailure(now)
+		e.recordFailure(now, r.task)
 	}
 	if answer == BadTicket {
 		delete(r.task.step.tickets, e.ID)
@@ -325,7 +339,8 @@
 		return
 	}
 	if answer == Accepted {
-		r.stopClock = clock
+		// The run ends even if its stop was revoked in the meantime.
+		r.isStopping, r.stopClock = true, clock
 		if r.phase == running || r.phase == inherited {
 			r.phaseClock = max(r.phaseClock, clock)
 		}
@@ -342,7 +357,7 @@
 	var stops []Stop
 	for _, e := range c.endpoints {
 		for _, r := range e.runs {
-			if !r.isStopping || r.phase == placed || r.phase == ordered || now.Sub(r.stopSentAt) < stopRetryInterval {
+			if !r.isStopNeeded() || r.phase == placed || r.phase == ordered || now.Sub(r.stopSentAt) < stopRetryInterval {
 				continue
 			}
 			r.stopSentAt = now
@@ -354,3 +369,22 @@
 	}
 	return stops
 }
+
+// IsStopCurrent reports whether a stop that is queued for sending is still needed. It is not
+// if it was ordered because the run had not been started, and the run may have been since.
+func (c *Cell) IsStopCurrent(s Stop) bool {
+	e := c.endpoints[s.Endpoint]
+	if e == nil {
+		return true
+	}
+	r := e.runs[s.Task]
+	return r == nil || r.number != s.Run || r.isStopNeeded()
+}
+
+// isStopNeeded reports whether a stop of the run may be sent now. The revocable stop of a
+// long-running task is sent only while the last listing of the endpoint can be relied on:
+// otherwise the task may be at work.
+func (r *run) isStopNeeded() bool {
+	mayBeAtWork := r.isStopRevocable && r.task.step.LongRunning && r.endpoint.isListingDue()
+	return r.isStopping && !mayBeAtWork
+}
