--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -29,6 +29,8 @@
 	// minOrderDelay and maxOrderDelay limit the delay of Faults.LateOrders.
 	minOrderDelay = 2 * time.Second
 	maxOrderDelay = 12 * time.Second
+	// delistDelay is the time from a crash until service discovery drops the endpoint.
+	delistDelay = 1500 * time.Millisecond
 	// maxAnswerDelay limits the delay of Faults.LateAnswers.
 	maxAnswerDelay = 400 * time.Millisecond
 	// handoverDelay is the time from the final snapshot of an owner that hands over to the
@@ -137,6 +139,7 @@
 		w.addEndpoint(i)
 	}
 	w.Takeover()
+	w.checkLost()
 	return w
 }
 
@@ -182,7 +185,7 @@
 // record has been stored.
 func (w *World) Submit(job jobs.Job) (verdict jobs.Verdict) {
 	o := w.owner
-	if o == nil || o.isStopped {
+	if o == nil || o.isStopped || o.isHandingOver {
 		return jobs.Verdict{Reason: "no owner", RetryAfter: time.Second}
 	}
 	verdict = o.cell.Admit(w.now, &job)
@@ -193,6 +196,7 @@
 	if o.cell.Submit(w.now, job) {
 		o.onStored = append(o.onStored, func() {
 			w.accepted[job.ID] = job
+			w.oracle.recordAcceptance(job)
 		})
 	}
 	return verdict
@@ -200,7 +204,8 @@
 
 // Cancel cancels a job; without an owner it does nothing.
 func (w *World) Cancel(id string) {
-	if o := w.owner; o != nil && o.cell.Cancel(w.now, id) {
+	if o := w.owner; o != nil && !o.isStopped && o.cell.Cancel(w.now, id) {
+		w.oracle.cancelRequested[id] = true
 		o.onStored = append(o.onStored, func() { w.oracle.recordCancellation(id) })
 	}
 }
@@ -225,7 +230,15 @@
 	return nil
 }
 
-func (w *World) addEndpoint(number int) {
+// AddEndpoint starts another endpoint.
+func (w *World) AddEndpoint() {
+	e := w.addEndpoint(len(w.endpoints))
+	if o := w.owner; o != nil && !o.isStopped {
+		o.pollLoop(e)
+	}
+}
+
+func (w *World) addEndpoint(number int) *Endpoint {
 	endpointsPerRack := max(w.config.PerRack, 1)
 	e := &Endpoint{
 		world: w, id: fmt.Sprintf("e%d", number), rack: fmt.Sprintf("r%d", number/endpointsPerRack),
@@ -233,4 +246,5 @@
 	}
 	e.boot()
 	w.endpoints = append(w.endpoints, e)
+	return e
 }
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -33,6 +33,8 @@
 	born int64
 }
 
+func (c connection) isOpen() bool { return !c.openedAt.IsZero() }
+
 // Takeover stops the current owner at once and starts a new one. Orders of the old
 // owner that are under way may still be carried out.
 func (w *World) Takeover() {
@@ -88,7 +90,9 @@
 		o.stored(batch, callbacks)
 		delay := handoverDelay
 		if w.chance(0.2) {
+			// Nothing is placed until then, so it counts as a fault.
 			delay = time.Duration(w.random.Int64N(int64(ownerLease)))
+			w.oracle.disrupt(w.now.Add(delay))
 		}
 		w.after(delay, func() {
 			switch {
@@ -102,19 +106,21 @@
 	})
 }
 
-// restore restores the cell from the journal. If that ends with a final snapshot, it
-// restores the snapshot and what it says of grants. In half of the cases it replaces a
-// random prefix of the journal by a snapshot.
+// restore restores the cell from the journal. If the last owner has stored a final snapshot,
+// it restores that, the records since and what the snapshot says of grants. In half of the
+// other cases it replaces a random prefix of the journal by a snapshot.
 func (o *owner) restore(now time.Time) {
 	journal := o.world.journal
-	if final := o.world.final; final != nil && o.world.finalLength == len(journal) {
+	if final := o.world.final; final != nil {
 		o.world.final = nil
 		o.cell.Restore(now, *final)
+		for _, record := range journal[o.world.finalLength:] {
+			o.cell.Apply(now, roundTrip(record))
+		}
 		o.cell.FinishRestore()
 		o.cell.InheritGrants(now, final.Silent)
 		return
 	}
-	o.world.final = nil
 	if len(journal) > 0 && o.world.chance(0.5) {
 		earlier := jobs.New(jobs.Config{Bounds: jobs.DefaultBounds()})
 		split := o.world.random.IntN(len(journal) + 1)
@@ -150,7 +156,7 @@
 	}
 	var profiles []jobs.Profile
 	for _, e := range o.world.endpoints {
-		if e.isListed && e.isUp {
+		if e.isDiscovered() {
 			profiles = append(profiles, e.profile())
 		}
 	}
@@ -171,6 +177,7 @@
 	}
 	if !o.isHandingOver {
 		o.cell.Plan(w.now, w.now)
+		w.oracle.recordReports(o.cell)
 	}
 	for _, stop := range o.cell.Stops(w.now) {
 		o.sendStop(stop)
@@ -186,6 +193,7 @@
 		}
 		w.journal = append(w.journal, batch.Records...)
 		if w.chance(w.faults.LostCommits) {
+			w.oracle.disrupt(w.now.Add(orderTimeout))
 			// The owner retries the write, which is already stored, and learns of
 			// that after a delay.
 			w.after(orderTimeout, func() { o.stored(batch, callbacks) })
@@ -219,7 +227,8 @@
 
 // send delivers an order to an endpoint and its answer to onAnswer, subject to the
 // configured faults. handle carries the order out at the endpoint. onAnswer is
-// called at most once, with jobs.Unanswered after orderTimeout.
+// called at most once, with jobs.Unanswered after orderTimeout, or jobs.Refused if no
+// connection could be opened.
 func (o *owner) send(c connection, e *Endpoint, handle func(e *Endpoint) (jobs.Answer, int64), onAnswer func(reply jobs.Reply)) {
 	w := o.world
 	isAnswered := false
@@ -230,15 +239,19 @@
 		isAnswered = true
 		onAnswer(jobs.Reply{Answer: a, Clock: clock, ConnectedAt: c.openedAt})
 	}
+	if !c.isOpen() {
+		w.after(orderTimeout, func() { answer(jobs.Refused, 0) })
+		return
+	}
 	w.after(orderTimeout, func() { answer(jobs.Unanswered, 0) })
 	deliver := func(isAnswerReceived bool) {
 		// A delayed order is lost if its endpoint is down, has restarted or is
 		// unreachable.
-		if !e.isUp || e.isPartitioned || e.cutEpoch == o.epoch || e.incarnation != c.incarnation {
+		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || e.incarnation != c.incarnation {
 			return
 		}
 		a, clock := handle(e)
-		if isAnswerReceived {
+		if isAnswerReceived && !e.isAnswerLost() {
 			delay := linkDelay
 			if w.chance(w.faults.LateAnswers) {
 				delay = time.Duration(w.random.Int64N(int64(maxAnswerDelay)))
@@ -248,9 +261,11 @@
 	}
 	switch {
 	case w.chance(w.faults.LateOrders):
+		w.oracle.disrupt(w.now.Add(maxOrderDelay))
 		delay := minOrderDelay + time.Duration(w.random.Int64N(int64(maxOrderDelay-minOrderDelay)))
 		w.after(delay, func() { deliver(false) })
 	case w.chance(w.faults.LostAnswers):
+		w.oracle.disrupt(w.now)
 		w.after(linkDelay, func() { deliver(false) })
 	default:
 		w.after(linkDelay, func() { deliver(true) })
@@ -258,12 +273,16 @@
 }
 
 // connect returns the connection for an order: mostly one that is kept, also if its
-// incarnation has ended unnoticed, else a new one.
+// incarnation has ended unnoticed, else a new one, which is open only if the endpoint can be
+// reached.
 func (o *owner) connect(e *Endpoint) connection {
 	random := o.world.connectionRandom
 	c, isKept := o.connections[e]
 	isNoticed := c.incarnation != e.incarnation && random.Float64() < 0.7
 	if !isKept || isNoticed || random.Float64() < 0.05 {
+		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch {
+			return connection{}
+		}
 		c = connection{openedAt: o.world.now, incarnation: e.incarnation, born: e.born}
 		o.connections[e] = c
 	}
@@ -275,7 +294,7 @@
 func (o *owner) sendStart(start jobs.Start) {
 	e := o.world.endpoint(start.Endpoint)
 	c := o.connect(e)
-	if c.born != start.Born {
+	if c.isOpen() && c.born != start.Born {
 		o.cell.StartAnswered(o.world.now, start, jobs.Reply{Answer: jobs.Refused})
 		return
 	}
