--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -19,11 +19,11 @@
 	// first probe run. It doubles with each failed probe, up to maxProbeDelay.
 	initialProbeDelay = 1500 * time.Millisecond
 	maxProbeDelay     = 8 * time.Second
-	// suspectPatience is how long a job waits for other endpoints before its long-running
+	// suspectFallbackDelay is how long a job waits for other endpoints before its long-running
 	// tasks are placed on suspect ones, suspectRetryDelay how long such a task waits after
 	// a failed run before it is placed on one again.
-	suspectPatience   = time.Second
-	suspectRetryDelay = time.Second
+	suspectFallbackDelay = time.Second
+	suspectRetryDelay    = time.Second
 	// maxAcknowledgementDelay is how long ends wait to be acknowledged because of starts
 	// before the endpoint gets no new work until they are.
 	maxAcknowledgementDelay = time.Second
@@ -91,10 +91,10 @@
 	// endpoint's clock.
 	grantUntil int64
 	// inheritedEnd is the time by which all inherited runs have ended if the present
-	// incarnation is not heard of, zero if the previous owner has not told.
+	// incarnation does not answer, zero if the previous owner has stored none.
 	inheritedEnd time.Time
-	// isGrantFinal reports that the next owner was told when all runs end (see
-	// HandoverSnapshot), so the endpoint gets no starts and no grants any more.
+	// isGrantFinal reports that the time by which all runs end was stored for the next owner
+	// (see HandoverSnapshot), so the endpoint gets no starts and no grants any more.
 	isGrantFinal bool
 	// appliedEnd is the number of the last run end that was applied, storedEnd that of
 	// the last one whose records are stored, listedEnd that of the last one in the last
@@ -102,6 +102,9 @@
 	appliedEnd, storedEnd, listedEnd int64
 	// cordonUntil is the time before which no new work is placed here.
 	cordonUntil time.Time
+	// isReportedEmpty is set once the endpoint was reported to have no long-running tasks
+	// while it is cordoned: planned work may have begun since.
+	isReportedEmpty bool
 	// consecutiveFailures counts the runs that failed or stalled since the last
 	// success.
 	consecutiveFailures int
@@ -191,7 +194,8 @@
 		c.handleRestart(e, born)
 		e.bornSeenAt = now
 	default:
-		e.mayHaveRestarted = true
+		// Nothing is known about the grants of an incarnation that may be later.
+		e.mayHaveRestarted, e.inheritedEnd = true, time.Time{}
 	}
 }
 
@@ -445,8 +449,10 @@
 	// them.
 	Seen int64
 	// Until is the expiry of the grant on the endpoint's clock, in milliseconds;
-	// 0 leaves the grant as it is.
+	// 0 leaves the grant as it is. It must reach only the incarnation that is identified by
+	// Born, since the clock of another one means another time.
 	Until int64
+	Born  int64
 	// IsUrgent reports that the endpoint should answer at once instead of waiting
 	// for a run to end.
 	IsUrgent bool
@@ -473,7 +479,7 @@
 	if e == nil {
 		return Poll{}, false
 	}
-	poll.Seen = e.endToAcknowledge(now)
+	poll.Seen, poll.Born = e.endToAcknowledge(now), e.born
 	if e.isListingDue() {
 		poll.IsNeeded, poll.IsUrgent = true, true
 	}
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -271,8 +271,8 @@
 	switch {
 	case answer == Accepted && isPresent:
 		r.phase, r.phaseClock, r.confirmedAt, r.progressedAt = running, clock, now, now
-		r.isIncarnationKnown = e.isListedIncarnation(now, clock)
-	case (answer == Accepted || answer == Unanswered) && !isPresent && r.isSentBefore(e.bornAfter):
+		r.isIncarnationKnown = reply.IsIncarnationChecked || e.isListedIncarnation(now, clock)
+	case (answer == Accepted || answer == Unanswered) && !isPresent && (reply.IsIncarnationChecked || r.isSentBefore(e.bornAfter)):
 		// Only an incarnation that has ended can have received the start.
 		c.counts.Lost++
 		c.removeRun(r)
@@ -284,6 +284,7 @@
 		// listing decides.
 		r.phase, r.phaseClock = unconfirmed, e.lastClock
 		e.isUnresponsive = true
+		r.isIncarnationKnown = reply.IsIncarnationChecked
 	default:
 		c.recordRefusal(now, r, answer)
 	}
@@ -381,8 +382,10 @@
 	return r == nil || r.number != s.Run || r.isStopNeeded()
 }
 
-// isStopNeeded reports whether a stop of the run may be sent now. A revocable one is sent only
-// while the last listing of the endpoint can be relied on.
+// isStopNeeded reports whether a stop of the run may be sent now. The revocable stop of a
+// long-running task is sent only while the last listing of the endpoint can be relied on:
+// otherwise the task may be at work.
 func (r *run) isStopNeeded() bool {
-	return r.isStopping && (!r.isStopRevocable || !r.endpoint.isListingDue())
+	mayBeAtWork := r.isStopRevocable && r.task.step.LongRunning && r.endpoint.isListingDue()
+	return r.isStopping && !mayBeAtWork
 }
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -135,14 +135,16 @@
 	return !isBlocked
 }
 
+// isWithinLimit reports whether the client account of a job may use another size.
+func (c *Cell) isWithinLimit(j *job, size Size) bool {
+	limit, isBounded := c.config.AccountLimit(j.Account)
+	return j.Account == "" || !isBounded || c.used[j.Account].Plus(size).Fits(limit)
+}
+
 // checkAccountLimit reports whether the client account of a job may use another
 // size. If not, the size is added to the account's unmet demand.
 func (p *placer) checkAccountLimit(j *job, size Size) bool {
-	limit, isBounded := p.cell.config.AccountLimit(j.Account)
-	if j.Account == "" || !isBounded {
-		return true
-	}
-	if p.cell.used[j.Account].Plus(size).Fits(limit) {
+	if p.cell.isWithinLimit(j, size) {
 		return true
 	}
 	p.cell.wanted[j.Account] = p.cell.wanted[j.Account].Plus(size)
@@ -168,7 +170,7 @@
 // more to gain there than to lose: if the endpoint still fails, the run ends early.
 func (p *placer) mayUseSuspects(t *task) bool {
 	since := t.step.occurrence.job.blockedSince
-	return t.step.LongRunning && !since.IsZero() && p.now.Sub(since) >= suspectPatience && !p.now.Before(t.noSuspectBefore)
+	return t.step.LongRunning && !since.IsZero() && p.now.Sub(since) >= suspectFallbackDelay && !p.now.Before(t.noSuspectBefore)
 }
 
 // cheapestEndpoint returns the suitable one of some endpoints with the lowest placement
