--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -147,6 +147,22 @@
 	}
 }
 
+// logCrashes logs the endpoints that have crashed with runs, and the tasks that may be the
+// cause.
+func (o *Owner) logCrashes() {
+	for _, crash := range o.cell.TakeCrashes() {
+		tasks := make([]string, len(crash.Tasks))
+		for i, t := range crash.Tasks {
+			tasks[i] = t.String()
+		}
+		event.EndpointCrashed.Log(o.config.Log, logrus.Fields{
+			"endpoint": crash.Endpoint, "machine": crash.Machine, "evidence": string(crash.Evidence),
+			"silent": crash.SilentFor.Milliseconds(), "runs": crash.Runs, "fresh": crash.Fresh, "tasks": tasks,
+			"epoch": int64(o.epoch),
+		})
+	}
+}
+
 // logUnresolvedRuns logs why long-running tasks without a confirmed run are not placed
 // again; the cell selects a few at a time.
 func (o *Owner) logUnresolvedRuns(now time.Time) {
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -225,6 +225,7 @@
 		o.logBlockedTasks(now)
 		o.logUnresolvedRuns(now)
 	}
+	o.logCrashes()
 	o.sendStops(now)
 	o.sendPaces(now)
 	o.requestAdvice(now)
--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -172,7 +172,7 @@
 func (o *Owner) handlePoll(p *poller, listing jobs.Listing, receipt endpoint.Receipt) {
 	fields := logrus.Fields{"endpoint": p.target.ID, "reason": receipt.Reason}
 	if receipt.Answer != jobs.Accepted {
-		o.cell.MarkUnresponsive(p.target.ID)
+		o.cell.PollFailed(boot.Now(), p.target.ID, receipt.Answer)
 		p.failures++
 		if p.failures == lostAfterFailures {
 			event.EndpointUnresponsive.Log(o.config.Log, fields)
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -53,6 +53,8 @@
 	blockedCheckedAt time.Time
 	// unresolvedCheckedAt is when UnresolvedRuns last checked for unresolved runs.
 	unresolvedCheckedAt time.Time
+	// crashes collects what TakeCrashes returns.
+	crashes []Crash
 }
 
 // Counts counts events since this owner acquired the cell: jobs accepted and
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -306,7 +306,7 @@
 		So(b.planAndStore(), ShouldBeEmpty)
 		// The endpoint restarts. A poll fails, and the start of the second task, which was
 		// under way, reaches the new incarnation, where the run ends at once.
-		b.cell.MarkUnresponsive(endpointName(0))
+		b.cell.PollFailed(b.now, endpointName(0), Unanswered)
 		ends := []ListedEnd{{Number: 1, End: End{Task: starts[1].Task, Run: 1, Outcome: Done}}}
 		for born, clock := int64(2), int64(500); clock < 1000; clock += 100 {
 			b.now = b.now.Add(100 * time.Millisecond)
@@ -348,7 +348,7 @@
 		starts := b.planAndAccept()
 		b.listEnd(0, starts[0].Task, 1, Done)
 		b.planAndStore()
-		b.cell.MarkUnresponsive(endpointName(0))
+		b.cell.PollFailed(b.now, endpointName(0), Unanswered)
 		b.advance(100 * time.Millisecond)
 		b.ends[endpointName(0)] = 0
 		b.listEnd(0, starts[0].Task, 1, Done)
--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -151,6 +151,12 @@
 	return e.isPartitioned() || e.world.now.Before(e.answersLostUntil)
 }
 
+// isRefusing reports whether the endpoint's machine refuses the connections of the owner with
+// an epoch, as nothing listens there.
+func (e *Endpoint) isRefusing(epoch int64) bool {
+	return !e.isUp && !e.isPartitioned() && e.cutEpoch != epoch
+}
+
 // isDisrupted reports whether the endpoint is affected by a fault. One that is gone for good
 // is not: nothing about it will change.
 func (e *Endpoint) isDisrupted() bool {
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -223,8 +223,8 @@
 
 // send delivers an order to an endpoint and its answer to onAnswer, subject to the
 // configured faults. handle carries the order out at the endpoint. onAnswer is
-// called at most once, with jobs.Unanswered after orderTimeout, or jobs.Refused if no
-// connection could be opened.
+// called at most once, with jobs.Unanswered after orderTimeout, or jobs.Refused or
+// jobs.ConnectionRefused if no connection could be opened.
 func (o *owner) send(id string, handle func(e *Endpoint) (jobs.Answer, int64), onAnswer func(reply jobs.Reply)) {
 	w := o.world
 	e := w.endpoint(id)
@@ -238,7 +238,11 @@
 		onAnswer(jobs.Reply{Answer: a, Clock: clock, ConnectedAt: c.openedAt})
 	}
 	if !isConnected {
-		w.after(orderTimeout, func() { answer(jobs.Refused, 0) })
+		if e.isRefusing(o.epoch) {
+			w.after(linkDelay, func() { answer(jobs.ConnectionRefused, 0) })
+		} else {
+			w.after(orderTimeout, func() { answer(jobs.Refused, 0) })
+		}
 		return
 	}
 	w.after(orderTimeout, func() { answer(jobs.Unanswered, 0) })
@@ -322,7 +326,7 @@
 				o.sendStop(orphan)
 			}
 		} else {
-			o.cell.MarkUnresponsive(e.id)
+			o.cell.PollFailed(w.now, e.id, reply.Answer)
 		}
 		// The next poll acknowledges the listed ends once they are stored.
 		o.onStored = append(o.onStored, func() {
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -64,6 +64,8 @@
 	isReached bool
 	// isFullyListed reports whether one of those listings omitted no ends.
 	isFullyListed bool
+	// hasCrashed reports that the current incarnation has ended unplanned.
+	hasCrashed bool
 	// mayHaveRestarted is set by an answer with an earlier clock, until the endpoint lists
 	// its runs.
 	mayHaveRestarted bool
@@ -162,7 +164,7 @@
 		e.isListed = false
 		// A newer endpoint on the same machine means that this one has ended.
 		if successor, ok := machines[e.Machine]; ok && (successor.Born > e.born || e.isReplacedBy(c.endpoints[successor.ID])) {
-			c.dropRuns(e)
+			c.dropRuns(now, e)
 		}
 		if len(e.runs) == 0 {
 			delete(c.endpoints, id)
@@ -188,7 +190,7 @@
 	switch {
 	case born == e.born || born == previous || e.pastBorn[born]:
 	case previous == e.born && born > e.born:
-		c.handleRestart(e, born)
+		c.handleRestart(now, e, born)
 		e.bornSeenAt = now
 	default:
 		// Nothing is known about the grants of an incarnation that may be later.
@@ -204,10 +206,10 @@
 }
 
 // dropReplaced marks the runs of the endpoints as lost that an endpoint has replaced.
-func (c *Cell) dropReplaced(e *Endpoint) {
+func (c *Cell) dropReplaced(now time.Time, e *Endpoint) {
 	for _, other := range c.endpoints {
 		if other != e && other.isReplacedBy(e) {
-			c.dropRuns(other)
+			c.dropRuns(now, other)
 		}
 	}
 }
@@ -217,7 +219,9 @@
 // later incarnation can have received. Any other run that was ordered may have been started
 // by either incarnation, even if its start was accepted, because the answer does not identify
 // the incarnation. Such a run is kept until the next listing shows whether it exists.
-func (c *Cell) handleRestart(e *Endpoint, born int64) {
+func (c *Cell) handleRestart(now time.Time, e *Endpoint, born int64) {
+	c.recordCrash(now, e, Restarted)
+	e.hasCrashed = false
 	e.bornAfter = later(e.bornAfter, e.listedSince)
 	if e.pastBorn == nil {
 		e.pastBorn = make(map[int64]bool)
@@ -252,8 +256,9 @@
 	return !r.connectedAt.IsZero() && !r.connectedAt.After(at)
 }
 
-// dropRuns marks all runs that may have reached the endpoint as lost.
-func (c *Cell) dropRuns(e *Endpoint) {
+// dropRuns marks all runs that may have reached an endpoint as lost that was replaced.
+func (c *Cell) dropRuns(now time.Time, e *Endpoint) {
+	c.recordCrash(now, e, Replaced)
 	for _, r := range sortedRuns(e) {
 		if r.phase != placed {
 			c.counts.Lost++
@@ -383,13 +388,18 @@
 	return !e.listedSince.IsZero() && clock > now.Sub(e.listedSince).Milliseconds()
 }
 
-// MarkUnresponsive records that an endpoint did not answer a poll. Nothing is placed
-// on it until it has listed its runs again: a network partition affects many
+// PollFailed records that an endpoint did not list its runs when it was polled. Nothing is
+// placed on it until it has listed them again: a network partition affects many
 // endpoints at once, and a task placed on an unreachable endpoint is stuck until the
 // endpoint's grant expires.
-func (c *Cell) MarkUnresponsive(id string) {
-	if e := c.endpoints[id]; e != nil {
-		e.isUnresponsive = true
+func (c *Cell) PollFailed(now time.Time, id string, answer Answer) {
+	e := c.endpoints[id]
+	if e == nil {
+		return
+	}
+	e.isUnresponsive = true
+	if answer == ConnectionRefused && e.isReached {
+		c.recordCrash(now, e, NotListening)
 	}
 }
 
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -24,7 +24,7 @@
 			return nil
 		}
 		// An incarnation that was up later than the current one cannot be an earlier one.
-		c.handleRestart(e, l.Born)
+		c.handleRestart(now, e, l.Born)
 	}
 	if l.Clock < e.listedClock {
 		return nil
@@ -35,7 +35,7 @@
 	e.recordContact(now, l.Clock)
 	e.mayHaveRestarted = false
 	if isFirst {
-		c.dropReplaced(e)
+		c.dropReplaced(now, e)
 	}
 	present := make(map[string]bool, len(l.Running))
 	e.orphanUsage, e.orphanSteps = Size{}, nil
@@ -300,7 +300,7 @@
 	if answer == BadTicket {
 		delete(r.task.step.tickets, e.ID)
 	}
-	if answer == NoRoom || answer == Refused {
+	if answer == NoRoom || answer == Refused || answer == ConnectionRefused {
 		e.cordonUntil = later(e.cordonUntil, now.Add(fullEndpointDelay))
 	}
 	c.removeRun(r)
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -168,6 +168,9 @@
 	// OtherIncarnation means that the order was meant for another incarnation of the
 	// endpoint.
 	OtherIncarnation
+	// ConnectionRefused means that nothing listens at the address of the endpoint, so the
+	// order was not carried out and the endpoint has ended.
+	ConnectionRefused
 	// Unhealthy means that the endpoint cannot carry out any order at present.
 	Unhealthy
 	// Unanswered means that no answer arrived, or one that does not rule out an
--- a/jobs/stop_test.go
+++ b/jobs/stop_test.go
@@ -130,13 +130,13 @@
 	Convey("The stop is not repeated while the endpoint does not list its runs", t, func() {
 		d := newDoubtfulStart(1)
 		stop := d.cell.Stops(d.now)[0]
-		d.cell.MarkUnresponsive(d.start.Endpoint)
+		d.cell.PollFailed(d.now, d.start.Endpoint, Unanswered)
 		d.advance(2 * time.Second)
 		So(d.cell.Stops(d.now), ShouldBeEmpty)
 		So(d.cell.IsStopCurrent(stop), ShouldBeFalse)
 		d.answerPoll(d.endpoint)
 		So(d.cell.Stops(d.now), ShouldHaveLength, 1)
-		d.cell.MarkUnresponsive(d.start.Endpoint)
+		d.cell.PollFailed(d.now, d.start.Endpoint, Unanswered)
 		d.cell.Cancel(d.now, firstID)
 		d.advance(time.Second)
 		So(d.cell.Stops(d.now), ShouldHaveLength, 1)
@@ -148,7 +148,7 @@
 		b.advance(100 * time.Millisecond)
 		b.answerPoll(0)
 		stop := b.cell.Stops(b.now)[0]
-		b.cell.MarkUnresponsive(endpointName(0))
+		b.cell.PollFailed(b.now, endpointName(0), Unanswered)
 		b.advance(time.Second)
 		So(b.cell.IsStopCurrent(stop), ShouldBeTrue)
 		So(b.cell.Stops(b.now), ShouldHaveLength, 1)
