--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -31,6 +31,9 @@
 	maxOrderDelay = 12 * time.Second
 	// delistDelay is the time from a crash until service discovery drops the endpoint.
 	delistDelay = 1500 * time.Millisecond
+	// crashDowntime is the time from a crash that a task has caused until the endpoint's
+	// machine is up again.
+	crashDowntime = 3 * time.Second
 	// maxAnswerDelay limits the delay of Faults.LateAnswers.
 	maxAnswerDelay = 400 * time.Millisecond
 	// handoverDelay is the time from the final snapshot of an owner that hands over to the
@@ -59,6 +62,9 @@
 	// Work returns how long a run of a task takes on a healthy endpoint, 0 for a
 	// long-running task, and whether the run fails for reasons of its own.
 	Work func(w *World, task string) (duration time.Duration, fails bool)
+	// CrashAfter returns how long after its start a run of a task crashes its endpoint, 0 if
+	// it does not. It may be nil.
+	CrashAfter func(task string) time.Duration
 	// Ended is called for each job that is over, once that has been stored. It may
 	// be nil.
 	Ended func(id string, state jobs.State)
@@ -231,8 +237,17 @@
 }
 
 // AddEndpoint starts another endpoint.
-func (w *World) AddEndpoint() {
+func (w *World) AddEndpoint() { w.pollNew(w.addEndpoint(len(w.endpoints))) }
+
+// replace starts another endpoint on the machine of one that has ended.
+func (w *World) replace(ended *Endpoint) {
 	e := w.addEndpoint(len(w.endpoints))
+	e.machine, e.rack = ended.machine, ended.rack
+	w.pollNew(e)
+}
+
+// pollNew makes the present owner poll a new endpoint.
+func (w *World) pollNew(e *Endpoint) {
 	if o := w.owner; o != nil && !o.isStopped {
 		o.pollLoop(e)
 	}
@@ -244,6 +259,7 @@
 		world: w, id: fmt.Sprintf("e%d", number), rack: fmt.Sprintf("r%d", number/endpointsPerRack),
 		capacity: w.config.Capacity, clockRate: 1 - 0.02*w.random.Float64(),
 	}
+	e.machine = "m-" + e.id
 	e.boot()
 	w.endpoints = append(w.endpoints, e)
 	return e
--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -11,6 +11,7 @@
 type Endpoint struct {
 	world    *World
 	id       string
+	machine  string
 	rack     string
 	capacity jobs.Size
 	// clockRate is the rate of the endpoint's clock; 1 is exact, less is slow.
@@ -107,6 +108,16 @@
 	})
 }
 
+// CrashAndReplace stops the endpoint and all its runs. After downtime another endpoint
+// starts on its machine.
+func (e *Endpoint) CrashAndReplace(downtime time.Duration) {
+	if e.isGone {
+		return
+	}
+	e.CrashForGood()
+	e.world.after(downtime, func() { e.world.replace(e) })
+}
+
 // CrashForGood stops the endpoint and all its runs. It is never heard of again.
 func (e *Endpoint) CrashForGood() {
 	if e.isGone {
@@ -296,6 +307,7 @@
 	}
 	r.size = w.oracle.checkStart(order, e)
 	e.runs[order.Task] = r
+	e.crashUnder(r)
 	if length == 0 || e.isHanging {
 		return
 	}
@@ -311,6 +323,26 @@
 	})
 }
 
+// crashUnder crashes the endpoint if the task of a run that has just started is one of those
+// that do so and the run has not ended before. Half of the endpoints come back under their ID.
+func (e *Endpoint) crashUnder(r *emulatedRun) {
+	w := e.world
+	if w.config.CrashAfter == nil || w.config.CrashAfter(r.task) == 0 {
+		return
+	}
+	w.after(w.config.CrashAfter(r.task), func() {
+		if e.incarnation != r.incarnation || e.runs[r.task] != r || !e.isUp {
+			return
+		}
+		w.oracle.recordCrash(r.task)
+		if w.chance(0.5) {
+			e.Crash(crashDowntime)
+		} else {
+			e.CrashAndReplace(crashDowntime)
+		}
+	})
+}
+
 // stop carries out an order to stop a run, which ends after stopGrace. It returns
 // the answer with the endpoint's clock.
 func (e *Endpoint) stop(epoch int64, order jobs.Stop) (jobs.Answer, int64) {
@@ -369,7 +401,7 @@
 // profile returns the endpoint as service discovery lists it.
 func (e *Endpoint) profile() jobs.Profile {
 	return jobs.Profile{
-		ID: e.id, Machine: "m-" + e.id, Rack: e.rack, Labels: []string{"a", e.rack},
+		ID: e.id, Machine: e.machine, Rack: e.rack, Labels: []string{"a", e.rack},
 		Capacity: e.capacity, IsDraining: e.isDraining, Born: e.born,
 	}
 }
--- a/jobs/emulator/oracle.go
+++ b/jobs/emulator/oracle.go
@@ -11,6 +11,17 @@
 // may still start, by an order that was already under way.
 const maxStartAfterCancel = 3 * time.Second
 
+// After maxCrashes endpoints have crashed under a task, it may be started fewer than
+// maxStartsAfterCrashes times.
+const (
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 3
+)
+
+// minCrashesToFail is the number of endpoints that must have crashed under a task before its
+// job may be reported as failed for it.
+const minCrashesToFail = 2
+
 // overcommitDivisor gives the permitted overcommit: a tenth of the limit.
 const overcommitDivisor = 10
 
@@ -27,6 +38,9 @@
 	// of a task.
 	done, acknowledged map[string]bool
 	failed             map[string]int
+	// failedEnds counts the failures of a task, acknowledged or not, crashes the endpoints that
+	// crashed under it, and startsAfterCrashes its starts after maxCrashes of them.
+	failedEnds, crashes, startsAfterCrashes map[string]int
 	// cancelledAt holds when the cancellation of a job was accepted, by job ID.
 	cancelledAt map[string]time.Time
 	// cancelRequested holds the IDs of the jobs whose cancellation was requested.
@@ -53,6 +67,7 @@
 		cancelledAt: make(map[string]time.Time), cancelRequested: make(map[string]bool),
 		acceptedAt: make(map[string]time.Time), lastRunEnd: make(map[string]time.Time),
 		missingSince: make(map[string]time.Time), reports: make(map[string]string),
+		failedEnds: make(map[string]int), crashes: make(map[string]int), startsAfterCrashes: make(map[string]int),
 	}
 }
 
@@ -79,6 +94,12 @@
 	if job.Attempts > 0 && !step.LongRunning && o.failed[order.Task] >= job.Attempts {
 		o.report("BUDGET", "%s started again after %d failed runs", order.Task, o.failed[order.Task])
 	}
+	if o.crashes[order.Task] >= maxCrashes {
+		o.startsAfterCrashes[order.Task]++
+		if o.startsAfterCrashes[order.Task] == maxStartsAfterCrashes {
+			o.report("BUDGET", "%s started %d times after %d endpoints had crashed under it", order.Task, maxStartsAfterCrashes, maxCrashes)
+		}
+	}
 	if at, isCancelled := o.cancelledAt[name.Job]; isCancelled && o.world.now.Sub(at) > maxStartAfterCancel && o.world.faults.LateOrders == 0 {
 		o.report("UNASKED", "%s started after its job was cancelled", order.Task)
 	}
@@ -212,8 +233,11 @@
 
 func (o *oracle) recordEnd(task string, outcome jobs.Outcome, e *Endpoint) {
 	o.removeRun(task, e)
-	if outcome == jobs.Done {
+	switch outcome {
+	case jobs.Done:
 		o.done[task] = true
+	case jobs.Failed:
+		o.failedEnds[task]++
 	}
 }
 
@@ -241,6 +265,9 @@
 		o.report("MIXED", "%s is reported to callers but was never submitted", id)
 		return
 	}
+	if state == jobs.JobFailed && !o.mayHaveFailed(job) {
+		o.report("LOST", "%s is reported as failed without cause", id)
+	}
 	if state != jobs.Completed {
 		return
 	}
@@ -252,3 +279,31 @@
 		}
 	}
 }
+
+// recordCrash records that a run of a task has crashed its endpoint.
+func (o *oracle) recordCrash(task string) { o.crashes[task]++ }
+
+// mayHaveFailed reports whether a job may be reported as failed: a task of it has failed
+// too often, or has crashed endpoints. The failures of a gang count together.
+func (o *oracle) mayHaveFailed(job jobs.Job) bool {
+	for i := range job.Steps {
+		for n := range job.Occurrences() {
+			failures := 0
+			for k := range job.Steps[i].Count {
+				task := jobs.TaskName{Job: job.ID, Occurrence: n, Step: i, Index: k}.String()
+				if o.crashes[task] >= minCrashesToFail {
+					return true
+				}
+				if job.Steps[i].Gang {
+					failures += o.failedEnds[task]
+				} else {
+					failures = max(failures, o.failedEnds[task])
+				}
+			}
+			if job.Attempts > 0 && failures >= job.Attempts {
+				return true
+			}
+		}
+	}
+	return false
+}
