--- a/jobs/blocked.go
+++ b/jobs/blocked.go
@@ -106,6 +106,8 @@
 		return "no room"
 	case !p.isSuitable(t, e):
 		return "spread, ticket or earlier run"
+	case !c.newQuarantine(len(c.endpoints)).isAllowed(now, t, e):
+		return "kept apart after a crash"
 	default:
 		return "none"
 	}
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -54,7 +54,8 @@
 	// unresolvedCheckedAt is when UnresolvedRuns last checked for unresolved runs.
 	unresolvedCheckedAt time.Time
 	// crashes collects what TakeCrashes returns.
-	crashes []Crash
+	crashes   []Crash
+	crashRate crashRate
 }
 
 // Counts counts events since this owner acquired the cell: jobs accepted and
@@ -163,11 +164,16 @@
 		return
 	}
 	t.run = nil
-	if !t.isDone && !t.step.occurrence.job.isOver() {
+	if t.needsRun() {
 		t.step.waiting = append(t.step.waiting, t)
 	}
 }
 
+// needsRun reports whether the task is neither done nor given up, and its job not over.
+func (t *task) needsRun() bool {
+	return !t.isDone && !t.isGivenUp && !t.step.occurrence.job.isOver()
+}
+
 // RunEnd is the end of a run on an endpoint.
 type RunEnd struct {
 	End
--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"time"
 )
 
@@ -43,6 +45,10 @@
 type CrashedTask struct {
 	Task string
 	Run  int
+	// Crashes counts the crashes soon after a start of the task, AloneCrashes the last ones
+	// in a row of which only its job can have been the cause.
+	Crashes, AloneCrashes int
+	IsGivenUp             bool
 }
 
 // TakeCrashes returns the crashes that were found since the last call, the first ones if
@@ -60,34 +66,348 @@
 		return
 	}
 	e.hasCrashed = true
-	crash := Crash{Endpoint: e.ID, Machine: e.Machine, Evidence: evidence, SilentFor: now.Sub(e.lastContact)}
-	for _, r := range sortedRuns(e) {
-		if r.phase == placed {
+	runs := e.uncountedRuns()
+	if len(runs) == 0 {
+		return
+	}
+	fresh := freshRuns(runs)
+	isAlone := shareFate(fresh) && !c.isPartOfOutage(e)
+	if !isAlone {
+		c.crashRate.add(now)
+	}
+	for _, r := range runs {
+		c.blame(now, r, isAlone)
+	}
+	if len(c.crashes) < maxCrashReports {
+		c.crashes = append(c.crashes, newCrash(now, e, evidence, runs, fresh))
+	}
+}
+
+// newCrash returns the report on the crash of an endpoint with runs, the fresh ones among them.
+func newCrash(now time.Time, e *Endpoint, evidence CrashEvidence, runs, fresh []*run) Crash {
+	crash := Crash{
+		Endpoint: e.ID, Machine: e.Machine, Evidence: evidence, SilentFor: now.Sub(e.lastContact),
+		Runs: len(runs), Fresh: len(fresh),
+	}
+	for _, r := range fresh[:min(len(fresh), maxReportedRuns)] {
+		crash.Tasks = append(crash.Tasks, CrashedTask{
+			Task: r.task.name, Run: r.number, Crashes: r.task.crashes(), AloneCrashes: r.task.aloneCrashes, IsGivenUp: r.task.isGivenUp,
+		})
+	}
+	return crash
+}
+
+// uncountedRuns returns the runs that the endpoint has or may have of tasks that are needed,
+// by task name, without those for which an earlier owner has counted the crash.
+func (e *Endpoint) uncountedRuns() []*run {
+	return slices.DeleteFunc(sortedRuns(e), func(r *run) bool {
+		return r.phase == placed || !r.task.needsRun() || slices.Contains(r.task.crashedRuns, r.number)
+	})
+}
+
+// freshRuns returns those of the runs of an endpoint that have not settled. It is not known
+// when inherited ones have started. But nothing is started beside a suspect that has not
+// settled, so if there is one, the others had settled before.
+func freshRuns(runs []*run) []*run {
+	fresh := slices.DeleteFunc(slices.Clone(runs), (*run).hasSettled)
+	isSuspect := func(r *run) bool { return r.phase == inherited && r.task.crashes() > 0 }
+	if slices.ContainsFunc(fresh, isSuspect) {
+		fresh = slices.DeleteFunc(fresh, func(r *run) bool { return r.phase == inherited && !isSuspect(r) })
+	}
+	return fresh
+}
+
+// shareFate reports whether there are runs, and giving one of their tasks up gives all up.
+func shareFate(runs []*run) bool {
+	return len(runs) > 0 && !slices.ContainsFunc(runs, func(r *run) bool { return !r.task.sharesFate(runs[0].task) })
+}
+
+// sharesFate reports whether giving a task up gives the other one up. A job fails as a whole,
+// but the tasks of a long-running step are given up one by one.
+func (t *task) sharesFate(other *task) bool {
+	isWhole := !t.step.LongRunning && !other.step.LongRunning
+	return t == other || isWhole && t.step.occurrence.job == other.step.occurrence.job
+}
+
+// isPartOfOutage reports whether another endpoint with runs fell silent at the same time that
+// none of these has crashed. Then both have probably the same cause, such as a power failure.
+// If runs of earlier owners are there it is not known when they started, nor when the
+// endpoints fell silent, so any other silent endpoint counts.
+func (c *Cell) isPartOfOutage(e *Endpoint) bool {
+	hasInherited := e.hasInheritedRuns()
+	for _, other := range c.endpoints {
+		isSilent := other.isUnresponsive || other.hasCrashed || !other.isReached
+		if other == e || !isSilent {
 			continue
 		}
-		crash.Runs++
-		if r.hasSettled() {
+		runs := other.uncountedRuns()
+		if len(runs) == 0 {
 			continue
 		}
-		crash.Fresh++
-		if len(crash.Tasks) < maxReportedRuns {
-			crash.Tasks = append(crash.Tasks, CrashedTask{Task: r.task.name, Run: r.number})
+		if hasInherited || other.lastContact.Sub(e.lastContact).Abs() <= outageWindow && len(freshRuns(runs)) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Endpoint) hasInheritedRuns() bool {
+	for _, r := range e.runs {
+		if r.phase == inherited {
+			return true
 		}
 	}
-	if crash.Runs > 0 && len(c.crashes) < maxCrashReports {
-		c.crashes = append(c.crashes, crash)
+	return false
+}
+
+// blame counts the crash of the endpoint against the task of a run, and gives the task up if
+// it is the cause beyond doubt. isAlone reports that only the job of the task can be the
+// cause. A crash long after the start does not count.
+func (c *Cell) blame(now time.Time, r *run, isAlone bool) {
+	t := r.task
+	if !t.needsRun() || slices.Contains(t.crashedRuns, r.number) {
+		return
+	}
+	hadSettled, age := r.hasSettled(), r.provenAge()
+	if hadSettled {
+		age = max(age, t.settleTime())
+	}
+	if age > maxCrashAge {
+		t.forgetCrashes()
+		return
+	}
+	t.crashedRuns = append(t.crashedRuns, r.number)
+	t.crashAge = max(t.crashAge, age)
+	if hadSettled {
+		return
+	}
+	t.isSuspect = true
+	if !t.step.LongRunning {
+		t.notBefore = later(t.notBefore, now.Add(t.crashDelay()))
+	}
+	if !isAlone {
+		return
+	}
+	t.aloneCrashes++
+	c.records = append(c.records, Record{Suspect: &Suspect{Task: t.name, Suspicion: *t.suspicion()}})
+	if t.aloneCrashes >= c.convictingCrashes(now, t) {
+		c.records = append(c.records, Record{GivenUp: t.name})
+		c.giveUp(now, t)
+	}
+}
+
+// Suspect is a task with what is known against it.
+type Suspect struct {
+	Task      string    `json:"t"`
+	Suspicion Suspicion `json:"c"`
+}
+
+// Suspicion is what is known against a task under which endpoints have crashed. It is stored
+// with each placement, so that the next owner knows it before the task is started again, and
+// by itself once the task is probably the cause.
+type Suspicion struct {
+	// Runs are the numbers of the runs soon after whose start the endpoint crashed: each
+	// owner finds a crash anew until the endpoint is gone. AloneCrashes counts the last ones
+	// in a row of which only the task's job can have been the cause.
+	Runs         []int `json:"runs"`
+	AloneCrashes int   `json:"alone,omitempty"`
+	// AgeMilliseconds is the longest time from a start to one of these crashes.
+	AgeMilliseconds int64 `json:"age,omitempty"`
+	// IsSettled reports that the endpoint has survived the start of the present run. It is
+	// set in snapshots only.
+	IsSettled bool `json:"settled,omitempty"`
+}
+
+// suspicion returns what is known against the task, nil if nothing.
+func (t *task) suspicion() *Suspicion {
+	if t.crashes() == 0 {
+		return nil
+	}
+	return &Suspicion{
+		Runs: slices.Clone(t.crashedRuns), AloneCrashes: t.aloneCrashes, AgeMilliseconds: t.crashAge.Milliseconds(),
+		IsSettled: t.run != nil && t.run.isKnownSettled,
+	}
+}
+
+// restoreSuspicion restores what is known against a task. It is a suspect then, unless the
+// endpoint has survived the start of its present run.
+func (t *task) restoreSuspicion(s *Suspicion) {
+	if s == nil {
+		s = &Suspicion{}
+	}
+	t.crashedRuns, t.aloneCrashes, t.isSuspect = s.Runs, s.AloneCrashes, len(s.Runs) > 0 && !s.IsSettled
+	t.crashAge = time.Duration(s.AgeMilliseconds) * time.Millisecond
+}
+
+// suspectInherited makes a task a suspect whose run, of an earlier owner, has ended on an
+// endpoint that is gone: it may have crashed before this owner could see it.
+func (c *Cell) suspectInherited(now time.Time, r *run) {
+	e := r.endpoint
+	switch {
+	case r.phase != inherited || e.hasCrashed:
+	case e.isRefusing:
+		c.recordCrash(now, e, NotListening)
+	case !e.isListed && (!r.task.step.LongRunning || r.task.crashes() > 0):
+		// Most runs of long-running tasks had settled long before.
+		c.blame(now, r, false)
 	}
 }
 
-// settleTime is how long an endpoint must answer after the start of a run until a crash
-// does not count as caused by the start.
-const settleTime = 300 * time.Millisecond
+// Limits on tasks under which endpoints crash.
+const (
+	// convictingAloneCrashes is the number of crashes in a row, with no other job that may be
+	// the cause, after which a task is given up if endpoints hardly crash otherwise. One less
+	// is enough after manyCrashes of any kind.
+	convictingAloneCrashes = 3
+	manyCrashes            = 4
+	// maxCoincidence is the probability that is accepted for a task without fault to be given
+	// up after its endpoints happened to crash by themselves.
+	maxCoincidence = 1e-5
+	// maxCrashAge is how long after a start a crash can still be caused by it.
+	maxCrashAge = 2 * time.Second
+	// minSettleTime is how long an endpoint must answer after the start of a task until a
+	// crash does not count as caused by the start. settleFactor times the age at which
+	// endpoints have crashed under the task before is added.
+	minSettleTime = 300 * time.Millisecond
+	settleFactor  = 1.5
+	// takeoverTime is how long a new owner only looks which endpoints have crashed.
+	takeoverTime = time.Second
+	// outageWindow is the time within which endpoints fall silent that fail together. The
+	// last answers before are as far apart.
+	outageWindow = time.Second
+)
+
+// crashDelays holds how long a suspect task waits for its next start, by the number of
+// crashes. The first one costs tasks that merely stood beside the cause no time. Long-running
+// tasks do not wait, as they must be back soon.
+var crashDelays = [...]time.Duration{0, 0, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second}
+
+func (t *task) crashDelay() time.Duration { return crashDelays[min(t.crashes(), len(crashDelays)-1)] }
+
+// crashes counts the endpoints that crashed soon after a start of the task.
+func (t *task) crashes() int { return len(t.crashedRuns) }
+
+// settleTime is how long an endpoint must answer after a start of the task until a crash does
+// not count as caused by the start.
+func (t *task) settleTime() time.Duration {
+	return minSettleTime + time.Duration(settleFactor*float64(t.crashAge))
+}
+
+// provenAge returns how long the endpoint has certainly been up since the run was confirmed.
+func (r *run) provenAge() time.Duration {
+	if r.phase != running {
+		return 0
+	}
+	return max(r.endpoint.lastContact.Sub(r.confirmedAt), 0)
+}
 
 // hasSettled reports whether the endpoint has answered for long enough since the run was
-// confirmed.
-func (r *run) hasSettled() bool {
-	return r.phase == running && r.endpoint.lastContact.Sub(r.confirmedAt) >= settleTime
+// confirmed, so that its start has not crashed the endpoint.
+func (r *run) hasSettled() bool { return r.isKnownSettled || r.provenAge() >= r.task.settleTime() }
+
+// clearSettled ends the suspicion against the tasks whose runs have settled. What was counted
+// is forgotten later, as a crash may still follow.
+func (c *Cell) clearSettled(e *Endpoint) {
+	for _, r := range e.runs {
+		t := r.task
+		if t.run != r || t.crashes() == 0 {
+			continue
+		}
+		isCleared := r.provenAge() > maxCrashAge
+		if r.hasSettled() && !r.isKnownSettled || isCleared {
+			r.isKnownSettled = true
+			survival := Survival{Task: t.name, Run: r.number, IsCleared: isCleared}
+			t.applySurvival(survival)
+			c.records = append(c.records, Record{Survival: &survival})
+		}
+	}
 }
 
-// String returns the name of the task with the number of the run.
-func (t CrashedTask) String() string { return fmt.Sprintf("%s run %d", t.Task, t.Run) }
+// Survival states that an endpoint has survived the start of a suspect task.
+type Survival struct {
+	Task string `json:"t"`
+	Run  int    `json:"r"`
+	// IsCleared reports that the run went on for so long that the crashes before were not
+	// caused by the task.
+	IsCleared bool `json:"clear,omitempty"`
+}
+
+func (t *task) applySurvival(s Survival) {
+	t.isSuspect = false
+	if s.IsCleared {
+		t.forgetCrashes()
+	}
+}
+
+// forgetCrashes ends the suspicion against a task that an endpoint has survived.
+func (t *task) forgetCrashes() {
+	t.isSuspect, t.crashedRuns, t.aloneCrashes, t.crashAge = false, nil, 0, 0
+}
+
+// convictingCrashes returns how many crashes in a row, with no other job that may be the
+// cause, are enough to give a task up. It takes more if endpoints often crash by themselves
+// as soon after a start as is watched.
+func (c *Cell) convictingCrashes(now time.Time, t *task) int {
+	needed := convictingAloneCrashes
+	watched := min(max(now.Sub(c.config.Inherited), minCrashRateWindow), crashRateWindow)
+	rate := float64(c.crashRate.count(now)) / (watched.Seconds() * float64(max(len(c.endpoints), 1)))
+	if chance := 1 - math.Exp(-rate*t.settleTime().Seconds()); chance > 0 {
+		needed = max(needed, int(math.Ceil(math.Log(maxCoincidence)/math.Log(chance))))
+	}
+	if t.crashes() >= manyCrashes {
+		needed--
+	}
+	return needed
+}
+
+// crashRate records when endpoints crashed whose cause is not known.
+type crashRate struct{ at []time.Time }
+
+// crashRateWindow is the time over which crashes are averaged, minCrashRateWindow the least
+// that counts for a new owner.
+const (
+	crashRateWindow    = 30 * time.Second
+	minCrashRateWindow = 5 * time.Second
+)
+
+func (r *crashRate) add(now time.Time) {
+	r.at = slices.DeleteFunc(r.at, func(at time.Time) bool { return now.Sub(at) > crashRateWindow })
+	r.at = append(r.at, now)
+}
+
+// count returns the number of crashes within crashRateWindow.
+func (r *crashRate) count(now time.Time) (count int) {
+	for _, at := range r.at {
+		if now.Sub(at) <= crashRateWindow {
+			count++
+		}
+	}
+	return count
+}
+
+// giveUp ends the attempts to run a task that crashes its endpoints. Its job fails, unless the
+// step is long-running: then its other tasks go on, as long as there are any.
+func (c *Cell) giveUp(now time.Time, t *task) {
+	if t.isGivenUp {
+		return
+	}
+	t.isGivenUp = true
+	s := t.step
+	s.givenUp++
+	s.waiting = remove(s.waiting, t)
+	if t.run != nil {
+		c.stopRun(t.run, "given up")
+	}
+	if !s.LongRunning || s.givenUp == len(s.tasks) {
+		c.finishJob(now, s.occurrence.job, JobFailed)
+	}
+}
+
+// String returns the name of the task with the number of the run and what is known of it.
+func (t CrashedTask) String() string {
+	text := fmt.Sprintf("%s run %d, crash %d, alone %d", t.Task, t.Run, t.Crashes, t.AloneCrashes)
+	if t.IsGivenUp {
+		text += ", given up"
+	}
+	return text
+}
--- a/jobs/demand.go
+++ b/jobs/demand.go
@@ -184,9 +184,10 @@
 	if !s.isReady {
 		return
 	}
-	requested := int64(s.tasksLeft) * s.Reserved().CPU
+	count := int64(s.tasksLeft - s.givenUp)
+	requested := count * s.Reserved().CPU
 	if s.LongRunning {
-		requested = int64(s.tasksLeft) * s.Reserved().dominantCPU(capacity)
+		requested = count * s.Reserved().dominantCPU(capacity)
 	}
 	if s.Requires != "" {
 		if demand.LabelCPU == nil {
--- a/jobs/emulator/crash_test.go
+++ b/jobs/emulator/crash_test.go
@@ -112,7 +112,11 @@
 						return 0
 					})
 					l.world.Submit(jobs.Job{ID: crashingID, Queue: "q", Attempts: 3, Stretch: 1.6, Spec: "s", Steps: []jobs.Step{step}})
-					l.play(50*time.Second, func(passed time.Duration) { owner(l.world, passed) })
+					l.play(90*time.Second, func(passed time.Duration) {
+						if passed < 50*time.Second {
+							owner(l.world, passed)
+						}
+					})
 					So(strings.Join(l.world.Violations(), "\n"), ShouldBeEmpty)
 					So(l.unfinished(), ShouldBeEmpty)
 					So(l.world.oracle.crashes[crashing], ShouldBeBetweenOrEqual, 1, maxCrashes+maxStartsAfterCrashes-1)
@@ -133,19 +137,24 @@
 			if passed%(6*time.Second) != 0 {
 				return
 			}
-			for _, e := range w.endpoints {
-				if w.chance(0.4) {
-					e.Crash(3 * time.Second)
+			w.After(time.Duration(w.random.Int64N(int64(time.Second))), func() {
+				for _, e := range w.endpoints {
+					if w.chance(0.4) {
+						e.Crash(3 * time.Second)
+					}
 				}
-			}
+			})
 		},
 		"one endpoint each second": func(w *World, passed time.Duration) {
-			if passed%(1200*time.Millisecond) == 0 {
-				e := w.endpoints[w.random.IntN(len(w.endpoints))]
+			if passed%(1200*time.Millisecond) != 0 {
+				return
+			}
+			e := w.endpoints[w.random.IntN(len(w.endpoints))]
+			w.After(time.Duration(w.random.Int64N(int64(time.Second))), func() {
 				if e.isUp {
 					e.CrashAndReplace(2 * time.Second)
 				}
-			}
+			})
 		},
 		"all endpoints and the owner": func(w *World, passed time.Duration) {
 			if passed%(10*time.Second) != 0 {
--- a/jobs/emulator/lost.go
+++ b/jobs/emulator/lost.go
@@ -105,11 +105,12 @@
 
 // shouldRun reports whether a long-running task has no run and its restart time is over,
 // although there is room for it twice over and its client account has half of its limit
-// left.
+// left. A task that has crashed endpoints need not run.
 func (o *oracle) shouldRun(job jobs.Job, name jobs.TaskName) bool {
 	task := name.String()
 	step := &job.Steps[name.Step]
-	if len(o.running[task]) > 0 || o.cancelRequested[job.ID] || o.world.now.Sub(o.missingFrom(job, task)) < restartTime {
+	isCrashing := o.crashes[task] >= minCrashesToFail
+	if len(o.running[task]) > 0 || isCrashing || o.cancelRequested[job.ID] || o.world.now.Sub(o.missingFrom(job, task)) < restartTime {
 		return false
 	}
 	for _, earlier := range step.After {
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -64,6 +64,8 @@
 	isReached bool
 	// isFullyListed reports whether one of those listings omitted no ends.
 	isFullyListed bool
+	// isRefusing reports that the last poll was refused as nothing listens.
+	isRefusing bool
 	// hasCrashed reports that the current incarnation has ended unplanned.
 	hasCrashed bool
 	// mayHaveRestarted is set by an answer with an earlier clock, until the endpoint lists
@@ -115,6 +117,9 @@
 	failedProbes int
 	// pacedAt is when the pace of a run here was last changed.
 	pacedAt time.Time
+	// suspects are the suspect tasks that have not settled here, one of those that share
+	// their fate, as of the last planning pass.
+	suspects []*task
 	// heldFor is the task that the endpoint is kept free for because the task
 	// found no room anywhere; heldAt is when that was last the case, heldSince when
 	// the hold began.
@@ -221,7 +226,7 @@
 // the incarnation. Such a run is kept until the next listing shows whether it exists.
 func (c *Cell) handleRestart(now time.Time, e *Endpoint, born int64) {
 	c.recordCrash(now, e, Restarted)
-	e.hasCrashed = false
+	e.hasCrashed, e.isRefusing = false, false
 	e.bornAfter = later(e.bornAfter, e.listedSince)
 	if e.pastBorn == nil {
 		e.pastBorn = make(map[int64]bool)
@@ -398,7 +403,9 @@
 		return
 	}
 	e.isUnresponsive = true
-	if answer == ConnectionRefused && e.isReached {
+	e.isRefusing = answer == ConnectionRefused
+	isNewOwner := now.Sub(c.config.Inherited) < takeoverTime && e.hasInheritedRuns()
+	if e.isRefusing && !isNewOwner {
 		c.recordCrash(now, e, NotListening)
 	}
 }
@@ -497,6 +504,10 @@
 			poll.IsUrgent = poll.IsUrgent || r.phase == unconfirmed || r.phase == inherited || r.isStopping
 		}
 	}
+	if e.isUnderSuspicion() {
+		// Other work waits there until the answers show that the endpoint has survived.
+		poll.IsNeeded, poll.IsUrgent = true, true
+	}
 	if poll.IsNeeded && e.mayExtendGrant(now) && len(e.runs) > 0 {
 		poll.Until = e.extendGrant(now, c.config.Bounds)
 	}
--- a/jobs/gang.go
+++ b/jobs/gang.go
@@ -56,7 +56,7 @@
 			for _, e := range p.candidates {
 				room := e.available().Minus(reserved[e])
 				isAtSpreadLimit := s.AntiAffinity > 0 && e.countRuns(s)+members[e] >= s.AntiAffinity
-				if rack != "" && e.Rack != rack || isAtSpreadLimit || !s.Reserved().Fits(room) || !p.isSuitable(t, e) {
+				if rack != "" && e.Rack != rack || isAtSpreadLimit || !s.Reserved().Fits(room) || !p.isSuitable(t, e) || !p.quarantine.isAllowed(p.now, t, e) {
 					continue
 				}
 				chosen = append(chosen, e)
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -48,6 +48,8 @@
 	waiting []*task
 	// tasksLeft counts the tasks that are not done.
 	tasksLeft int
+	// givenUp counts the tasks that were given up.
+	givenUp int
 	// isReady is set once all steps listed in After are done.
 	isReady bool
 	// tickets are the permissions of the queue's policy, by endpoint ID.
@@ -84,6 +86,17 @@
 	lastRun    int
 	failedRuns []int
 	isDone     bool
+	// crashedRuns lists the numbers of the runs soon after whose start the endpoint crashed,
+	// aloneCrashes counts the last ones in a row of which only the job can have been the cause.
+	crashedRuns  []int
+	aloneCrashes int
+	// crashAge is the longest time from a start to one of these crashes.
+	crashAge time.Duration
+	// isSuspect reports that the task may have crashed the endpoint of its last run.
+	isSuspect bool
+	// isGivenUp reports that the task is not started any more because it crashes its
+	// endpoints.
+	isGivenUp bool
 	// run is the run that exists or may exist on an endpoint, nil if there is none.
 	run *run
 	// checkpoint is the last saved checkpoint, passed to the next run.
@@ -129,6 +142,9 @@
 	// carried the start out or will: the endpoint has listed the run, or answered the start
 	// with a clock that a later one cannot have.
 	isIncarnationKnown bool
+	// isKnownSettled reports that the endpoint has survived the start of the run, as far as
+	// that is stored.
+	isKnownSettled bool
 	// connectedAt is when the connection that carried the start had been opened, zero if
 	// that is unknown.
 	connectedAt time.Time
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -32,6 +32,7 @@
 	e.bornSeenAt = now
 	isFirst := !e.isReached
 	e.listedClock, e.listedSince, e.isReached, e.isUnresponsive = l.Clock, l.AskedAt, true, false
+	e.isRefusing = false
 	e.recordContact(now, l.Clock)
 	e.mayHaveRestarted = false
 	if isFirst {
@@ -47,6 +48,7 @@
 		}
 	}
 	c.applyEnds(now, e, l.Ended)
+	c.clearSettled(e)
 	// A run that is not listed may be among the ends that were omitted.
 	if !l.MayOmitEnds {
 		c.checkAbsent(e, l.Clock, present)
@@ -145,7 +147,7 @@
 		r.task.checkpoint = row.Saved
 	}
 	switch {
-	case r.task.run != r || r.task.isDone:
+	case r.task.run != r || r.task.isDone || r.task.isGivenUp:
 		c.stopRun(r, "superseded")
 	case r.isStopRevocable && r.stopClock == 0:
 		// The start has been carried out, so its run is the current one of the task.
@@ -172,6 +174,7 @@
 		}
 		c.ends = append(c.ends, runEnd)
 		c.recordOutcome(now, r, end.Outcome)
+		t.forgetCrashes()
 		if end.Outcome == Failed {
 			t.avoidEndpoint = e.ID
 		}
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -16,6 +16,7 @@
 	// maxFreeCPU is the largest free processor time of any candidate, in thousandths
 	// of a core. Tasks that need more are rejected without a search.
 	maxFreeCPU int64
+	quarantine quarantine
 	// requiredLabels are the labels that unfinished steps require. They matter only for
 	// the choice of an endpoint.
 	requiredLabels []string
@@ -24,6 +25,7 @@
 func (c *Cell) newPlacer(now time.Time) *placer {
 	p := &placer{cell: c, now: now}
 	for _, e := range c.endpoints {
+		e.updateSuspects()
 		if e.heldFor != nil && (e.heldFor.run != nil || e.heldFor.step.occurrence.job.isOver() || e.heldFor.isDone) {
 			e.heldFor = nil
 		}
@@ -109,7 +111,7 @@
 	stillWaiting := make([]*task, 0, len(waiting))
 	for i := len(waiting) - 1; i >= 0; i-- {
 		t := waiting[i]
-		if t.isDone {
+		if !t.needsRun() {
 			continue
 		}
 		if isBlocked || p.now.Before(t.notBefore) {
@@ -180,7 +182,7 @@
 	var best *Endpoint
 	var bestCost int64
 	for _, e := range endpoints {
-		if !reserved.Fits(e.available()) || !p.isSuitable(t, e) {
+		if !reserved.Fits(e.available()) || !p.isSuitable(t, e) || !p.quarantine.isAllowed(p.now, t, e) {
 			continue
 		}
 		if cost := p.placementCost(t, e, reserved); best == nil || cost < bestCost {
@@ -273,7 +275,14 @@
 	s := t.step
 	free := e.available().CPU - reserved.CPU
 	cost := free
-	if s.LongRunning {
+	switch {
+	case t.isSuspect && e.hasSuspectSharing(t):
+		// They need not be told apart.
+		cost = 0
+	case t.isSuspect:
+		// Whatever runs there is lost if the task crashes the endpoint.
+		cost = e.used.CPU
+	case s.LongRunning:
 		cost = e.longRunningCost(reserved)
 		if e.countRuns(s) >= stepSpread {
 			cost += costFull
@@ -313,16 +322,21 @@
 	return e.Capacity.CPU - longRunning
 }
 
-// hold reserves a whole endpoint for a task that has found no room: at once for
-// long-running tasks, after holdDelay for others. A held endpoint gets no other runs
-// except long-running ones. It chooses the least used endpoint that is large enough
+// isHoldDue reports whether an endpoint may be held for a task that has found no room: at once
+// for long-running tasks and suspects, after holdDelay for others.
+func (p *placer) isHoldDue(t *task) bool {
+	since := t.step.occurrence.job.blockedSince
+	hasWaited := !since.IsZero() && p.now.Sub(since) > holdDelay
+	return (t.step.LongRunning || t.isSuspect || hasWaited) && !p.now.Before(t.noHoldBefore)
+}
+
+// hold reserves a whole endpoint for a task that has found no room. A held endpoint gets no
+// other runs except long-running ones. It chooses the least used endpoint that is large enough
 // once its short-lived work has ended, unless more than a quarter of the candidates
 // are held already. A hold ends after maxHoldTime, so that other tasks do not wait
 // for one that finds no room for another reason.
 func (p *placer) hold(t *task) {
-	j := t.step.occurrence.job
-	isHoldDue := t.step.LongRunning || !j.blockedSince.IsZero() && p.now.Sub(j.blockedSince) > holdDelay
-	if !isHoldDue || p.now.Before(t.noHoldBefore) {
+	if !p.isHoldDue(t) {
 		return
 	}
 	var best *Endpoint
@@ -387,11 +401,16 @@
 		reserved: t.step.Reserved(), pace: 100, sentPace: 100,
 	}
 	p.cell.attach(r)
+	if t.isSuspect {
+		e.addSuspect(t)
+	}
 	if e.heldFor == t {
 		e.heldFor = nil
 	}
 	p.cell.starts = append(p.cell.starts, r)
-	p.cell.records = append(p.cell.records, Record{Placement: &Placement{Task: t.name, Run: number, Endpoint: e.ID, Born: e.born}})
+	p.cell.records = append(p.cell.records, Record{Placement: &Placement{
+		Task: t.name, Run: number, Endpoint: e.ID, Born: e.born, Suspicion: t.suspicion(),
+	}})
 	if e.available().CPU+r.reserved.CPU >= p.maxFreeCPU {
 		p.updateMaxFreeCPU()
 	}
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -40,6 +40,7 @@
 	clear(c.wanted)
 	p := c.newPlacer(now)
 	p.requiredLabels = c.requiredLabels()
+	p.quarantine = c.newQuarantine(len(p.candidates))
 	c.isLongRunningBlocked = false
 	for _, j := range c.active {
 		p.placeJob(j)
@@ -95,15 +96,18 @@
 				continue
 			}
 			if now.After(c.latestRunEnd(r)) {
+				c.suspectInherited(now, r)
 				c.counts.Lost++
 				c.removeRun(r)
 				continue
 			}
-			if r.task.step.Speculative && r.task.run == r {
+			if r.task.step.Speculative && r.task.run == r && r.mayHaveCopy() {
 				// A speculative task may have several copies at a time, so a new
-				// one need not wait for the grant to expire.
+				// one need not wait for the grant to expire. Whether the endpoint has
+				// crashed may never be known, as the next owner knows only the copy.
+				c.blame(now, r, false)
 				r.task.run = nil
-				if !r.task.isDone && !r.task.step.occurrence.job.isOver() {
+				if r.task.needsRun() {
 					r.task.step.waiting = append(r.task.step.waiting, r.task)
 				}
 			}
@@ -114,6 +118,11 @@
 	}
 }
 
+// mayHaveCopy reports whether a speculative task may be started again although a run of it
+// may exist on a silent endpoint. If the run has just started there, it is first to be known
+// whether the endpoint has crashed.
+func (r *run) mayHaveCopy() bool { return r.hasSettled() || r.endpoint.hasCrashed }
+
 // latestRunEnd returns the time by which a run has certainly ended if its endpoint
 // never answers again.
 func (c *Cell) latestRunEnd(r *run) time.Time {
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -13,6 +13,12 @@
 	// End is the end of a run that completed or failed. Other ends, and those of
 	// long-running tasks, are not stored.
 	End *End `json:"end,omitempty"`
+	// Suspect is a task that has probably crashed its endpoint.
+	Suspect *Suspect `json:"suspect,omitempty"`
+	// Survival is the survival of an endpoint on which a suspect task was started.
+	Survival *Survival `json:"up,omitempty"`
+	// GivenUp is the name of a task that was given up because it crashes its endpoints.
+	GivenUp string `json:"quit,omitempty"`
 	// Owner is the epoch of an owner that begins to serve the cell. It changes no state:
 	// its presence after a snapshot tells that what the snapshot says of grants is outdated.
 	Owner int64 `json:"owner,omitempty"`
@@ -25,6 +31,8 @@
 	Endpoint string `json:"e"`
 	// Born is the start time of the endpoint's incarnation, in Unix milliseconds.
 	Born int64 `json:"b,omitempty"`
+	// Suspicion is what was known against the task before this run, nil if nothing.
+	Suspicion *Suspicion `json:"c,omitempty"`
 }
 
 // End is the end of a run.
@@ -189,7 +197,7 @@
 	Running State = "running"
 	// Completed means that all tasks of all occurrences are done.
 	Completed State = "completed"
-	// JobFailed means that a task has failed Job.Attempts times.
+	// JobFailed means that a task has failed Job.Attempts times, or crashes its endpoints.
 	JobFailed State = "failed"
 	// Cancelled means that the job was ended on request.
 	Cancelled State = "cancelled"
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -44,6 +44,10 @@
 	// the start time of the endpoint's current incarnation, in Unix milliseconds.
 	Endpoint string `json:"e,omitempty"`
 	Born     int64  `json:"b,omitempty"`
+	// Suspicion is what is known against the task, nil if nothing. IsGivenUp reports that it
+	// was given up.
+	Suspicion *Suspicion `json:"c,omitempty"`
+	IsGivenUp bool       `json:"quit,omitempty"`
 }
 
 // Snapshot returns the state that results from all records so far, including
@@ -86,7 +90,10 @@
 }
 
 func (t *task) snapshot() TaskState {
-	state := TaskState{Task: t.name, Run: t.lastRun, Failed: t.failedRuns, IsDone: t.isDone, Saved: t.checkpoint}
+	state := TaskState{
+		Task: t.name, Run: t.lastRun, Failed: t.failedRuns, IsDone: t.isDone, Saved: t.checkpoint,
+		Suspicion: t.suspicion(), IsGivenUp: t.isGivenUp,
+	}
 	if t.run != nil {
 		state.Endpoint, state.Born = t.run.endpoint.ID, t.run.endpoint.born
 	}
@@ -138,8 +145,13 @@
 		c.complete(now, t)
 		return
 	}
+	t.restoreSuspicion(state.Suspicion)
 	if state.Endpoint != "" {
 		c.inherit(t, state.Endpoint, state.Born)
+		t.run.isKnownSettled = state.Suspicion != nil && state.Suspicion.IsSettled
+	}
+	if state.IsGivenUp {
+		c.giveUp(now, t)
 	}
 }
 
@@ -195,6 +207,7 @@
 	case record.Placement != nil:
 		if t := c.findTask(record.Placement.Task); t != nil && !t.isDone {
 			t.lastRun = max(t.lastRun, record.Placement.Run)
+			t.restoreSuspicion(record.Placement.Suspicion)
 			c.inherit(t, record.Placement.Endpoint, record.Placement.Born)
 			if t.step.occurrence.job.isOver() {
 				c.stopRun(t.run, "the job is over")
@@ -202,6 +215,27 @@
 		}
 	case record.End != nil:
 		c.applyEnd(now, *record.End)
+	default:
+		c.applyCrashRecord(now, record)
+	}
+}
+
+// applyCrashRecord replays a stored record about a task under which endpoints crash.
+func (c *Cell) applyCrashRecord(now time.Time, record Record) {
+	switch {
+	case record.Suspect != nil:
+		if t := c.findTask(record.Suspect.Task); t != nil {
+			t.restoreSuspicion(&record.Suspect.Suspicion)
+		}
+	case record.Survival != nil:
+		if t := c.findTask(record.Survival.Task); t != nil && t.run != nil && t.run.number == record.Survival.Run {
+			t.run.isKnownSettled = true
+			t.applySurvival(*record.Survival)
+		}
+	case record.GivenUp != "":
+		if t := c.findTask(record.GivenUp); t != nil && !t.step.occurrence.job.isOver() {
+			c.giveUp(now, t)
+		}
 	}
 }
 
