--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -71,6 +71,7 @@
 		return
 	}
 	fresh := freshRuns(runs)
+	e.isCrashUnexplained = len(fresh) == 0 || e.hasInheritedRuns()
 	isAlone := shareFate(fresh) && !c.isPartOfOutage(e)
 	if !isAlone {
 		c.crashRate.add(now)
@@ -136,21 +137,27 @@
 func (c *Cell) isPartOfOutage(e *Endpoint) bool {
 	hasInherited := e.hasInheritedRuns()
 	for _, other := range c.endpoints {
-		isSilent := other.isUnresponsive || other.hasCrashed || !other.isReached
-		if other == e || !isSilent {
-			continue
-		}
-		runs := other.uncountedRuns()
-		if len(runs) == 0 {
-			continue
-		}
-		if hasInherited || other.lastContact.Sub(e.lastContact).Abs() <= outageWindow && len(freshRuns(runs)) == 0 {
+		isAtOnce := other.lastContact.Sub(e.lastContact).Abs() <= outageWindow
+		if other != e && (isAtOnce || hasInherited) && other.isSilentUnexplained(hasInherited) {
 			return true
 		}
 	}
 	return false
 }
 
+// isSilentUnexplained reports whether the endpoint is silent and the start of a run is not
+// known to be the cause. isAnyRun makes any run count that has not settled, too.
+func (e *Endpoint) isSilentUnexplained(isAnyRun bool) bool {
+	if e.hasCrashed {
+		return e.isCrashUnexplained
+	}
+	if e.isReached && !e.isUnresponsive {
+		return false
+	}
+	runs := e.uncountedRuns()
+	return len(runs) > 0 && (isAnyRun || len(freshRuns(runs)) == 0)
+}
+
 func (e *Endpoint) hasInheritedRuns() bool {
 	for _, r := range e.runs {
 		if r.phase == inherited {
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -388,6 +388,47 @@
 	})
 }
 
+// Endpoints that had just crashed under one task made the crashes under another one, in the same
+// second, look like parts of an outage, so neither was ever given up.
+func TestTasksThatCrashEndpointsTogetherAreGivenUp(t *testing.T) {
+	Convey("Several tasks that crash their endpoints in the same moment, beside others, are given up", t, func() {
+		b := newCrashBed(8)
+		for i := range 8 {
+			b.submit(fmt.Sprintf("%016x", 100+i), longRunningStep(4))
+		}
+		b.start()
+		b.settle()
+		ids := []string{"000000000000000c", "000000000000000d", firstID, secondID}
+		for _, id := range ids {
+			b.submit(id, batchStep(1, 100))
+		}
+		crashes := make(map[string]int)
+		crashedAt := make(map[string]time.Time)
+		for range 200 {
+			b.run()
+			for _, id := range ids {
+				if r := b.task(id, 0).run; r != nil && !r.endpoint.hasCrashed && !b.task(id, 0).isGivenUp {
+					b.crash(r.endpoint.ID)
+					crashedAt[r.endpoint.ID] = b.now
+					crashes[id]++
+				}
+			}
+			b.advance(100 * time.Millisecond)
+			b.pollAll()
+			for id, at := range crashedAt {
+				if b.now.Sub(at) > 1500*time.Millisecond {
+					b.replace(id)
+					delete(crashedAt, id)
+				}
+			}
+		}
+		for _, id := range ids {
+			SoMsg(id, b.task(id, 0).isGivenUp, ShouldBeTrue)
+			SoMsg(id, crashes[id], ShouldBeLessThanOrEqualTo, maxTaskCrashes)
+		}
+	})
+}
+
 // A power failure must not convict the tasks that happened to have just started.
 func TestOutageConvictsNobody(t *testing.T) {
 	Convey("A crash does not convict if another endpoint fails at the same time on which nothing had just started", t, func() {
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -68,6 +68,9 @@
 	isRefusing bool
 	// hasCrashed reports that the current incarnation has ended unplanned.
 	hasCrashed bool
+	// isCrashUnexplained reports that it had runs then, and the start of one is not known to
+	// be the cause.
+	isCrashUnexplained bool
 	// mayHaveRestarted is set by an answer with an earlier clock, until the endpoint lists
 	// its runs.
 	mayHaveRestarted bool
@@ -226,7 +229,7 @@
 // the incarnation. Such a run is kept until the next listing shows whether it exists.
 func (c *Cell) handleRestart(now time.Time, e *Endpoint, born int64) {
 	c.recordCrash(now, e, Restarted)
-	e.hasCrashed, e.isRefusing = false, false
+	e.hasCrashed, e.isCrashUnexplained, e.isRefusing = false, false, false
 	e.bornAfter = later(e.bornAfter, e.listedSince)
 	if e.pastBorn == nil {
 		e.pastBorn = make(map[int64]bool)
