--- a/jobs/admit.go
+++ b/jobs/admit.go
@@ -104,7 +104,7 @@
 		if !e.isListed || e.IsDraining || e.isUnresponsive || now.Before(e.cordonUntil) || !e.suspectUntil.IsZero() || now.Sub(e.lastContact) > 2*idlePollInterval {
 			continue
 		}
-		free := e.Capacity.CPU - e.longRunningUsage().CPU
+		free := max(e.Capacity.CPU-e.longRunningUsage().CPU, 0)
 		cores += float64(free) / 1000
 	}
 	return cores * usableShare
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -222,9 +222,10 @@
 		j.storedState = j.state
 	}
 	starts := make([]Start, 0, len(b.starts))
+	broken := brokenGangs(now, b.starts)
 	for _, r := range b.starts {
 		e := r.endpoint
-		if r.isStopping || !e.isSchedulable(now) || e.born != r.born {
+		if !r.mayStart(now) || broken[r.task.step] {
 			// No start was sent, so the run cannot exist on the endpoint.
 			c.removeRun(r)
 			continue
@@ -249,15 +250,35 @@
 	return starts
 }
 
-// IsStartCurrent reports whether a start that is queued for sending is still needed.
-// It is not if its task has completed elsewhere or its job was cancelled meanwhile.
+// mayStart reports whether the start of a run that was placed may be ordered now.
+func (r *run) mayStart(now time.Time) bool {
+	e := r.endpoint
+	return !r.isStopping && e.isSchedulable(now) && e.born == r.born && !e.isOvercommitted(r.reserved)
+}
+
+// brokenGangs returns the gangs of which some member may not be started. The others would
+// wait for it in vain.
+func brokenGangs(now time.Time, runs []*run) map[*step]bool {
+	broken := make(map[*step]bool)
+	for _, r := range runs {
+		if r.task.step.Gang && !r.mayStart(now) {
+			broken[r.task.step] = true
+		}
+	}
+	return broken
+}
+
+// IsStartCurrent reports whether a start that is queued for sending is still needed, and
+// still fits. It is not needed if its task has completed elsewhere or its job was cancelled
+// meanwhile.
 func (c *Cell) IsStartCurrent(s Start) bool {
 	e := c.endpoints[s.Endpoint]
 	if e == nil {
 		return false
 	}
 	r := e.runs[s.Task]
-	return r != nil && r.number == s.Run && r.phase == ordered && !r.isStopping && r.task.run == r && !r.task.isDone
+	isCurrent := r != nil && r.number == s.Run && r.phase == ordered && !r.isStopping && r.task.run == r && !r.task.isDone
+	return isCurrent && !e.isOvercommitted(r.reserved)
 }
 
 // sortActive removes finished jobs from c.active and sorts the rest stably.
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -295,6 +295,13 @@
 // resource that is overcommitted.
 func (e *Endpoint) available() Size { return e.Capacity.Minus(e.used).Minus(e.orphanUsage) }
 
+// isOvercommitted reports whether the endpoint has less than it has reserved of a resource of
+// which a run with the given size takes something. Its capacity may shrink while it runs.
+func (e *Endpoint) isOvercommitted(size Size) bool {
+	left := e.available()
+	return size.CPU > 0 && left.CPU < 0 || size.Memory > 0 && left.Memory < 0 || size.GPUs > 0 && left.GPUs < 0
+}
+
 // clockLowerBound returns a value that the endpoint's clock has certainly reached
 // by now, given that it runs slow by at most the fraction slack.
 func (e *Endpoint) clockLowerBound(now time.Time, slack float64) int64 {
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -26,7 +26,7 @@
 	p := &placer{cell: c, now: now}
 	for _, e := range c.endpoints {
 		e.updateSuspects()
-		if e.heldFor != nil && (e.heldFor.run != nil || e.heldFor.step.occurrence.job.isOver() || e.heldFor.isDone) {
+		if e.heldFor != nil && (e.heldFor.run != nil || !e.heldFor.needsRun() || !e.heldFor.step.Reserved().Fits(e.roomWhenIdle())) {
 			e.heldFor = nil
 		}
 		switch {
