--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -476,3 +476,38 @@
 		So(b.cell.evidence(b.now, r), ShouldEqual, calm)
 	})
 }
+
+// Runs on an endpoint that had crashed were stopped for lack of progress, and each stop was ordered
+// and refused again every half second, over a thousand times a day.
+func TestCrashedEndpointGetsNoStops(t *testing.T) {
+	newCrashed := func() (b *crashBed, id string) {
+		b = newCrashBed(2)
+		b.submit(firstID, batchStep(4, 100))
+		id = b.run()[0].Endpoint
+		b.settle()
+		b.crash(id)
+		return b, id
+	}
+	Convey("Runs on an endpoint that does not listen are not stopped, and the endpoint is not blamed for them", t, func() {
+		b, id := newCrashed()
+		for range 50 {
+			b.advance(100 * time.Millisecond)
+			b.cell.PollFailed(b.now, id, ConnectionRefused)
+			b.pollAll()
+			b.run()
+			for _, stop := range b.cell.Stops(b.now) {
+				So(stop.Endpoint, ShouldNotEqual, id)
+			}
+		}
+		So(b.cell.endpoints[id].consecutiveFailures, ShouldEqual, 0)
+	})
+	Convey("Stops that are due are ordered once the endpoint answers again after all", t, func() {
+		b, id := newCrashed()
+		b.cell.Cancel(b.now, firstID)
+		So(b.cell.Stops(b.now), ShouldBeEmpty)
+		b.advance(time.Second)
+		b.poll(id)
+		So(b.cell.Stops(b.now), ShouldHaveLength, 4)
+		So(b.cell.endpoints[id].hasCrashed, ShouldBeFalse)
+	})
+}
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -32,7 +32,8 @@
 	e.bornSeenAt = now
 	isFirst := !e.isReached
 	e.listedClock, e.listedSince, e.isReached, e.isUnresponsive = l.Clock, l.AskedAt, true, false
-	e.isRefusing = false
+	// An endpoint that answers again as the same incarnation has not crashed.
+	e.hasCrashed, e.isCrashUnexplained, e.isRefusing = false, false, false
 	e.recordContact(now, l.Clock)
 	e.mayHaveRestarted = false
 	if isFirst {
@@ -355,10 +356,13 @@
 }
 
 // Stops returns the stops to order now: the new ones, and again those ordered at
-// least stopRetryInterval ago whose runs have not ended.
+// least stopRetryInterval ago whose runs have not ended. Endpoints that have crashed get none.
 func (c *Cell) Stops(now time.Time) []Stop {
 	var stops []Stop
 	for _, e := range c.endpoints {
+		if e.hasCrashed {
+			continue
+		}
 		for _, r := range e.runs {
 			if !r.isStopNeeded() || r.phase == placed || r.phase == ordered || now.Sub(r.stopSentAt) < stopRetryInterval {
 				continue
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -201,7 +201,7 @@
 // that their tasks are placed elsewhere.
 func (c *Cell) stopStalled(now time.Time) {
 	for _, e := range c.endpoints {
-		if !e.isReached || now.Sub(e.lastContact) > idlePollInterval {
+		if !e.isReached || e.hasCrashed || now.Sub(e.lastContact) > idlePollInterval {
 			continue
 		}
 		for _, r := range e.runs {
