--- a/jobs/crash.go
+++ b/jobs/crash.go
@@ -365,7 +365,7 @@
 	if (r.provenAge() - r.task.crashAge).Abs() <= minSettleTime {
 		window = minSettleTime
 	}
-	window += min(now.Sub(r.endpoint.lastContact), maxCrashAge)
+	window += min(max(now.Sub(r.endpoint.lastContact), 0), maxCrashAge)
 	return -math.Log10(1 - math.Exp(-max(rate, minCrashRate)*window.Seconds()))
 }
 
--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -457,6 +457,15 @@
 		So(b.task(firstID, 0).evidence, ShouldEqual, 0)
 		So(b.task(firstID, 0).isGivenUp, ShouldBeFalse)
 	})
+	Convey("An answer that is newer than the crash is no evidence that cannot be stored", t, func() {
+		b := newCrashBed(1)
+		b.submit(firstID, batchStep(1, 100))
+		b.run()
+		r := b.task(firstID, 0).run
+		weight := b.cell.evidence(b.now.Add(-time.Minute), r)
+		So(weight, ShouldBeGreaterThanOrEqualTo, 0)
+		roundTrip(weight)
+	})
 	Convey("A crash is less evidence where endpoints often crash by themselves, or the time of the crash is not known", t, func() {
 		b := newCrashBed(2)
 		b.submit(firstID, batchStep(1, 100))
