--- a/internal/cell/roster/roster.go
+++ b/internal/cell/roster/roster.go
@@ -232,6 +232,25 @@
 	}
 }
 
+// AwaitStayingMember waits until another entry is a member that is not leaving, or the
+// context ends.
+func (r *Roster) AwaitStayingMember(ctx context.Context) {
+	for {
+		r.mu.Lock()
+		isFound := slices.ContainsFunc(r.sortedMembers(), func(m Member) bool { return m.Name != r.self.Name && !m.IsLeaving })
+		updated := r.updated
+		r.mu.Unlock()
+		if isFound {
+			return
+		}
+		select {
+		case <-updated:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Members returns the members that are alive, sorted by name.
 func (r *Roster) Members() []Member {
 	r.mu.Lock()
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -186,8 +186,8 @@
 		d.config.Clock.Every(background, balanceInterval, func(time.Time) { d.balanceLimits(background) })
 	})
 	<-ctx.Done()
-	d.leave()
-	listeners.close(d.lingerTime())
+	waited := d.leave()
+	listeners.close(d.lingerTime() - waited)
 	cancel()
 	d.mesh.Close()
 	d.stopOwners()
@@ -467,21 +467,23 @@
 const maxRenewalAge = 900 * time.Millisecond
 
 // leave announces that this entry is leaving, and hands over all cells and the
-// stewardship. handoverTimeout bounds the calls to the store.
-func (d *Daemon) leave() {
+// stewardship. Cells are kept until another entry is there that stays, for a part of the
+// linger time at most; waited is how long that took. handoverTimeout bounds the calls to the
+// store.
+func (d *Daemon) leave() (waited time.Duration) {
 	d.mu.Lock()
 	d.isLeaving = true
-	owners, s := maps.Clone(d.owners), d.steward
+	s := d.steward
 	d.mu.Unlock()
-	event.ShuttingDown.Log(d.log, logrus.Fields{"cells": len(owners)})
+	event.ShuttingDown.Log(d.log, logrus.Fields{"cells": len(d.currentOwners())})
 	d.roster.Leave()
+	d.announceLeaving()
+	if len(d.currentOwners()) > 0 {
+		waited = d.awaitSuccessor()
+	}
+	owners := d.currentOwners()
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
-	if lease := d.session.Lease(); lease != 0 {
-		if err := d.roster.Announce(ctx, lease); err != nil {
-			event.OperationFailed.Log(d.log, logrus.Fields{"call": "announce", "error": err.Error()})
-		}
-	}
 	var releases conc.WaitGroup
 	releases.Go(func() { d.releaseCells(ctx, owners) })
 	if s != nil {
@@ -489,6 +491,31 @@
 		releases.Go(func() { d.releaseStewardship(ctx, s.Condition()) })
 	}
 	releases.Wait()
+	return waited
+}
+
+// announceLeaving makes known that this entry takes over no more cells.
+func (d *Daemon) announceLeaving() {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	lease := d.session.Lease()
+	if lease == 0 {
+		return
+	}
+	if err := d.roster.Announce(ctx, lease); err != nil {
+		event.OperationFailed.Log(d.log, logrus.Fields{"call": "announce", "error": err.Error()})
+	}
+}
+
+// awaitSuccessor waits until there is another entry that stays, and returns how long that
+// took. While all entries are leaving, a cell that is handed over has no owner.
+func (d *Daemon) awaitSuccessor() (waited time.Duration) {
+	startedAt := boot.Now()
+	limit := time.Duration(successorFraction * float64(d.lingerTime()))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	d.roster.AwaitStayingMember(ctx)
+	return boot.Now().Sub(startedAt)
 }
 
 // handOverAll hands all cells over to other entries, but not the stewardship.
@@ -539,3 +566,7 @@
 // lingerFraction is the part of the stop time for which a leaving entry goes on
 // answering. The rest is for the handover before and the end of requests after.
 const lingerFraction = 0.5
+
+// successorFraction is the part of the linger time for which a leaving entry keeps its cells
+// while no entry stays. The rest is for callers to notice the handover.
+const successorFraction = 0.8
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -42,6 +43,8 @@
 	entries []*entry
 	// isRelayAllowed lets entries relay calls to the store for each other.
 	isRelayAllowed bool
+	// stopSeconds is the stop time of entries; 0 stands for 0.4 s.
+	stopSeconds float64
 	// wrapStore changes the client of the store that an entry uses; nil leaves it as it is.
 	wrapStore func(e *entry, client *store.Client)
 }
@@ -152,7 +155,7 @@
 func (s *system) startEntry(name string) *entry {
 	settings := Settings{
 		Name: name, Centre: "c", Submitters: freeAddress(s.t), Ready: freeAddress(s.t), Peer: freeAddress(s.t),
-		Metrics: freeAddress(s.t), Orders: ordersOnRequest, StopSeconds: 0.4, Relay: s.isRelayAllowed,
+		Metrics: freeAddress(s.t), Orders: ordersOnRequest, StopSeconds: cmp.Or(s.stopSeconds, 0.4), Relay: s.isRelayAllowed,
 	}
 	settings.Bounds.MaxGrantMilliseconds = 5000
 	e := &entry{url: "http://" + settings.Submitters.String(), done: make(chan struct{}), logs: &logBuffer{}}
--- a/internal/daemon/fleet/leave_test.go
+++ b/internal/daemon/fleet/leave_test.go
@@ -47,3 +47,35 @@
 		So(isOwned, ShouldBeFalse)
 	})
 }
+
+// Rolls that overlap stopped all entries at once, and each handed its cells over though nobody was
+// there to take them: they had no owner for seconds.
+func TestCellsHaveNoOwnerWhileAllEntriesLeave(t *testing.T) {
+	Convey("Entries that leave together keep their cells until another entry is there that stays", t, func() {
+		s := (&system{t: t, store: keyvalue.New(), stopSeconds: 4}).startAll(2)
+		isOwned := func() bool {
+			_, isRedOwned := s.store.Get("live/owner/red")
+			_, isBlueOwned := s.store.Get("live/owner/blue")
+			return isRedOwned && isBlueOwned
+		}
+		So(await.Until(5*time.Second, func() bool { return s.owner("red") >= 0 && s.owner("blue") >= 0 }), ShouldBeTrue)
+		s.entries[0].cancel()
+		s.entries[1].cancel()
+		for range 8 {
+			time.Sleep(100 * time.Millisecond)
+			So(isOwned(), ShouldBeTrue)
+		}
+		So(s.owner("red"), ShouldBeGreaterThanOrEqualTo, 0)
+		s.startEntry("entry-2")
+		So(await.Until(5*time.Second, func() bool { return s.owner("red") == 2 && s.owner("blue") == 2 }), ShouldBeTrue)
+	})
+	Convey("An entry that leaves alone hands its cells over when its time is up", t, func() {
+		s := (&system{t: t, store: keyvalue.New(), stopSeconds: 1}).startAll(1)
+		So(await.Until(5*time.Second, func() bool { return s.owner("red") == 0 }), ShouldBeTrue)
+		startedAt := time.Now()
+		s.entries[0].stop()
+		So(time.Since(startedAt), ShouldBeLessThan, time.Second)
+		_, isOwned := s.store.Get("live/owner/red")
+		So(isOwned, ShouldBeFalse)
+	})
+}
