--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -507,14 +507,18 @@
 	}
 }
 
-// awaitSuccessor waits until there is another entry that stays, and returns how long that
-// took. While all entries are leaving, a cell that is handed over has no owner.
+// awaitSuccessor waits until there is another entry that stays, as far as is known once entries
+// that were stopped at the same time have announced it, and returns how long that took. While all entries are leaving, a cell that is handed over has no owner.
 func (d *Daemon) awaitSuccessor() (waited time.Duration) {
 	startedAt := boot.Now()
 	limit := time.Duration(successorFraction * float64(d.lingerTime()))
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	d.roster.AwaitStayingMember(ctx)
+	select {
+	case <-time.After(announcementTime):
+		d.roster.AwaitStayingMember(ctx)
+	case <-ctx.Done():
+	}
 	return boot.Now().Sub(startedAt)
 }
 
@@ -570,3 +574,7 @@
 // successorFraction is the part of the linger time for which a leaving entry keeps its cells
 // while no entry stays. The rest is for callers to notice the handover.
 const successorFraction = 0.8
+
+// announcementTime is how long it takes until entries that are stopped together know it of each
+// other: a write to the store and its watch.
+const announcementTime = 200 * time.Millisecond
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -152,7 +152,7 @@
 }
 
 // startEntry starts an entry and appends it to s.entries.
-func (s *system) startEntry(name string) *entry {
+func (s *system) startEntry(name string) {
 	settings := Settings{
 		Name: name, Centre: "c", Submitters: freeAddress(s.t), Ready: freeAddress(s.t), Peer: freeAddress(s.t),
 		Metrics: freeAddress(s.t), Orders: ordersOnRequest, StopSeconds: cmp.Or(s.stopSeconds, 0.4), Relay: s.isRelayAllowed,
@@ -192,7 +192,6 @@
 		}
 	}()
 	s.entries = append(s.entries, e)
-	return e
 }
 
 // stop stops the entry as SIGTERM would, and waits until it has stopped.
