--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -156,7 +156,7 @@
 			tasks[i] = t.String()
 		}
 		event.EndpointCrashed.Log(o.config.Log, logrus.Fields{
-			"endpoint": crash.Endpoint, "machine": crash.Machine, "evidence": string(crash.Evidence),
+			"endpoint": crash.Endpoint, "machine": crash.Machine, "symptom": string(crash.Symptom),
 			"silent": crash.SilentFor.Milliseconds(), "runs": crash.Runs, "fresh": crash.Fresh, "tasks": tasks,
 			"epoch": int64(o.epoch),
 		})
