--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -477,9 +477,11 @@
 	d.mu.Unlock()
 	event.ShuttingDown.Log(d.log, logrus.Fields{"cells": len(d.currentOwners())})
 	d.roster.Leave()
+	startedAt := boot.Now()
 	d.announceLeaving()
 	if len(d.currentOwners()) > 0 {
-		waited = d.awaitSuccessor()
+		d.awaitSuccessor(startedAt)
+		waited = boot.Now().Sub(startedAt)
 	}
 	owners := d.currentOwners()
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
@@ -508,10 +510,10 @@
 }
 
 // awaitSuccessor waits until there is another entry that stays, as far as is known once entries
-// that were stopped at the same time have announced it, and returns how long that took. While all entries are leaving, a cell that is handed over has no owner.
-func (d *Daemon) awaitSuccessor() (waited time.Duration) {
-	startedAt := boot.Now()
-	limit := time.Duration(successorFraction * float64(d.lingerTime()))
+// that were stopped at the same time have announced it. While all entries are leaving, a cell
+// that is handed over has no owner. leftAt is when this entry began to leave.
+func (d *Daemon) awaitSuccessor(leftAt time.Time) {
+	limit := time.Duration(successorFraction*float64(d.lingerTime())) - boot.Now().Sub(leftAt)
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	select {
@@ -519,7 +521,6 @@
 		d.roster.AwaitStayingMember(ctx)
 	case <-ctx.Done():
 	}
-	return boot.Now().Sub(startedAt)
 }
 
 // handOverAll hands all cells over to other entries, but not the stewardship.
