--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "flap"; see claim.txt. Exit code 1: the rule was broken, 0: it held, 2: the case
+# Plays the case "quota"; see claim.txt. Exit code 1: the rule was broken, 0: it held, 2: the case
 # could not run. TROUBLE=0 leaves the disruption out.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
@@ -8,4 +8,4 @@
   echo "run the build of the deploy file and review/build.sh first" >&2
   exit 2
 fi
-exec "$root/target/review/standin" flap "$root" "$here/record.txt"
+exec "$root/target/review/standin" quota "$root" "$here/record.txt"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,10 +10,10 @@
 // cases are those that the scripts play, trials what was tried beside them.
 var (
 	cases = map[string]func(w *world){
-		"wide": wideJob, "quota": quota, "service": service, "advised": advised, "flap": flap,
+		"wide": wideJob, "regrant": regrant, "service": service, "advised": advised, "quota": quota,
 	}
 	trials = map[string]func(w *world){
-		"gang": gang, "wave": wave, "reborn": reborn, "overflow": overflow, "oversize": oversize, "soak": soak, "odd": odd,
+		"flap": flap, "gang": gang, "wave": wave, "reborn": reborn, "overflow": overflow, "oversize": oversize, "soak": soak, "odd": odd,
 	}
 )
 
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -74,6 +74,8 @@
 	life    int
 	// quiet is how long the minion is up before it registers.
 	quiet time.Duration
+	// isCut reports that the minion is cut off: it runs on, and no call reaches it.
+	isCut bool
 	// isGone reports that the machine has another minion.
 	isGone bool
 }
@@ -140,7 +142,26 @@
 	m.w.log.add("minion %s crashes with %d runs: %.300s", m.id, len(gone), strings.Join(gone, ", "))
 }
 
+// isCutOff reports whether the minion is cut off.
+func (m *minion) isCutOff() bool {
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	return m.isCut
+}
+
+// cut cuts the minion off, or ends that.
+func (m *minion) cut(isCut bool) {
+	m.w.mu.Lock()
+	m.isCut = isCut
+	until := m.until - m.clock()
+	m.w.mu.Unlock()
+	m.w.log.add("minion %s cut off: %v; the lease of what runs there lasts another %d ms", m.id, isCut, until.Milliseconds())
+}
+
 func (m *minion) register() {
+	if m.isCutOff() {
+		return
+	}
 	m.w.mu.Lock()
 	m.seq++
 	entry := map[string]any{
@@ -178,6 +199,10 @@
 			if !isCurrent {
 				panic(http.ErrAbortHandler)
 			}
+			if m.isCutOff() {
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
 			if m.w.isLate != nil && m.w.isLate(path) {
 				// The order is carried out later by the same life, and gets no answer.
 				go func() {
@@ -351,6 +376,12 @@
 	for _, e := range m.ended[:min(len(m.ended), maxEnds)] {
 		ended = append(ended, []any{e.n, e.task, e.run, e.how, e.saved})
 	}
+	if m.isCut {
+		// The answer is lost.
+		m.w.mu.Unlock()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	answer := struct {
 		ClockMs int64   `json:"clockMs"`
 		Born    int64   `json:"born"`
