--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the review start, with the standard library only.
 set -eu
 cd "$(dirname "$0")/standin"
-GOWORK=off GOFLAGS=-mod=mod go build -o ../../target/review/standin .
+GOWORK=off GOFLAGS="-mod=mod -buildvcs=false" go build -o ../../target/review/standin .
