--- a/review/standin/soak.go
+++ b/review/standin/soak.go
@@ -242,6 +242,9 @@
 	case 1:
 		j.Steps = []step{{Count: 2, CPU: 900, MemMb: 256, EstRuntimeMs: est, work: work}, {Count: 2, CPU: 500, MemMb: 256, EstRuntimeMs: est, After: []int{0}, work: work / 2}}
 		j.Times, j.IntervalMs, j.StartAtMs = 4, 1500, time.Now().Add(1200*time.Millisecond).UnixMilli()
+		if rand.IntN(2) == 0 {
+			j.Steps[0].Gang, j.Steps[0].Checkpoint = true, true
+		}
 	case 2:
 		j.Steps = []step{{Count: 3, CPU: 3000, MemMb: 512, EstRuntimeMs: est, Gang: true, Checkpoint: true, AntiAffinity: 1, work: 2 * work}, {Count: 2, CPU: 500, MemMb: 256, EstRuntimeMs: est, After: []int{0}, work: work / 2}}
 	case 3:
