--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,7 +13,7 @@
 		"wide": wideJob, "regrant": regrant, "service": service, "advised": advised, "quota": quota,
 	}
 	trials = map[string]func(w *world){
-		"flap": flap, "gang": gang, "wave": wave, "reborn": reborn, "overflow": overflow, "oversize": oversize, "soak": soak, "odd": odd,
+		"flap": flap, "gang": gang, "wave": wave, "reborn": reborn, "overflow": overflow, "oversize": oversize,
 	}
 )
 
