Log what a lost run was concluded from, and what is known of an orphan

The owner had removed a run and placed the task again, but a run that counts as lost was only counted: neither the rule nor its inputs were known, and event 614 did not tell whether this owner had ordered the run that it did not know any more.

Event 645 has a line for each lost run, at most 32 a planning pass: the rule, the incarnations known and registered, the clocks of the answer and of the last listing, and the ages of the order, of the connection, of the last listing and of the last answer. Event 614 has the incarnation and clock of the listing, the run that the cell has instead, and, if this owner had the run and counted it as lost, by which rule and how long before. No decision is changed.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -95,6 +95,7 @@
 	EndpointAdded          = define(642, logrus.InfoLevel, "endpoint added, or its address changed")
 	EndpointRemoved        = define(643, logrus.InfoLevel, "endpoint removed from the cell")
 	EndpointCrashed        = define(644, logrus.WarnLevel, "endpoint crashed with runs")
+	RunLost                = define(645, logrus.InfoLevel, "run counts as lost")
 	LimitsRedistributed    = define(650, logrus.InfoLevel, "limits of client accounts redistributed among the cells")
 	WaveReceived           = define(660, logrus.InfoLevel, "maintenance wave received")
 	WaveCompleted          = define(661, logrus.InfoLevel, "maintenance wave completed")
--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -167,6 +167,32 @@
 	}
 }
 
+// logLosses logs the runs that count as lost although their ends were not listed.
+func (o *Owner) logLosses() {
+	losses, count := o.cell.TakeLosses()
+	for _, l := range losses {
+		event.RunLost.Log(o.config.Log, logrus.Fields{
+			"task": l.Task, "run": l.Run, "endpoint": l.Endpoint, "rule": string(l.Rule), "state": l.State,
+			"born": l.Born, "present": l.PresentBorn, "registered": l.RegisteredBorn,
+			"clock": l.StateClock, "listed_clock": l.ListedClock,
+			"ordered": l.OrderedFor.Milliseconds(), "connected": l.ConnectedFor.Milliseconds(),
+			"listed": l.ListedFor.Milliseconds(), "silent": l.SilentFor.Milliseconds(), "lost": count, "epoch": int64(o.epoch),
+		})
+	}
+}
+
+// logOrphan logs a run in a listing that the cell does not have.
+func (o *Owner) logOrphan(orphan jobs.Stop, listing jobs.Listing) {
+	now := boot.Now()
+	origin := o.cell.OrphanOrigin(now, orphan)
+	event.OrphanFound.Log(o.config.Log, logrus.Fields{
+		"endpoint": orphan.Endpoint, "task": orphan.Task, "run": orphan.Run, "born": listing.Born, "clock": listing.Clock,
+		"asked": now.Sub(listing.AskedAt).Milliseconds(), "last_run": origin.LastRun, "current_run": origin.CurrentRun,
+		"current_endpoint": origin.CurrentEndpoint, "lost_by": string(origin.Rule), "lost": origin.LostFor.Milliseconds(),
+		"epoch": int64(o.epoch),
+	})
+}
+
 // logUnresolvedRuns logs why long-running tasks without a confirmed run are not placed
 // again; the cell selects a few at a time.
 func (o *Owner) logUnresolvedRuns(now time.Time) {
--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -187,7 +187,7 @@
 	}
 	p.failures = 0
 	for _, orphan := range o.cell.ApplyListing(boot.Now(), listing) {
-		event.OrphanFound.Log(o.config.Log, logrus.Fields{"endpoint": orphan.Endpoint, "task": orphan.Task, "run": orphan.Run})
+		o.logOrphan(orphan, listing)
 		o.sendStop(orphan)
 	}
 }
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -75,7 +75,11 @@
 	// unresolvedCheckedAt is when UnresolvedRuns last checked for unresolved runs.
 	unresolvedCheckedAt time.Time
 	// crashes collects what TakeCrashes returns.
-	crashes    []Crash
+	crashes []Crash
+	// losses collects what TakeLosses returns, lossCount counts all lost runs since the last
+	// call.
+	losses     []Loss
+	lossCount  int
 	crashRate  crashRate
 	evacuation evacuation
 }
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -266,8 +266,7 @@
 			}
 			r.born, r.phaseClock, r.stopClock, r.stopSentAt = born, 0, 0, time.Time{}
 		default:
-			c.counts.Lost++
-			c.removeRun(r)
+			c.loseRun(now, r, LostRestarted)
 		}
 	}
 }
@@ -283,8 +282,7 @@
 	c.recordCrash(now, e, Replaced)
 	for _, r := range sortedRuns(e) {
 		if r.phase != placed {
-			c.counts.Lost++
-			c.removeRun(r)
+			c.loseRun(now, r, LostReplaced)
 		}
 	}
 }
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -120,6 +120,8 @@
 	// original is a run that goes on beside run, which is a speculative copy of it; nil if
 	// there is none.
 	original *run
+	// lastLoss is the last run of the task that counted as lost, nil if there was none.
+	lastLoss *loss
 	// checkpoint is the last saved checkpoint, passed to the next run.
 	checkpoint string
 	// notBefore delays the next start after a refusal.
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -52,7 +52,7 @@
 	c.clearSettled(e)
 	// A run that is not listed may be among the ends that were omitted.
 	if !l.MayOmitEnds {
-		c.checkAbsent(e, l.Clock, present)
+		c.checkAbsent(now, e, l.Clock, present)
 	}
 	return orphans
 }
@@ -60,15 +60,14 @@
 // checkAbsent handles the runs of an endpoint that a listing without omissions, at the
 // endpoint's clock, contains neither as running nor as ended. present holds the names of
 // the tasks that run.
-func (c *Cell) checkAbsent(e *Endpoint, clock int64, present map[string]bool) {
+func (c *Cell) checkAbsent(now time.Time, e *Endpoint, clock int64, present map[string]bool) {
 	isFirst := !e.isFullyListed
 	e.isFullyListed = true
 	for _, r := range sortedRuns(e) {
 		switch {
 		case present[r.task.name]:
 		case r.isAbsent(clock, isFirst):
-			c.counts.Lost++
-			c.removeRun(r)
+			c.loseRun(now, r, LostAbsent)
 		case r.phase == unconfirmed && clock > r.phaseClock && !r.isStopping:
 			c.stopRun(r, "start was not answered and has not been carried out")
 			r.isStopRevocable = true
@@ -280,8 +279,7 @@
 		r.isIncarnationKnown = e.isListedIncarnation(now, clock)
 	case (answer == Accepted || answer == Unanswered) && !isPresent && r.isSentBefore(e.bornAfter):
 		// Only an incarnation that has ended can have received the start.
-		c.counts.Lost++
-		c.removeRun(r)
+		c.loseRun(now, r, LostEarlier)
 	case answer == Accepted:
 		// Either incarnation may have accepted the start; the next listing decides.
 		r.phase, r.phaseClock = unconfirmed, e.lastClock
@@ -353,7 +351,7 @@
 		return
 	}
 	if answer == OtherIncarnation {
-		c.removeRun(r)
+		c.loseRun(now, r, LostMisdirected)
 	}
 }
 
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -100,8 +100,7 @@
 			}
 			if now.After(c.latestRunEnd(r)) {
 				c.suspectInherited(now, r)
-				c.counts.Lost++
-				c.removeRun(r)
+				c.loseRun(now, r, LostExpired)
 				continue
 			}
 			if r.task.step.Speculative && r.task.run == r && r.mayHaveCopy() {
