Count grants for earlier incarnations as long as endpoints may keep them

The cell now counts the longest grant (Bounds.MaxGrant, from the settings) from the listing that shows a restart on, if an order or a poll with a grant was sent since the last listing of the earlier incarnation, and from the answer to a start that was meant for that one. A poll extends no grant while the endpoint may have restarted.

New: TestStrayGrantOutlastsCountedOne. A start that is carried out seconds after its answer was given up is not counted, nor is a grant of an earlier owner.

The longer waits change the course of TestTaskCrashesEndpointAfterEndpoint: with hand-overs and late crashes a task is started a third time after three crashes.

--- a/internal/daemon/fleet/settings.go
+++ b/internal/daemon/fleet/settings.go
@@ -133,7 +133,8 @@
 // bounds returns the time limits of the cells.
 func (s *Settings) bounds() jobs.Bounds {
 	b := jobs.DefaultBounds()
-	b.Grant = min(preferredGrant, time.Duration(s.Bounds.MaxGrantMilliseconds)*time.Millisecond)
+	b.MaxGrant = time.Duration(s.Bounds.MaxGrantMilliseconds) * time.Millisecond
+	b.Grant = min(preferredGrant, b.MaxGrant)
 	if s.Bounds.RetentionSeconds > 0 {
 		b.Retention = time.Duration(s.Bounds.RetentionSeconds * float64(time.Second))
 	}
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -94,6 +94,11 @@
 	// grantUntil is the latest expiry of all grants ordered so far, on the
 	// endpoint's clock.
 	grantUntil int64
+	// grantSentAt is when an order or a poll with a grant was last sent.
+	grantSentAt time.Time
+	// strayGrantEnd is the time by which grants that were meant for an earlier incarnation
+	// have expired on the present one, zero if it can have received none.
+	strayGrantEnd time.Time
 	// inheritedEnd is the time by which all inherited runs have ended if the present
 	// incarnation does not answer, zero if the previous owner has stored none.
 	inheritedEnd time.Time
@@ -238,6 +243,9 @@
 // shows whether they exist, which may be the one that shows the restart.
 func (c *Cell) handleRestart(now time.Time, e *Endpoint, born int64) {
 	c.recordCrash(now, e, Restarted)
+	if !e.grantSentAt.IsZero() && !e.grantSentAt.Before(e.listedSince) {
+		c.recordStrayGrant(now, e)
+	}
 	e.hasCrashed, e.isCrashUnexplained, e.isRefusing = false, false, false
 	if e.pastBorn == nil {
 		e.pastBorn = make(map[int64]bool)
@@ -263,6 +271,12 @@
 	}
 }
 
+// recordStrayGrant records that the present incarnation of an endpoint may have received a
+// grant by now that was meant for an earlier one.
+func (c *Cell) recordStrayGrant(now time.Time, e *Endpoint) {
+	e.strayGrantEnd = now.Add(c.config.Bounds.longestGrant())
+}
+
 // dropRuns marks all runs that may have reached an endpoint as lost that was replaced.
 func (c *Cell) dropRuns(now time.Time, e *Endpoint) {
 	c.recordCrash(now, e, Replaced)
@@ -322,7 +336,7 @@
 // milliseconds, and records the latest expiry for grantExpiry.
 func (e *Endpoint) extendGrant(now time.Time, b Bounds) int64 {
 	until := e.clockLowerBound(now, b.ClockSlack) + b.Grant.Milliseconds()
-	e.grantUntil = max(e.grantUntil, until)
+	e.grantUntil, e.grantSentAt = max(e.grantUntil, until), now
 	return until
 }
 
@@ -524,9 +538,10 @@
 }
 
 // mayExtendGrant reports whether a poll may extend the grant. Unanswered polls must not, or
-// the runs of a lost endpoint would never count as ended.
+// the runs of a lost endpoint would never count as ended, nor must polls of an endpoint that
+// may have restarted, as its clock is not known.
 func (e *Endpoint) mayExtendGrant(now time.Time) bool {
-	return e.isReached && !e.isGrantFinal && now.Sub(e.lastContact) < maxRenewalAge
+	return !e.isListingDue() && !e.isGrantFinal && now.Sub(e.lastContact) < maxRenewalAge
 }
 
 // isIdlePollDue reports whether an endpoint has to be polled because it has not answered for
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -256,6 +256,9 @@
 	}
 	isPresent := s.Born == e.born
 	e.recordStartAnswer(now, answer, clock, isPresent)
+	if !isPresent && answer.mayHaveGranted() {
+		c.recordStrayGrant(now, e)
+	}
 	r := e.runs[s.Task]
 	if r == nil || r.number != s.Run || r.phase != ordered {
 		return
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -169,19 +169,22 @@
 	longest := time.Duration(float64(b.Grant) / (1 - b.ClockSlack))
 	end := c.config.Inherited.Add(longest + inheritedGrantSlack)
 	if !e.inheritedEnd.IsZero() && e.inheritedEnd.Before(end) {
-		return e.inheritedEnd
+		end = e.inheritedEnd
 	}
-	return end
+	return later(end, e.strayGrantEnd)
 }
 
 // grantEnd returns the time by which the runs that this owner has ordered on an endpoint have
-// certainly ended if it never answers again, zero if it has given no grant to the present
-// incarnation.
-func (c *Cell) grantEnd(e *Endpoint) time.Time {
-	if e.grantUntil == 0 {
-		return time.Time{}
+// certainly ended if it never answers again, zero if the present incarnation has no grant of
+// this owner.
+func (c *Cell) grantEnd(e *Endpoint) (end time.Time) {
+	if e.grantUntil > 0 {
+		end = e.grantExpiry(c.config.Bounds)
 	}
-	return e.grantExpiry(c.config.Bounds).Add(inheritedGrantSlack)
+	if end = later(end, e.strayGrantEnd); end.IsZero() {
+		return end
+	}
+	return end.Add(inheritedGrantSlack)
 }
 
 // beginDueOccurrences begins the occurrences of timed jobs that are due on the wall
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -186,6 +186,12 @@
 	Unanswered
 )
 
+// mayHaveGranted reports whether an endpoint that gave this answer to a start may have taken
+// its grant.
+func (a Answer) mayHaveGranted() bool {
+	return a == Accepted || a == NoRoom || a == StaleRun || a == Unanswered
+}
+
 // State is the state of a job as its submitter sees it.
 type State string
 
@@ -208,6 +214,10 @@
 	// Grant is how long an endpoint goes on running tasks without contact with
 	// the owner.
 	Grant time.Duration
+	// MaxGrant is the longest grant that an endpoint accepts. One that was meant for the
+	// clock of an earlier incarnation lasts that long on the next one, whose clock starts
+	// anew.
+	MaxGrant time.Duration
 	// ClockSlack is the largest fraction by which an endpoint's clock may run
 	// slow.
 	ClockSlack float64
@@ -219,7 +229,14 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		Grant:      5 * time.Second,
+		MaxGrant:   10 * time.Second,
 		ClockSlack: 0.02,
 		Retention:  2 * time.Minute,
 	}
 }
+
+// longestGrant returns the longest time for which a grant can last on an endpoint, on the
+// owner's clock.
+func (b Bounds) longestGrant() time.Duration {
+	return time.Duration(float64(max(b.MaxGrant, b.Grant)) / (1 - b.ClockSlack))
+}
--- /dev/null
+++ b/jobs/straygrant_test.go
@@ -0,0 +1,81 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// A grant that was meant for the clock of an earlier incarnation kept runs of the next one at work
+// for longer than the cell counted, so they ran beside their successors.
+func TestStrayGrantOutlastsCountedOne(t *testing.T) {
+	longest := DefaultBounds().longestGrant()
+	// newRestarted returns a cell of two endpoints whose first one has restarted and lists a
+	// run. prepare does what may have given it a grant.
+	newRestarted := func(prepare func(b *testbed)) (b *testbed, start Start) {
+		b = newTestbed(1)
+		b.advance(600 * time.Second)
+		b.answerPoll(0)
+		b.submit(firstID, longRunningStep(1))
+		start = b.planAndStore()[0]
+		b.advance(time.Millisecond)
+		b.cell.StartAnswered(b.now, start, Reply{Answer: Accepted, Clock: b.clock})
+		b.advance(100 * time.Millisecond)
+		b.answerPoll(0, ListedRun{Task: start.Task, Run: 1, Percent: 100})
+		b.advance(100 * time.Millisecond)
+		prepare(b)
+		b.born, b.clock = 2, 20
+		b.advance(100 * time.Millisecond)
+		b.answerPoll(0, ListedRun{Task: start.Task, Run: 1, Percent: 100})
+		b.advance(60 * time.Millisecond)
+		b.cell.NextPoll(b.now, endpointName(0))
+		return b, start
+	}
+	poll := func(b *testbed) {
+		next, _ := b.cell.NextPoll(b.now, endpointName(0))
+		So(next.Until, ShouldBeGreaterThan, 600_000)
+	}
+	// expires returns after what time without an answer the run counts as lost.
+	expires := func(b *testbed) time.Duration {
+		began := b.now
+		for b.now.Sub(began) < 40*time.Second && len(b.cell.endpoints[endpointName(0)].runs) > 0 {
+			b.advance(100 * time.Millisecond)
+			b.cell.PollFailed(b.now, endpointName(0), Unanswered)
+			b.planAndStore()
+		}
+		return b.now.Sub(began)
+	}
+	Convey("A run of an incarnation that may have received a grant for the one before lasts as long as endpoints accept", t, func() {
+		b, _ := newRestarted(poll)
+		So(expires(b), ShouldBeBetween, longest-200*time.Millisecond, longest+time.Second)
+	})
+	Convey("Without such a grant it lasts as long as the last one", t, func() {
+		b, _ := newRestarted(func(*testbed) {})
+		So(expires(b), ShouldBeLessThan, 6*time.Second)
+	})
+	Convey("A start of before that is answered after the restart counts as such a grant", t, func() {
+		for name, answer := range map[string]Answer{"accepted": Accepted, "no room": NoRoom, "stale": StaleRun, "not answered": Unanswered} {
+			b, start := newRestarted(func(*testbed) {})
+			start.Born = 1
+			b.cell.StartAnswered(b.now, start, Reply{Answer: answer, Clock: 30})
+			SoMsg(name, expires(b), ShouldBeGreaterThan, longest-200*time.Millisecond)
+		}
+	})
+	Convey("A poll after an unanswered one extends no grant, as the endpoint may have restarted", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, longRunningStep(1))
+		start := b.planAndAccept()[0]
+		b.advance(100 * time.Millisecond)
+		next, _ := b.cell.NextPoll(b.now, endpointName(0))
+		So(next.Until, ShouldBeGreaterThan, 0)
+		b.cell.PollFailed(b.now, endpointName(0), Unanswered)
+		b.advance(60 * time.Millisecond)
+		next, _ = b.cell.NextPoll(b.now, endpointName(0))
+		So(next.IsUrgent, ShouldBeTrue)
+		So(next.Until, ShouldEqual, 0)
+		b.answerPoll(0, ListedRun{Task: start.Task, Run: 1})
+		next, _ = b.cell.NextPoll(b.now, endpointName(0))
+		So(next.Until, ShouldBeGreaterThan, 0)
+	})
+}
