Give an endpoint that restarted by discovery no starts and grants before it lists its runs

A listing that was asked for before discovery showed the restart also withdrew the doubt, so that ends were acknowledged to the next incarnation unseen.

--- a/jobs/dump.go
+++ b/jobs/dump.go
@@ -101,6 +101,8 @@
 		return "evacuations are not known"
 	case !e.isReached:
 		return "not reached by this owner"
+	case !e.registeredRestartAt.IsZero():
+		return "restarted, runs not listed yet"
 	case e.isUnresponsive || now.Sub(e.lastContact) >= maxContactAge:
 		return "silent"
 	case now.Before(e.cordonUntil):
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -74,6 +74,9 @@
 	// mayHaveRestarted is set by an answer with an earlier clock and by another incarnation
 	// in discovery, until the endpoint lists its runs.
 	mayHaveRestarted bool
+	// registeredRestartAt is when discovery listed another incarnation, zero if the endpoint
+	// has listed its runs since. Starts and grants would be for the clock of the earlier one.
+	registeredRestartAt time.Time
 	// lastContact is when the endpoint last answered, lastClock the endpoint's
 	// clock in that answer, in milliseconds since its start.
 	lastContact time.Time
@@ -213,7 +216,7 @@
 		c.recordCrash(now, e, Restarted)
 	}
 	// Nothing is known about the grants of an incarnation that may be later.
-	e.mayHaveRestarted, e.inheritedEnd = true, time.Time{}
+	e.mayHaveRestarted, e.registeredRestartAt, e.inheritedEnd = true, now, time.Time{}
 }
 
 // isReplacedBy reports whether another endpoint was up on this one's machine after this one
@@ -248,7 +251,7 @@
 	e.listedSince, e.unacknowledgedSince = time.Time{}, time.Time{}
 	e.inheritedEnd, e.warmAt = time.Time{}, 0
 	e.appliedEnd, e.storedEnd, e.listedEnd = 0, 0, 0
-	e.isReached, e.isUnresponsive, e.mayHaveRestarted = false, false, false
+	e.isReached, e.isUnresponsive, e.mayHaveRestarted, e.registeredRestartAt = false, false, false, time.Time{}
 	e.consecutiveFailures, e.failedProbes, e.suspectUntil = 0, 0, time.Time{}
 	e.performance = performance{}
 	for _, r := range e.runs {
@@ -335,7 +338,7 @@
 
 // isSchedulable reports whether starts may be ordered on the endpoint.
 func (e *Endpoint) isSchedulable(now time.Time) bool {
-	return e.isReached && !e.isUnresponsive && !e.isGrantFinal && e.isListed && !e.IsDraining && !now.Before(e.cordonUntil) &&
+	return e.isReached && !e.isUnresponsive && e.registeredRestartAt.IsZero() && !e.isGrantFinal && e.isListed && !e.IsDraining && !now.Before(e.cordonUntil) &&
 		now.Sub(e.lastContact) < maxContactAge && !e.isAcknowledgementOverdue(now) && !e.isEvacuated && !e.isSuspended
 }
 
@@ -526,7 +529,7 @@
 // mayExtendGrant reports whether a poll may extend the grant. Unanswered polls must not, or
 // the runs of a lost endpoint would never count as ended.
 func (e *Endpoint) mayExtendGrant(now time.Time) bool {
-	return e.isReached && !e.isGrantFinal && now.Sub(e.lastContact) < maxRenewalAge
+	return e.isReached && e.registeredRestartAt.IsZero() && !e.isGrantFinal && now.Sub(e.lastContact) < maxRenewalAge
 }
 
 // isIdlePollDue reports whether an endpoint has to be polled because it has not answered for
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -36,7 +36,9 @@
 	// An endpoint that answers again as the same incarnation has not crashed.
 	e.hasCrashed, e.isCrashUnexplained, e.isRefusing = false, false, false
 	e.recordContact(now, l.Clock)
-	e.mayHaveRestarted = false
+	if !l.AskedAt.Before(e.registeredRestartAt) {
+		e.mayHaveRestarted, e.registeredRestartAt = false, time.Time{}
+	}
 	if isFirst {
 		c.dropReplaced(now, e)
 	}
