Drop a queued start when its endpoint has restarted

The grant of the start is for the clock of the earlier incarnation. On that of the next one it lasts for up to 10 s, longer than the cell counts if the endpoint is cut off. The start has not been sent, so its run does not exist.

--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -305,14 +305,14 @@
 // IsStartCurrent reports whether a start that is queued for sending is still needed, and
 // still fits. It is not needed if its task has completed elsewhere or its job was cancelled
 // meanwhile, and not allowed once the endpoint's data centre is evacuated or another run of the
-// task was found.
+// task was found. After a restart of the endpoint, its grant would be for the earlier clock.
 func (c *Cell) IsStartCurrent(s Start) bool {
 	e := c.endpoints[s.Endpoint]
 	if e == nil {
 		return false
 	}
 	r := e.runs[s.Task]
-	isCurrent := r != nil && r.number == s.Run && r.phase == ordered && !r.isStopping && r.task.run == r && !r.task.isDone
+	isCurrent := r != nil && r.number == s.Run && s.Born == e.born && r.phase == ordered && !r.isStopping && r.task.run == r && !r.task.isDone
 	return isCurrent && !e.isOvercommitted(r.reserved) && !e.isEvacuated && !e.isSuspended && !c.isOrphaned(r.task)
 }
 
--- a/jobs/restart_test.go
+++ b/jobs/restart_test.go
@@ -149,3 +149,18 @@
 	id := endpointName(otherEndpoint(start))
 	b.cell.SetEndpoints(b.now, []Profile{{ID: id, Machine: "m" + id, Labels: []string{"a"}, Capacity: Size{CPU: 4000, Memory: 4000}, Born: b.born}})
 }
+
+// A start that waited for others to be sent reached the next incarnation of its endpoint with a
+// grant for the clock of the one before.
+func TestQueuedStartReachesNextIncarnation(t *testing.T) {
+	Convey("A start that is queued when its endpoint restarts is not sent", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, batchStep(1, 100))
+		start := b.planAndStore()[0]
+		So(b.cell.IsStartCurrent(start), ShouldBeTrue)
+		b.advance(100 * time.Millisecond)
+		b.born, b.clock = 2, 5
+		b.answerPoll(0)
+		So(b.cell.IsStartCurrent(start), ShouldBeFalse)
+	})
+}
