Ignore listings that were asked for before the last one

While the poller of an endpoint is replaced after a change of address, a listing can overtake a later one. An endpoint may read the clock of a listing after it has copied the list of its runs, so the older listing can have the later clock. It hid an orphan, and the task was started beside it.

--- a/jobs/listed_test.go
+++ b/jobs/listed_test.go
@@ -131,3 +131,19 @@
 		}
 	})
 }
+
+// A listing that was asked for before the last one, by the poller of an earlier address, hid an
+// orphan, as it had a later clock.
+func TestOlderListingHidesOrphan(t *testing.T) {
+	Convey("A listing that was asked for before the last one is ignored, whatever its clock", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, batchStep(1, 100))
+		b.advance(100 * time.Millisecond)
+		asked := b.now
+		b.advance(10 * time.Millisecond)
+		b.answerPoll(0, ListedRun{Task: TaskName{Job: firstID}.String(), Run: 7})
+		b.advance(time.Millisecond)
+		b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(0), AskedAt: asked, Born: b.born, Clock: b.clock})
+		So(b.planAndStore(), ShouldBeEmpty)
+	})
+}
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -27,7 +27,7 @@
 		// An incarnation that was up later than the current one cannot be an earlier one.
 		c.handleRestart(now, e, l.Born)
 	}
-	if l.Clock < e.listedClock {
+	if l.Clock < e.listedClock || l.AskedAt.Before(e.listedSince) {
 		return nil
 	}
 	e.bornSeenAt = now
