Keep orphans of a silent endpoint for a grant after its last listing

The cell knows no grant for an orphan that an endpoint lists after a restart, so the orphan counted as ended as soon as the endpoint fell silent (1.2 s), and its task was started beside it.

What remains: a grant that was given for the clock of an earlier incarnation lasts for up to 10 s.

--- a/jobs/listed_test.go
+++ b/jobs/listed_test.go
@@ -147,3 +147,25 @@
 		So(b.planAndStore(), ShouldBeEmpty)
 	})
 }
+
+// A task was started beside an orphan on an endpoint that had restarted and then fell silent, as
+// no grant of this owner to the incarnation is known.
+func TestOrphanOfRestartedEndpointExpiresAtOnce(t *testing.T) {
+	Convey("An orphan on an endpoint that falls silent keeps its task from being started for the length of a grant", t, func() {
+		b := newTestbed(2)
+		b.advance(20 * time.Second)
+		b.answerPoll(0)
+		b.born, b.clock = 2, 5
+		b.submit(firstID, batchStep(1, 100))
+		// A late start of a run that counts as lost was carried out by the next incarnation.
+		b.answerPoll(1, ListedRun{Task: TaskName{Job: firstID}.String(), Run: 7})
+		b.answerPoll(0)
+		So(b.planAndStore(), ShouldBeEmpty)
+		for passed := time.Duration(0); passed < DefaultBounds().Grant; passed += 100 * time.Millisecond {
+			b.advance(100 * time.Millisecond)
+			b.cell.PollFailed(b.now, endpointName(1), Unanswered)
+			b.answerPoll(0)
+			SoMsg(passed.String(), b.planAndStore(), ShouldBeEmpty)
+		}
+	})
+}
--- a/jobs/orphan.go
+++ b/jobs/orphan.go
@@ -61,9 +61,11 @@
 func (c *Cell) isOrphaned(t *task) bool { return c.orphans[t.name] > 0 && !t.step.Speculative }
 
 // latestOrphanEnd returns the time by which the orphans of an endpoint have certainly ended
-// if it never answers again. They may have been started by this owner or by earlier ones.
+// if it never answers again. They may have been started by this owner or by earlier ones, also
+// by an order to an earlier incarnation that was carried out late. Such a grant is not in
+// grantEnd.
 func (c *Cell) latestOrphanEnd(e *Endpoint) time.Time {
-	return later(c.inheritedRunEnd(e), c.grantEnd(e))
+	return later(later(c.inheritedRunEnd(e), c.grantEnd(e)), e.listedSince.Add(c.longestGrant()))
 }
 
 // isEmpty reports whether no run may be on the endpoint.
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -165,15 +165,19 @@
 // inheritedRunEnd returns the time by which the runs of earlier owners have certainly ended
 // on an endpoint that never answers again.
 func (c *Cell) inheritedRunEnd(e *Endpoint) time.Time {
-	b := c.config.Bounds
-	longest := time.Duration(float64(b.Grant) / (1 - b.ClockSlack))
-	end := c.config.Inherited.Add(longest + inheritedGrantSlack)
+	end := c.config.Inherited.Add(c.longestGrant())
 	if !e.inheritedEnd.IsZero() && e.inheritedEnd.Before(end) {
 		return e.inheritedEnd
 	}
 	return end
 }
 
+// longestGrant returns the longest time that a grant lasts for the clock that it was given for.
+func (c *Cell) longestGrant() time.Duration {
+	b := c.config.Bounds
+	return time.Duration(float64(b.Grant)/(1-b.ClockSlack)) + inheritedGrantSlack
+}
+
 // grantEnd returns the time by which the runs that this owner has ordered on an endpoint have
 // certainly ended if it never answers again, zero if it has given no grant to the present
 // incarnation.
