--- a/jobs/listed_test.go
+++ b/jobs/listed_test.go
@@ -131,3 +131,41 @@
 		}
 	})
 }
+
+// A listing that was asked for before the last one, by the poller of an earlier address, hid an
+// orphan, as it had a later clock.
+func TestOlderListingHidesOrphan(t *testing.T) {
+	Convey("A listing that was asked for before the last one is ignored, whatever its clock", t, func() {
+		b := newTestbed(1)
+		b.submit(firstID, batchStep(1, 100))
+		b.advance(100 * time.Millisecond)
+		asked := b.now
+		b.advance(10 * time.Millisecond)
+		b.answerPoll(0, ListedRun{Task: TaskName{Job: firstID}.String(), Run: 7})
+		b.advance(time.Millisecond)
+		b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(0), AskedAt: asked, Born: b.born, Clock: b.clock})
+		So(b.planAndStore(), ShouldBeEmpty)
+	})
+}
+
+// A task was started beside an orphan on an endpoint that had restarted and then fell silent, as
+// no grant of this owner to the incarnation is known.
+func TestOrphanOfRestartedEndpointExpiresAtOnce(t *testing.T) {
+	Convey("An orphan on an endpoint that falls silent keeps its task from being started for the length of a grant", t, func() {
+		b := newTestbed(2)
+		b.advance(20 * time.Second)
+		b.answerPoll(0)
+		b.born, b.clock = 2, 5
+		b.submit(firstID, batchStep(1, 100))
+		// A late start of a run that counts as lost was carried out by the next incarnation.
+		b.answerPoll(1, ListedRun{Task: TaskName{Job: firstID}.String(), Run: 7})
+		b.answerPoll(0)
+		So(b.planAndStore(), ShouldBeEmpty)
+		for passed := time.Duration(0); passed < DefaultBounds().Grant; passed += 100 * time.Millisecond {
+			b.advance(100 * time.Millisecond)
+			b.cell.PollFailed(b.now, endpointName(1), Unanswered)
+			b.answerPoll(0)
+			SoMsg(passed.String(), b.planAndStore(), ShouldBeEmpty)
+		}
+	})
+}
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -27,7 +27,7 @@
 		// An incarnation that was up later than the current one cannot be an earlier one.
 		c.handleRestart(now, e, l.Born)
 	}
-	if l.Clock < e.listedClock {
+	if l.Clock < e.listedClock || l.AskedAt.Before(e.listedSince) {
 		return nil
 	}
 	e.bornSeenAt = now
@@ -36,7 +36,9 @@
 	// An endpoint that answers again as the same incarnation has not crashed.
 	e.hasCrashed, e.isCrashUnexplained, e.isRefusing = false, false, false
 	e.recordContact(now, l.Clock)
-	e.mayHaveRestarted = false
+	if !l.AskedAt.Before(e.registeredRestartAt) {
+		e.mayHaveRestarted, e.registeredRestartAt = false, time.Time{}
+	}
 	if isFirst {
 		c.dropReplaced(now, e)
 	}
