Test outages with crashes under the task that they must not convict

The first case of TestOutageConvictsNobody crashed no endpoint under the task: it was placed beside the other one, so each round ended before the crash, and the case passed without the check for outages (isPartOfOutage removed from recordCrash: no further test of jobs or its emulator fails). The task has to start elsewhere now, each round must crash its endpoint, and the same task is given up if no other endpoint falls silent. Without isPartOfOutage the test fails.

--- a/jobs/crash_test.go
+++ b/jobs/crash_test.go
@@ -431,32 +431,37 @@
 
 // A power failure must not convict the tasks that happened to have just started.
 func TestOutageConvictsNobody(t *testing.T) {
-	Convey("A crash does not convict if another endpoint fails at the same time on which nothing had just started", t, func() {
-		b := newCrashBed(3)
-		b.submit(secondID, batchStep(1, 100))
-		other := b.run()[0].Endpoint
-		for range 6 {
+	for name, c := range map[string]struct{ isOutage, isGivenUp bool }{
+		"another endpoint, on which nothing had just started, falls silent each time": {isOutage: true},
+		"no other endpoint falls silent":                                              {isGivenUp: true},
+	} {
+		Convey("A task under which up to six endpoints crash is given up, or not, if "+name, t, func() {
+			b := newCrashBed(3)
+			other := longRunningStep(1)
+			other.Each.CPU = 4000
+			b.submit(secondID, other)
+			silent := b.run()[0].Endpoint
 			b.settle()
-			if b.task(firstID, 0) == nil {
-				b.submit(firstID, batchStep(1, 100))
-			}
-			var endpoint string
-			for _, s := range b.start() {
-				if s.Task == b.task(firstID, 0).name {
-					endpoint = s.Endpoint
+			b.submit(firstID, batchStep(1, 100))
+			for range maxTaskCrashes + 1 {
+				if b.task(firstID, 0).isGivenUp {
+					break
 				}
+				starts := b.start()
+				So(starts, ShouldHaveLength, 1)
+				So(starts[0].Endpoint, ShouldNotEqual, silent)
+				if c.isOutage {
+					b.cell.PollFailed(b.now, silent, Unanswered)
+				}
+				b.crash(starts[0].Endpoint)
+				b.poll(silent)
+				b.replace(starts[0].Endpoint)
+				b.settle()
 			}
-			if endpoint == "" || endpoint == other {
-				continue
-			}
-			b.cell.PollFailed(b.now, other, Unanswered)
-			b.crash(endpoint)
-			b.poll(other)
-			b.replace(endpoint)
-		}
-		So(b.task(firstID, 0).evidence, ShouldEqual, 0)
-		So(b.task(firstID, 0).isGivenUp, ShouldBeFalse)
-	})
+			So(b.task(firstID, 0).isGivenUp, ShouldEqual, c.isGivenUp)
+			So(b.task(firstID, 0).evidence > 0, ShouldEqual, c.isGivenUp)
+		})
+	}
 	Convey("An answer that is newer than the crash is no evidence that cannot be stored", t, func() {
 		b := newCrashBed(1)
 		b.submit(firstID, batchStep(1, 100))
