Test the throughput beside an endpoint that has shrunk

No test of jobs or its emulator failed when the room of an endpoint that had shrunk below its long-running work counted as negative in Cell.throughput.

--- a/jobs/capacity_test.go
+++ b/jobs/capacity_test.go
@@ -110,3 +110,27 @@
 		So(b.cell.endpoints[endpointName(0)].heldFor, ShouldBeNil)
 	})
 }
+
+// An endpoint that had shrunk below its long-running work was subtracted from the throughput of the
+// others, so that jobs were rejected for which these had room.
+func TestShrunkEndpointLowersThroughputOfOthers(t *testing.T) {
+	Convey("The throughput is that of the other endpoint", t, func() {
+		b := newTestbed(2)
+		step := longRunningStep(1)
+		step.Each.CPU = 4000
+		b.submit(firstID, step)
+		full := b.planAndAccept()[0].Endpoint
+		throughput := b.cell.throughput(b.now)
+		So(throughput, ShouldBeGreaterThan, 0)
+		var profiles []Profile
+		for i := range 2 {
+			p := Profile{ID: endpointName(i), Machine: "m" + endpointName(i), Labels: []string{"a"}, Capacity: Size{CPU: 4000, Memory: 4000}, Born: b.born}
+			if p.ID == full {
+				p.Capacity.CPU = 1000
+			}
+			profiles = append(profiles, p)
+		}
+		b.cell.SetEndpoints(b.now, profiles)
+		So(b.cell.throughput(b.now), ShouldEqual, throughput)
+	})
+}
