Test restarts of endpoints during polls that stay unanswered (fails)

As TestRestartBehindForwarderStartsTaskTwice, but the connection of a request that the endpoint had received when it was killed goes silent instead of being broken, as the platform permits. So the entry knows of the restart only from the registration, from the answer to a start, or when the poll has timed out.

--- a/internal/proof/minion/twice_test.go
+++ b/internal/proof/minion/twice_test.go
@@ -41,6 +41,17 @@
 	})
 }
 
+// Tasks that were started while a poll stayed unanswered after a restart of its endpoint were started
+// again beside those runs.
+func TestRestartDuringSilentPollStartsTasksTwice(t *testing.T) {
+	Convey("No task runs twice while endpoints restart and polls stay unanswered, and all jobs complete", t, FailureContinues, func() {
+		s := newSystem(t, systemConfig{entries: 3, endpoints: 16, seed: 40, isSilent: true})
+		s.play(s.restartEndpoints)
+		s.expectRunsOnce()
+		s.expectCompleted()
+	})
+}
+
 // play submits jobs for playTime. Beside that it runs disturb, until that returns.
 func (s *system) play(disturb func(end time.Time)) {
 	end := time.Now().Add(playTime)
