Test listings whose clock is read after their runs (fails)

Endpoints copy their runs for a listing and read the clock for it 20 ms later. A run that begins in between is missing in the list, though its start was answered with an earlier clock, so it counts as lost by the rule "not listed" and is started again beside itself. Nothing restarts.

--- a/internal/proof/minion/twice_test.go
+++ b/internal/proof/minion/twice_test.go
@@ -52,6 +52,17 @@
 	})
 }
 
+// A task whose run began between the list and the clock of a listing was started again beside
+// that run.
+func TestListingOlderThanItsClockStartsTaskTwice(t *testing.T) {
+	Convey("No task runs twice while endpoints read the clock of a listing after its runs, and all jobs complete", t, FailureContinues, func() {
+		s := newSystem(t, systemConfig{entries: 3, endpoints: 16, seed: 40, listingDelay: 20 * time.Millisecond})
+		s.play(func(time.Time) {})
+		s.expectRunsOnce()
+		s.expectCompleted()
+	})
+}
+
 // play submits jobs for playTime. Beside that it runs disturb, until that returns.
 func (s *system) play(disturb func(end time.Time)) {
 	end := time.Now().Add(playTime)
