emulator: a task can have several runs on an endpoint

An endpoint refused each start of a task of which it had any run, so the oracle could never see two runs of a task on one endpoint. By the protocol only runs are refused that are not higher than one that was stopped or has ended there.

--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -49,8 +49,9 @@
 	// grantUntil is the expiry of the grant on the endpoint's clock, in
 	// milliseconds.
 	grantUntil int64
-	// runs holds the current runs by task.
-	runs map[string]*emulatedRun
+	// runs holds the current runs in the order of their starts. A task may have several: one
+	// that is being stopped beside one with a higher number.
+	runs []*emulatedRun
 	// endedRuns holds the ends that no owner has acknowledged; endCount counts all
 	// ends since the start.
 	endedRuns []endedRun
@@ -64,14 +65,14 @@
 
 // emulatedRun is a run on an endpoint. A duration of 0 is that of a long-running task.
 type emulatedRun struct {
-	task        string
-	number      int
-	incarnation int
-	began       time.Time
-	duration    time.Duration
-	isFailing   bool
-	isStopping  bool
-	size        jobs.Size
+	endpoint   *Endpoint
+	task       string
+	number     int
+	began      time.Time
+	duration   time.Duration
+	isFailing  bool
+	isStopping bool
+	size       jobs.Size
 }
 
 // endedRun is the end of a run and when it was.
@@ -95,7 +96,7 @@
 	}
 	e.epoch, e.grantUntil, e.endCount, e.slowdown = 0, 0, 0, 1
 	e.isFailing, e.isHanging, e.failureShare = false, false, 0
-	e.runs, e.endedRuns, e.highestRun = make(map[string]*emulatedRun), nil, make(map[string]int)
+	e.runs, e.endedRuns, e.highestRun = nil, nil, make(map[string]int)
 }
 
 // Crash stops the endpoint and all its runs. It starts again under the same ID after
@@ -146,13 +147,12 @@
 // shutDown ends the present incarnation and all its runs.
 func (e *Endpoint) shutDown() {
 	for _, r := range e.runs {
-		e.world.oracle.removeRun(r.task, e)
+		e.world.oracle.removeRun(r)
 	}
 	if e.isUp {
 		e.downSince = e.world.now
 	}
-	e.isUp = false
-	e.runs = make(map[string]*emulatedRun)
+	e.isUp, e.runs = false, nil
 }
 
 // isDiscovered reports whether service discovery lists the endpoint.
@@ -294,7 +294,7 @@
 	if e.incarnation != incarnation || !e.isUp || e.clock() < e.grantUntil {
 		return
 	}
-	for _, r := range e.runs {
+	for _, r := range slices.Clone(e.runs) {
 		e.end(r, jobs.Lapsed)
 	}
 	e.lapsedAt = e.world.now
@@ -302,16 +302,20 @@
 
 // end ends a run and adds it to the list of ends to be acknowledged.
 func (e *Endpoint) end(r *emulatedRun, outcome jobs.Outcome) {
-	delete(e.runs, r.task)
+	e.runs = slices.DeleteFunc(e.runs, func(other *emulatedRun) bool { return other == r })
 	e.highestRun[r.task] = max(e.highestRun[r.task], r.number)
 	e.endCount++
 	end := jobs.End{Task: r.task, Run: r.number, Outcome: outcome}
 	e.endedRuns = append(e.endedRuns, endedRun{ListedEnd: jobs.ListedEnd{Number: e.endCount, End: end}, at: e.world.now})
-	e.world.oracle.recordEnd(r.task, outcome, e)
+	e.world.oracle.recordEnd(r, outcome)
 }
 
+// isPresent reports whether a run is still there.
+func (r *emulatedRun) isPresent() bool { return slices.Contains(r.endpoint.runs, r) }
+
 // start carries out an order to start a run and returns the answer with the
-// endpoint's clock.
+// endpoint's clock. Another run of the task is no obstacle, unless a run with the same or
+// a higher number was stopped or has ended.
 func (e *Endpoint) start(epoch int64, order jobs.Start) (jobs.Answer, int64) {
 	if epoch < e.epoch {
 		return jobs.Fenced, e.clock()
@@ -320,12 +324,12 @@
 	if order.Until <= e.clock() {
 		return jobs.Expired, e.clock()
 	}
-	if r := e.runs[order.Task]; r != nil && r.number == order.Run {
-		e.extendGrant(order.Until)
+	e.extendGrant(order.Until)
+	isThere := func(r *emulatedRun) bool { return r.task == order.Task && r.number == order.Run }
+	if slices.ContainsFunc(e.runs, isThere) {
 		return jobs.Accepted, e.clock()
 	}
-	e.extendGrant(order.Until)
-	if order.Run <= e.highestRun[order.Task] || e.runs[order.Task] != nil {
+	if order.Run <= e.highestRun[order.Task] {
 		return jobs.StaleRun, e.clock()
 	}
 	e.begin(order)
@@ -336,20 +340,20 @@
 	w := e.world
 	length, fails := w.config.Work(w, order.Task)
 	r := &emulatedRun{
-		task: order.Task, number: order.Run, incarnation: e.incarnation, began: w.now,
+		endpoint: e, task: order.Task, number: order.Run, began: w.now,
 		duration: time.Duration(float64(length) * e.slowdown), isFailing: fails || e.isFailing || e.failureShare > 0 && w.chance(e.failureShare),
 	}
 	if e.isCold() {
 		r.duration *= coldSlowdown
 	}
-	r.size = w.oracle.checkStart(order, e)
-	e.runs[order.Task] = r
+	r.size = w.oracle.checkStart(r)
+	e.runs = append(e.runs, r)
 	e.crashUnder(r)
 	if length == 0 || e.isHanging {
 		return
 	}
 	w.after(r.duration, func() {
-		if e.incarnation != r.incarnation || e.runs[r.task] != r || !e.isUp {
+		if !r.isPresent() {
 			return
 		}
 		outcome := jobs.Done
@@ -368,7 +372,7 @@
 		return
 	}
 	w.after(w.config.CrashAfter(r.task), func() {
-		if e.incarnation != r.incarnation || e.runs[r.task] != r || !e.isUp {
+		if !r.isPresent() {
 			return
 		}
 		w.oracle.recordCrash(r.task)
@@ -380,19 +384,21 @@
 	})
 }
 
-// stop carries out an order to stop a run, which ends after stopGrace. It returns
-// the answer with the endpoint's clock.
+// stop carries out an order to stop a run and those of the task with lower numbers, which
+// end after stopGrace. It returns the answer with the endpoint's clock.
 func (e *Endpoint) stop(epoch int64, order jobs.Stop) (jobs.Answer, int64) {
 	if epoch < e.epoch {
 		return jobs.Fenced, e.clock()
 	}
 	e.epoch = epoch
 	e.highestRun[order.Task] = max(e.highestRun[order.Task], order.Run)
-	r := e.runs[order.Task]
-	if r != nil && r.number <= order.Run && !r.isStopping {
+	for _, r := range e.runs {
+		if r.task != order.Task || r.number > order.Run || r.isStopping {
+			continue
+		}
 		r.isStopping = true
 		e.world.after(stopGrace, func() {
-			if e.incarnation == r.incarnation && e.runs[r.task] == r && e.isUp {
+			if r.isPresent() {
 				e.end(r, jobs.Stopped)
 			}
 		})
--- a/jobs/emulator/evacuation.go
+++ b/jobs/emulator/evacuation.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"gitlab.com/chicorypin/chicorypin/jobs"
 )
 
 // Timing of evacuations.
@@ -164,14 +162,15 @@
 
 // checkEvacuated checks that a start is not too late for the evacuation of the endpoint's
 // data centre. An order that the endpoint carries out seconds late does not count.
-func (o *oracle) checkEvacuated(order jobs.Start, e *Endpoint) {
+func (o *oracle) checkEvacuated(r *emulatedRun) {
+	e := r.endpoint
 	since, isEvacuated := o.world.operator.evacuatedSince(e.centre)
 	if !isEvacuated || o.world.isCarriedOutLate {
 		return
 	}
 	limit := evacuationTime + min(o.outage(since), maxEvacuationExtension)
 	if elapsed := o.world.now.Sub(since); elapsed > limit {
-		o.report("EVACUATED", "%s started on %s %s after the evacuation of %s was acknowledged", order.Task, e.id, elapsed, e.centre)
+		o.report("EVACUATED", "%s started on %s %s after the evacuation of %s was acknowledged", r.task, e.id, elapsed, e.centre)
 	}
 }
 
--- a/jobs/emulator/evacuation_test.go
+++ b/jobs/emulator/evacuation_test.go
@@ -149,8 +149,8 @@
 // runningTasks counts the runs of the first step of a job in a data centre; "" stands for all.
 func (w *World) runningTasks(job jobs.Job, centre string) (count int) {
 	for k := range job.Steps[0].Count {
-		for e := range w.oracle.running[jobs.TaskName{Job: job.ID, Index: k}.String()] {
-			if centre == "" || e.centre == centre {
+		for _, r := range w.oracle.running[jobs.TaskName{Job: job.ID, Index: k}.String()] {
+			if centre == "" || r.endpoint.centre == centre {
 				count++
 			}
 		}
--- a/jobs/emulator/oracle.go
+++ b/jobs/emulator/oracle.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"gitlab.com/chicorypin/chicorypin/jobs"
@@ -31,8 +32,8 @@
 	world *World
 	// submitted holds the IDs of all jobs that were submitted.
 	submitted map[string]bool
-	// running holds the endpoints on which each task runs, by task name.
-	running map[string]map[*Endpoint]bool
+	// running holds the runs of each task, by task name.
+	running map[string][]*emulatedRun
 	// done holds the tasks of which a run has completed, acknowledged those of them
 	// whose end an owner has acknowledged. failed counts the acknowledged failures
 	// of a task.
@@ -62,7 +63,7 @@
 
 func newOracle(w *World) oracle {
 	return oracle{
-		world: w, submitted: make(map[string]bool), running: make(map[string]map[*Endpoint]bool),
+		world: w, submitted: make(map[string]bool), running: make(map[string][]*emulatedRun),
 		done: make(map[string]bool), acknowledged: make(map[string]bool), failed: make(map[string]int),
 		cancelledAt: make(map[string]time.Time), cancelRequested: make(map[string]bool),
 		acceptedAt: make(map[string]time.Time), lastRunEnd: make(map[string]time.Time),
@@ -79,63 +80,62 @@
 // elapsed returns the time since the world began.
 func (o *oracle) elapsed() time.Duration { return o.world.now.Sub(time.Unix(1000, 0)) }
 
-// checkStart checks a start against all invariants and returns the capacity that
-// the run reserves.
-func (o *oracle) checkStart(order jobs.Start, e *Endpoint) jobs.Size {
-	name, ok := jobs.ParseTaskName(order.Task)
+// checkStart checks the start of a run against all invariants and returns the capacity
+// that it reserves.
+func (o *oracle) checkStart(r *emulatedRun) jobs.Size {
+	name, ok := jobs.ParseTaskName(r.task)
 	job, isKnown := o.job(name.Job)
 	if !ok || !isKnown || name.Step >= len(job.Steps) || name.Index >= job.Steps[name.Step].Count {
-		o.report("UNASKED", "%s was never submitted", order.Task)
+		o.report("UNASKED", "%s was never submitted", r.task)
 		return jobs.Size{}
 	}
 	step := &job.Steps[name.Step]
-	o.checkPlace(order, step, e)
-	o.checkEvacuated(order, e)
-	o.checkSteps(name, job, e)
-	if job.Attempts > 0 && !step.LongRunning && o.failed[order.Task] >= job.Attempts {
-		o.report("BUDGET", "%s started again after %d failed runs", order.Task, o.failed[order.Task])
+	o.checkPlace(r, step)
+	o.checkEvacuated(r)
+	o.checkSteps(name, job, r.endpoint)
+	if job.Attempts > 0 && !step.LongRunning && o.failed[r.task] >= job.Attempts {
+		o.report("BUDGET", "%s started again after %d failed runs", r.task, o.failed[r.task])
 	}
-	if o.crashes[order.Task] >= maxCrashes {
-		o.startsAfterCrashes[order.Task]++
-		if o.startsAfterCrashes[order.Task] == maxStartsAfterCrashes {
-			o.report("BUDGET", "%s started %d times after %d endpoints had crashed under it", order.Task, maxStartsAfterCrashes, maxCrashes)
+	if o.crashes[r.task] >= maxCrashes {
+		o.startsAfterCrashes[r.task]++
+		if o.startsAfterCrashes[r.task] == maxStartsAfterCrashes {
+			o.report("BUDGET", "%s started %d times after %d endpoints had crashed under it", r.task, maxStartsAfterCrashes, maxCrashes)
 		}
 	}
 	if at, isCancelled := o.cancelledAt[name.Job]; isCancelled && o.world.now.Sub(at) > maxStartAfterCancel && o.world.faults.LateOrders == 0 {
-		o.report("UNASKED", "%s started after its job was cancelled", order.Task)
+		o.report("UNASKED", "%s started after its job was cancelled", r.task)
 	}
-	if o.running[order.Task] == nil {
-		o.running[order.Task] = make(map[*Endpoint]bool)
-	}
-	o.running[order.Task][e] = true
+	o.running[r.task] = append(o.running[r.task], r)
 	o.checkLimit(job, step.Each)
 	return step.Reserved()
 }
 
 // checkPlace checks that the run fits on the endpoint, that the endpoint has the
-// required label, and that the task neither runs elsewhere nor is done, unless
-// copies of it are allowed.
-func (o *oracle) checkPlace(order jobs.Start, step *jobs.Step, e *Endpoint) {
+// required label, and that the task neither has another run, there or elsewhere, nor is
+// done, unless copies of it are allowed.
+func (o *oracle) checkPlace(r *emulatedRun, step *jobs.Step) {
+	e := r.endpoint
 	if !e.used().Plus(step.Reserved()).Fits(e.countedCapacity()) {
-		o.report("LIMIT", "%s does not fit on %s", order.Task, e.id)
+		o.report("LIMIT", "%s does not fit on %s", r.task, e.id)
 	}
-	if !step.Speculative && len(o.running[order.Task]) > 0 {
-		o.report("TWICE", "%s run %d started on %s while the task runs on %s", order.Task, order.Run, e.id, o.locations(order.Task))
+	if !step.Speculative && len(o.running[r.task]) > 0 {
+		o.report("TWICE", "%s run %d started on %s while the task runs: %s", r.task, r.number, e.id, o.describeRuns(r.task))
 	}
-	if !step.Speculative && o.acknowledged[order.Task] {
-		o.report("TWICE", "%s started again after it was done", order.Task)
+	if !step.Speculative && o.acknowledged[r.task] {
+		o.report("TWICE", "%s started again after it was done", r.task)
 	}
 	if step.Requires != "" && step.Requires != "a" && step.Requires != e.rack {
-		o.report("ROUTE", "%s needs label %s", order.Task, step.Requires)
+		o.report("ROUTE", "%s needs label %s", r.task, step.Requires)
 	}
 }
 
-// locations describes where a task runs and for how long.
-func (o *oracle) locations(task string) (ids []string) {
-	for e := range o.running[task] {
-		ids = append(ids, fmt.Sprintf("%s incarnation %d for %s", e.id, e.incarnation, o.world.now.Sub(e.runs[task].began)))
+// describeRuns describes where a task runs and for how long.
+func (o *oracle) describeRuns(task string) (runs []string) {
+	for _, r := range o.running[task] {
+		runs = append(runs, fmt.Sprintf("run %d on %s incarnation %d for %s, stopping %t",
+			r.number, r.endpoint.id, r.endpoint.incarnation, o.world.now.Sub(r.began), r.isStopping))
 	}
-	return ids
+	return runs
 }
 
 // job returns a submitted job whose record is in the journal.
@@ -172,8 +172,10 @@
 func (o *oracle) countTasks(job jobs.Job, name jobs.TaskName, e *Endpoint) (count int) {
 	for k := range job.Steps[name.Step].Count {
 		task := jobs.TaskName{Job: name.Job, Occurrence: name.Occurrence, Step: name.Step, Index: k}.String()
-		if o.running[task][e] {
-			count++
+		for _, r := range o.running[task] {
+			if r.endpoint == e {
+				count++
+			}
 		}
 	}
 	return count
@@ -216,29 +218,29 @@
 
 // accountUsage returns the size of what a client account has running.
 func (o *oracle) accountUsage(account string) (used jobs.Size) {
-	for task, places := range o.running {
+	for task, runs := range o.running {
 		name, _ := jobs.ParseTaskName(task)
 		other, _ := o.job(name.Job)
-		if other.Account == account && len(places) > 0 {
-			used = used.Plus(other.Steps[name.Step].Each.Times(int64(len(places))))
+		if other.Account == account && len(runs) > 0 {
+			used = used.Plus(other.Steps[name.Step].Each.Times(int64(len(runs))))
 		}
 	}
 	return used
 }
 
-// removeRun records that a task no longer runs on an endpoint.
-func (o *oracle) removeRun(task string, e *Endpoint) {
-	delete(o.running[task], e)
-	o.lastRunEnd[task] = o.world.now
+// removeRun records that a run is over.
+func (o *oracle) removeRun(r *emulatedRun) {
+	o.running[r.task] = slices.DeleteFunc(o.running[r.task], func(other *emulatedRun) bool { return other == r })
+	o.lastRunEnd[r.task] = o.world.now
 }
 
-func (o *oracle) recordEnd(task string, outcome jobs.Outcome, e *Endpoint) {
-	o.removeRun(task, e)
+func (o *oracle) recordEnd(r *emulatedRun, outcome jobs.Outcome) {
+	o.removeRun(r)
 	switch outcome {
 	case jobs.Done:
-		o.done[task] = true
+		o.done[r.task] = true
 	case jobs.Failed:
-		o.failedEnds[task]++
+		o.failedEnds[r.task]++
 	}
 }
 
