--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -68,6 +68,9 @@
 	// ClockStep is the most by which an endpoint's wall clock is ahead; it differs with each
 	// start of the endpoint.
 	ClockStep time.Duration
+	// HasForwarder puts a forwarder between the owner and the endpoints. Connections then
+	// outlive a restart of an endpoint, and the next incarnation receives the orders on them.
+	HasForwarder bool
 	// Limits holds the limits of client accounts; others have none.
 	Limits map[string]jobs.Size
 	// UncheckedLimits holds the limits of accounts without one in Limits. The oracle does not
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -28,7 +28,7 @@
 	onStored []func()
 }
 
-// connection is an open connection to an incarnation of an endpoint.
+// connection is an open connection that was opened to an incarnation of an endpoint.
 type connection struct {
 	openedAt    time.Time
 	incarnation int
@@ -263,9 +263,10 @@
 	}
 	w.after(orderTimeout, func() { answer(jobs.Unanswered, 0) })
 	deliver := func(isAnswerReceived bool) {
-		// A delayed order is lost if its endpoint is down, has restarted or is
-		// unreachable.
-		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || e.incarnation != c.incarnation {
+		// A delayed order is lost if its endpoint is down, has restarted with no forwarder
+		// before it, or is unreachable.
+		hasEnded := e.incarnation != c.incarnation && !w.config.HasForwarder
+		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || hasEnded {
 			return
 		}
 		a, clock := handle(e)
@@ -295,11 +296,12 @@
 }
 
 // connect returns the connection for an order: mostly one that is kept, also if its
-// incarnation has ended unnoticed, else a new one if the endpoint can be reached.
+// incarnation has ended unnoticed, else a new one if the endpoint can be reached. A connection
+// to a forwarder ends only if it is used while the endpoint is down.
 func (o *owner) connect(e *Endpoint) (c connection, isConnected bool) {
 	random := o.world.connectionRandom
 	c, isKept := o.connections[e]
-	hasEnded := c.incarnation != e.incarnation || !e.isUp
+	hasEnded := c.incarnation != e.incarnation && !o.world.config.HasForwarder || !e.isUp
 	isNoticed := hasEnded && random.Float64() < 0.7
 	if !isKept || isNoticed || random.Float64() < 0.05 {
 		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch {
