--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -71,6 +71,12 @@
 	// HasForwarder puts a forwarder between the owner and the endpoints. Connections then
 	// outlive a restart of an endpoint, and the next incarnation receives the orders on them.
 	HasForwarder bool
+	// MaxListingDelay is the longest time from when an endpoint copies the list of its runs
+	// for the answer to a poll until it reads the clock for that answer and sends it. With 0
+	// both are of the same moment.
+	MaxListingDelay time.Duration
+	// ClockGoesOn makes the clocks of endpoints go on over restarts instead of starting at 0.
+	ClockGoesOn bool
 	// Limits holds the limits of client accounts; others have none.
 	Limits map[string]jobs.Size
 	// UncheckedLimits holds the limits of accounts without one in Limits. The oracle does not
@@ -111,14 +117,16 @@
 	// connectionRandom is the source of the choices of connections, apart from random, so that
 	// they change nothing else.
 	connectionRandom *rand.Rand
-	now              time.Time
-	events           eventQueue
-	lastSequence     int
-	faults           Faults
-	endpoints        []*Endpoint
-	owner            *owner
-	epoch            int64
-	journal          []jobs.Record
+	// listingRandom is the source of the delays of listings, apart for the same reason.
+	listingRandom *rand.Rand
+	now           time.Time
+	events        eventQueue
+	lastSequence  int
+	faults        Faults
+	endpoints     []*Endpoint
+	owner         *owner
+	epoch         int64
+	journal       []jobs.Record
 	// final is the last final snapshot, finalLength the length of the journal at that time.
 	// It is nil once an owner has loaded it.
 	final       *jobs.Snapshot
@@ -162,6 +170,7 @@
 	w := &World{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed)),
 		connectionRandom: rand.New(rand.NewPCG(config.Seed, ^config.Seed)),
+		listingRandom:    rand.New(rand.NewPCG(^config.Seed, ^config.Seed)),
 		now:              time.Unix(1000, 0), accepted: make(map[string]jobs.Job),
 	}
 	w.config.MaxGrant = cmp.Or(config.MaxGrant, jobs.DefaultBounds().Grant)
--- a/jobs/emulator/endpoint.go
+++ b/jobs/emulator/endpoint.go
@@ -44,6 +44,8 @@
 	incarnation int
 	born        int64
 	bootedAt    time.Time
+	// clockSince is when the clock was 0.
+	clockSince time.Time
 	// epoch is the highest epoch of an owner seen since the start.
 	epoch int64
 	// grantUntil is the expiry of the grant on the endpoint's clock, in
@@ -90,6 +92,9 @@
 	e.incarnation++
 	e.isUp, e.isDraining = true, false
 	e.bootedAt = e.world.now
+	if e.incarnation == 1 || !e.world.config.ClockGoesOn {
+		e.clockSince = e.world.now
+	}
 	e.born = e.world.now.UnixMilli() + int64(e.incarnation)
 	if step := e.world.config.ClockStep.Milliseconds(); step > 0 {
 		e.born += e.world.random.Int64N(step)
@@ -262,11 +267,19 @@
 }
 
 // isCold reports whether the endpoint is still slow after its start.
-func (e *Endpoint) isCold() bool { return e.clock() < e.world.config.ColdTime.Milliseconds() }
+func (e *Endpoint) isCold() bool { return e.clock() < e.warmAt() }
+
+// warmAt returns when the endpoint is no longer slow after its start, on its clock.
+func (e *Endpoint) warmAt() int64 {
+	return e.clockAt(e.bootedAt) + e.world.config.ColdTime.Milliseconds()
+}
 
-// clock returns the endpoint's clock, in milliseconds since its start.
-func (e *Endpoint) clock() int64 {
-	return int64(float64(e.world.now.Sub(e.bootedAt).Milliseconds()) * e.clockRate)
+// clock returns the endpoint's clock, in milliseconds since its start, or since its first
+// start with Config.ClockGoesOn.
+func (e *Endpoint) clock() int64 { return e.clockAt(e.world.now) }
+
+func (e *Endpoint) clockAt(at time.Time) int64 {
+	return int64(float64(at.Sub(e.clockSince).Milliseconds()) * e.clockRate)
 }
 
 func (e *Endpoint) used() (sum jobs.Size) {
@@ -441,6 +454,23 @@
 	return l, jobs.Accepted
 }
 
+// afterListing calls respond with the clock for the answer to a poll once the listing has been
+// made, unless the endpoint has ended by then.
+func (e *Endpoint) afterListing(respond func(clock int64)) {
+	longest := e.world.config.MaxListingDelay
+	if longest == 0 {
+		respond(e.clock())
+		return
+	}
+	incarnation := e.incarnation
+	delay := time.Duration(e.world.listingRandom.Int64N(int64(longest + 1)))
+	e.world.after(delay, func() {
+		if e.incarnation == incarnation && e.isUp {
+			respond(e.clock())
+		}
+	})
+}
+
 // profile returns the endpoint as service discovery lists it.
 func (e *Endpoint) profile() jobs.Profile {
 	p := jobs.Profile{
@@ -448,7 +478,7 @@
 		Capacity: e.capacity, IsDraining: e.isDraining, Born: e.born,
 	}
 	if e.isCold() {
-		p.WarmAt = e.world.config.ColdTime
+		p.WarmAt = time.Duration(e.warmAt()) * time.Millisecond
 	}
 	return p
 }
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -238,10 +238,10 @@
 }
 
 // send delivers an order to an endpoint and its answer to onAnswer, subject to the
-// configured faults. handle carries the order out at the endpoint. onAnswer is
-// called at most once, with jobs.Unanswered after orderTimeout, or jobs.Refused or
-// jobs.ConnectionRefused if no connection could be opened.
-func (o *owner) send(id string, handle func(e *Endpoint) (jobs.Answer, int64), onAnswer func(reply jobs.Reply)) {
+// configured faults. handle carries the order out at the endpoint and calls respond once, now
+// or later. onAnswer is called at most once, with jobs.Unanswered after orderTimeout, or
+// jobs.Refused or jobs.ConnectionRefused if no connection could be opened.
+func (o *owner) send(id string, handle func(e *Endpoint, respond func(jobs.Answer, int64)), onAnswer func(reply jobs.Reply)) {
 	w := o.world
 	e := w.endpoint(id)
 	c, isConnected := o.connect(e)
@@ -269,14 +269,16 @@
 		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || hasEnded {
 			return
 		}
-		a, clock := handle(e)
-		if isAnswerReceived && !e.isAnswerLost() {
+		handle(e, func(a jobs.Answer, clock int64) {
+			if !isAnswerReceived || e.isAnswerLost() {
+				return
+			}
 			delay := linkDelay
 			if w.chance(w.faults.LateAnswers) {
 				delay = time.Duration(w.random.Int64N(int64(maxAnswerDelay)))
 			}
 			w.after(delay, func() { answer(a, clock) })
-		}
+		})
 	}
 	switch {
 	case w.chance(w.faults.LateOrders):
@@ -314,14 +316,14 @@
 }
 
 func (o *owner) sendStart(start jobs.Start) {
-	o.send(start.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
-		return e.start(o.epoch, start)
+	o.send(start.Endpoint, func(e *Endpoint, respond func(jobs.Answer, int64)) {
+		respond(e.start(o.epoch, start))
 	}, func(reply jobs.Reply) { o.cell.StartAnswered(o.world.now, start, reply) })
 }
 
 func (o *owner) sendStop(stop jobs.Stop) {
-	o.send(stop.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
-		return e.stop(o.epoch, stop)
+	o.send(stop.Endpoint, func(e *Endpoint, respond func(jobs.Answer, int64)) {
+		respond(e.stop(o.epoch, stop))
 	}, func(reply jobs.Reply) { o.cell.StopAnswered(o.world.now, stop, reply.Answer, reply.Clock) })
 }
 
@@ -338,11 +340,13 @@
 	}
 	var listing jobs.Listing
 	askedAt := w.now
-	o.send(e.id, func(e *Endpoint) (jobs.Answer, int64) {
+	o.send(e.id, func(e *Endpoint, respond func(jobs.Answer, int64)) {
 		received, answer := e.poll(o.epoch, poll.Seen, poll.Until)
-		listing = received
-		listing.AskedAt = askedAt
-		return answer, received.Clock
+		e.afterListing(func(clock int64) {
+			listing = received
+			listing.AskedAt, listing.Clock = askedAt, clock
+			respond(answer, clock)
+		})
 	}, func(reply jobs.Reply) {
 		if reply.Answer == jobs.Accepted {
 			for _, orphan := range o.cell.ApplyListing(w.now, listing) {
