emulator: an end of the next incarnation is acknowledged unseen (fails)

If clocks go on over a restart, an answer to a start does not show that the listed incarnation has it. The number of an earlier end then acknowledges the end of the run, which its listing does not show any more, and the task is started again.

--- a/jobs/emulator/listed_test.go
+++ b/jobs/emulator/listed_test.go
@@ -192,3 +192,30 @@
 		checkOutcome(t, playRestarts(t, Config{ClockGoesOn: true, HasForwarder: rapid.Bool().Draw(t, "forwarder")}))
 	})
 }
+
+// The end of a run on an endpoint that had restarted was acknowledged with the number of an earlier
+// one before it was listed, so that its task was started again after it was done.
+func TestEndIsAcknowledgedUnseen(t *testing.T) {
+	for name, change := range map[string]func(config *Config){
+		"over a forwarder":                 func(config *Config) { config.HasForwarder = true },
+		"while its clock goes on":          func(config *Config) { config.ClockGoesOn = true },
+		"while its listings are made late": func(config *Config) { config.MaxListingDelay = 40 * time.Millisecond },
+	} {
+		Convey("A task that was done on an endpoint that has restarted is not started again, "+name, t, func() {
+			for wait := range 100 {
+				w, job := newListedWorld(func(config *Config) {
+					config.Seed, config.Work = uint64(wait), func(*World, string) (time.Duration, bool) { return 10 * time.Millisecond, false }
+					change(config)
+				})
+				e, next := w.endpoints[0], job
+				next.ID = "0000000000000002"
+				w.Submit(job)
+				w.Advance(time.Duration(50+2*wait) * time.Millisecond)
+				w.Submit(next)
+				e.Crash(time.Millisecond)
+				w.Advance(3 * time.Second)
+				SoMsg(name, w.Violations(), ShouldBeEmpty)
+			}
+		})
+	}
+}
