emulator: late orders wait in the endpoint, or in the forwarder (fails)

They end with the incarnation that was up when they were sent, unless a configuration lets them wait in the forwarder. A start that waits there outlives the stop of its run if the endpoint restarts in between.

UNASKED leaves out orders that were carried out late, whatever the faults are now, instead of all orders while the faults allow late ones.

--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -71,6 +71,10 @@
 	// HasForwarder puts a forwarder between the owner and the endpoints. Connections then
 	// outlive a restart of an endpoint, and the next incarnation receives the orders on them.
 	HasForwarder bool
+	// HoldsLateOrders makes the orders of Faults.LateOrders wait in the forwarder, so that any
+	// later incarnation may carry them out. Otherwise they wait in the endpoint and end with
+	// the incarnation that was up when they were sent.
+	HoldsLateOrders bool
 	// MaxListingDelay is the longest time from when an endpoint copies the list of its runs
 	// for the answer to a poll until it reads the clock for that answer and sends it. With 0
 	// both are of the same moment.
--- a/jobs/emulator/listed_test.go
+++ b/jobs/emulator/listed_test.go
@@ -193,6 +193,33 @@
 	})
 }
 
+// A start that was not answered waited in the forwarder. Its endpoint accepted a stop of the run, so
+// that the task was started elsewhere, and restarted. The next incarnation knew nothing of the stop
+// and carried the start out beside the other run.
+func TestStartOutlivesItsStop(t *testing.T) {
+	Convey("A task runs once if its late start meets the incarnation after the one that has accepted its stop", t, func() {
+		w, job := newListedWorld(func(config *Config) {
+			config.Endpoints, config.HasForwarder, config.HoldsLateOrders = 2, true, true
+			config.Work = func(*World, string) (time.Duration, bool) { return 0, false }
+		})
+		job.Steps[0].LongRunning = true
+		e, other := w.endpoints[0], w.endpoints[1]
+		other.Resize(jobs.Size{})
+		w.Advance(500 * time.Millisecond)
+		w.Submit(job)
+		w.SetFaults(Faults{LateOrders: 1})
+		w.Advance(60 * time.Millisecond)
+		w.SetFaults(Faults{})
+		other.Resize(e.capacity)
+		e.Drain()
+		w.Advance(1900 * time.Millisecond)
+		So(other.runs, ShouldHaveLength, 1)
+		e.Crash(time.Millisecond)
+		w.Advance(15 * time.Second)
+		So(w.Violations(), ShouldBeEmpty)
+	})
+}
+
 // The end of a run on an endpoint that had restarted was acknowledged with the number of an earlier
 // one before it was listed, so that its task was started again after it was done.
 func TestEndIsAcknowledgedUnseen(t *testing.T) {
--- a/jobs/emulator/oracle.go
+++ b/jobs/emulator/oracle.go
@@ -102,7 +102,7 @@
 			o.report("BUDGET", "%s started %d times after %d endpoints had crashed under it", r.task, maxStartsAfterCrashes, maxCrashes)
 		}
 	}
-	if at, isCancelled := o.cancelledAt[name.Job]; isCancelled && o.world.now.Sub(at) > maxStartAfterCancel && o.world.faults.LateOrders == 0 {
+	if at, isCancelled := o.cancelledAt[name.Job]; isCancelled && o.world.now.Sub(at) > maxStartAfterCancel && !o.world.isCarriedOutLate {
 		o.report("UNASKED", "%s started after its job was cancelled", r.task)
 	}
 	o.running[r.task] = append(o.running[r.task], r)
