--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -1,7 +1,9 @@
 package emulator
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"gitlab.com/chicorypin/chicorypin/jobs"
@@ -190,7 +192,11 @@
 		o.cell.Plan(w.now, w.now)
 		w.oracle.recordReports(o.cell)
 	}
-	for _, stop := range o.cell.Stops(w.now) {
+	stops := o.cell.Stops(w.now)
+	slices.SortFunc(stops, func(a, b jobs.Stop) int {
+		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Task, b.Task))
+	})
+	for _, stop := range stops {
 		o.sendStop(stop)
 	}
 	batch := o.cell.TakeBatch()
@@ -262,10 +268,12 @@
 		return
 	}
 	w.after(orderTimeout, func() { answer(jobs.Unanswered, 0) })
+	sentTo := e.incarnation
 	deliver := func(isAnswerReceived bool) {
 		// A delayed order is lost if its endpoint is down, has restarted with no forwarder
 		// before it, or is unreachable.
-		hasEnded := e.incarnation != c.incarnation && !w.config.HasForwarder
+		hasEnded := e.incarnation != c.incarnation && !w.config.HasForwarder ||
+			w.isCarriedOutLate && e.incarnation != sentTo && !w.config.HoldsLateOrders
 		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || hasEnded {
 			return
 		}
