--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -270,11 +270,7 @@
 	w.after(orderTimeout, func() { answer(jobs.Unanswered, 0) })
 	sentTo := e.incarnation
 	deliver := func(isAnswerReceived bool) {
-		// A delayed order is lost if its endpoint is down, has restarted with no forwarder
-		// before it, or is unreachable.
-		hasEnded := e.incarnation != c.incarnation && !w.config.HasForwarder ||
-			w.isCarriedOutLate && e.incarnation != sentTo && !w.config.HoldsLateOrders
-		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || hasEnded {
+		if o.isLost(e, c, sentTo) {
 			return
 		}
 		handle(e, func(a jobs.Answer, clock int64) {
@@ -305,6 +301,16 @@
 	}
 }
 
+// isLost reports whether an order that arrives now on a connection does not reach the endpoint:
+// it is down or unreachable, or has restarted with no forwarder before it. sentTo is the
+// incarnation that was up when the order was sent.
+func (o *owner) isLost(e *Endpoint, c connection, sentTo int) bool {
+	config := &o.world.config
+	hasEnded := e.incarnation != c.incarnation && !config.HasForwarder ||
+		o.world.isCarriedOutLate && e.incarnation != sentTo && !config.HoldsLateOrders
+	return !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || hasEnded
+}
+
 // connect returns the connection for an order: mostly one that is kept, also if its
 // incarnation has ended unnoticed, else a new one if the endpoint can be reached. A connection
 // to a forwarder ends only if it is used while the endpoint is down.
