--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -1,7 +1,9 @@
 package emulator
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"gitlab.com/chicorypin/chicorypin/jobs"
@@ -28,7 +30,7 @@
 	onStored []func()
 }
 
-// connection is an open connection to an incarnation of an endpoint.
+// connection is an open connection that was opened to an incarnation of an endpoint.
 type connection struct {
 	openedAt    time.Time
 	incarnation int
@@ -190,7 +192,11 @@
 		o.cell.Plan(w.now, w.now)
 		w.oracle.recordReports(o.cell)
 	}
-	for _, stop := range o.cell.Stops(w.now) {
+	stops := o.cell.Stops(w.now)
+	slices.SortFunc(stops, func(a, b jobs.Stop) int {
+		return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Task, b.Task))
+	})
+	for _, stop := range stops {
 		o.sendStop(stop)
 	}
 	batch := o.cell.TakeBatch()
@@ -238,10 +244,10 @@
 }
 
 // send delivers an order to an endpoint and its answer to onAnswer, subject to the
-// configured faults. handle carries the order out at the endpoint. onAnswer is
-// called at most once, with jobs.Unanswered after orderTimeout, or jobs.Refused or
-// jobs.ConnectionRefused if no connection could be opened.
-func (o *owner) send(id string, handle func(e *Endpoint) (jobs.Answer, int64), onAnswer func(reply jobs.Reply)) {
+// configured faults. handle carries the order out at the endpoint and calls respond once, now
+// or later. onAnswer is called at most once, with jobs.Unanswered after orderTimeout, or
+// jobs.Refused or jobs.ConnectionRefused if no connection could be opened.
+func (o *owner) send(id string, handle func(e *Endpoint, respond func(jobs.Answer, int64)), onAnswer func(reply jobs.Reply)) {
 	w := o.world
 	e := w.endpoint(id)
 	c, isConnected := o.connect(e)
@@ -262,20 +268,21 @@
 		return
 	}
 	w.after(orderTimeout, func() { answer(jobs.Unanswered, 0) })
+	sentTo := e.incarnation
 	deliver := func(isAnswerReceived bool) {
-		// A delayed order is lost if its endpoint is down, has restarted or is
-		// unreachable.
-		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || e.incarnation != c.incarnation {
+		if o.isLost(e, c, sentTo) {
 			return
 		}
-		a, clock := handle(e)
-		if isAnswerReceived && !e.isAnswerLost() {
+		handle(e, func(a jobs.Answer, clock int64) {
+			if !isAnswerReceived || e.isAnswerLost() {
+				return
+			}
 			delay := linkDelay
 			if w.chance(w.faults.LateAnswers) {
 				delay = time.Duration(w.random.Int64N(int64(maxAnswerDelay)))
 			}
 			w.after(delay, func() { answer(a, clock) })
-		}
+		})
 	}
 	switch {
 	case w.chance(w.faults.LateOrders):
@@ -294,12 +301,23 @@
 	}
 }
 
+// isLost reports whether an order that arrives now on a connection does not reach the endpoint:
+// it is down or unreachable, or has restarted with no forwarder before it. sentTo is the
+// incarnation that was up when the order was sent.
+func (o *owner) isLost(e *Endpoint, c connection, sentTo int) bool {
+	config := &o.world.config
+	hasEnded := e.incarnation != c.incarnation && !config.HasForwarder ||
+		o.world.isCarriedOutLate && e.incarnation != sentTo && !config.HoldsLateOrders
+	return !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || hasEnded
+}
+
 // connect returns the connection for an order: mostly one that is kept, also if its
-// incarnation has ended unnoticed, else a new one if the endpoint can be reached.
+// incarnation has ended unnoticed, else a new one if the endpoint can be reached. A connection
+// to a forwarder ends only if it is used while the endpoint is down.
 func (o *owner) connect(e *Endpoint) (c connection, isConnected bool) {
 	random := o.world.connectionRandom
 	c, isKept := o.connections[e]
-	hasEnded := c.incarnation != e.incarnation || !e.isUp
+	hasEnded := c.incarnation != e.incarnation && !o.world.config.HasForwarder || !e.isUp
 	isNoticed := hasEnded && random.Float64() < 0.7
 	if !isKept || isNoticed || random.Float64() < 0.05 {
 		if !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch {
@@ -312,14 +330,14 @@
 }
 
 func (o *owner) sendStart(start jobs.Start) {
-	o.send(start.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
-		return e.start(o.epoch, start)
+	o.send(start.Endpoint, func(e *Endpoint, respond func(jobs.Answer, int64)) {
+		respond(e.start(o.epoch, start))
 	}, func(reply jobs.Reply) { o.cell.StartAnswered(o.world.now, start, reply) })
 }
 
 func (o *owner) sendStop(stop jobs.Stop) {
-	o.send(stop.Endpoint, func(e *Endpoint) (jobs.Answer, int64) {
-		return e.stop(o.epoch, stop)
+	o.send(stop.Endpoint, func(e *Endpoint, respond func(jobs.Answer, int64)) {
+		respond(e.stop(o.epoch, stop))
 	}, func(reply jobs.Reply) { o.cell.StopAnswered(o.world.now, stop, reply.Answer, reply.Clock) })
 }
 
@@ -336,11 +354,13 @@
 	}
 	var listing jobs.Listing
 	askedAt := w.now
-	o.send(e.id, func(e *Endpoint) (jobs.Answer, int64) {
+	o.send(e.id, func(e *Endpoint, respond func(jobs.Answer, int64)) {
 		received, answer := e.poll(o.epoch, poll.Seen, poll.Until)
-		listing = received
-		listing.AskedAt = askedAt
-		return answer, received.Clock
+		e.afterListing(func(clock int64) {
+			listing = received
+			listing.AskedAt, listing.Clock = askedAt, clock
+			respond(answer, clock)
+		})
 	}, func(reply jobs.Reply) {
 		if reply.Answer == jobs.Accepted {
 			for _, orphan := range o.cell.ApplyListing(w.now, listing) {
