Keep a run that a restarted endpoint may have for a grant when it is delisted

An endpoint that is cut off from the store and from the owner is missing from discovery, too, and its runs go on until their grant expires. A run that it may have received through a forwarder counted as lost 2 s after that, less than the grant, and its task was started beside it: the conclusion from the connection, once more, without an observation.

What remains: on the clock of the next incarnation the grant lasts for up to 10 s.

--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -146,8 +146,8 @@
 		return c.inheritedRunEnd(e)
 	case e.mayHaveRestarted && !r.isIncarnationKnown && !e.isListed && r.isSentBefore(e.listedSince):
 		// Only through a forwarder can the start have reached a later incarnation than the one
-		// that has ended, and that one is gone.
-		return e.delistedAt.Add(relistDelay)
+		// that has ended. That one is gone, or cut off from discovery, too.
+		return later(e.delistedAt.Add(relistDelay), r.orderedAt.Add(c.longestGrant()))
 	case e.grantUntil == 0 || e.mayHaveRestarted && !r.isIncarnationKnown:
 		// An incarnation that has not listed its runs may have carried the start out.
 		return r.orderedAt.Add(maxStartDelay)
--- a/jobs/restart_test.go
+++ b/jobs/restart_test.go
@@ -164,3 +164,31 @@
 		So(b.cell.IsStartCurrent(start), ShouldBeFalse)
 	})
 }
+
+// A run that had reached a restarted endpoint through a forwarder counted as lost while its grant
+// went on, as the endpoint, cut off from all, was missing from discovery for 2 s.
+func TestDelistedEndpointHasRun(t *testing.T) {
+	Convey("A task is not started again within the grant of a run that a restarted endpoint may have received", t, func() {
+		b := newTestbed(2)
+		opened := b.now
+		b.advance(200 * time.Millisecond)
+		b.answerPoll(0)
+		b.answerPoll(1)
+		b.advance(200 * time.Millisecond)
+		b.submit(firstID, batchStep(1, 100))
+		start := b.planAndStore()[0]
+		ordered := b.now
+		b.cell.StartAnswered(b.now, start, Reply{Answer: Unanswered, ConnectedAt: opened})
+		b.advance(100 * time.Millisecond)
+		b.born, b.clock = 2, 5
+		b.setEndpoints(2, false)
+		b.answerOther(start)
+		b.advance(500 * time.Millisecond)
+		b.delist(start)
+		for b.now.Sub(ordered) < DefaultBounds().Grant {
+			b.advance(100 * time.Millisecond)
+			b.answerOther(start)
+			SoMsg(b.now.Sub(ordered).String(), b.planAndStore(), ShouldBeEmpty)
+		}
+	})
+}
