Hand orphans over to the next owner

While a lost run that its endpoint lists was being stopped, the next owner knew nothing of it until that endpoint had listed its runs, and started the task on one that had answered sooner.

TestHandoverForgetsOrphan fails on for endpoints that answer late and for silent ones.

--- a/jobs/handover.go
+++ b/jobs/handover.go
@@ -43,6 +43,9 @@
 			end = later(end, c.latestRunEnd(r))
 		}
 	}
+	if len(e.orphans) > 0 {
+		end = later(end, c.latestOrphanEnd(e))
+	}
 	return end
 }
 
--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -129,3 +129,38 @@
 		})
 	}
 }
+
+// The next owner started a task beside an orphan that was being stopped during the hand-over.
+func TestHandoverForgetsOrphan(t *testing.T) {
+	for name, isSilent := range map[string]bool{"answers later than others": false, "is silent": true} {
+		Convey("The next owner starts no task of which an endpoint has an orphan that "+name, t, func() {
+			b := newTestbed(2)
+			b.submit(firstID, batchStep(1, 100))
+			task := TaskName{Job: firstID}.String()
+			b.advance(10 * time.Second)
+			b.answerPoll(0)
+			b.answerPoll(1, ListedRun{Task: task, Run: 7})
+			So(b.planAndStore(), ShouldBeEmpty)
+			if isSilent {
+				b.advance(1500 * time.Millisecond)
+				b.cell.PollFailed(b.now, endpointName(1), Unanswered)
+			}
+			final := b.cell.HandoverSnapshot(b.now)
+			b.cell = New(Config{Bounds: DefaultBounds(), Inherited: b.now})
+			b.cell.Restore(b.now, final)
+			b.cell.FinishRestore()
+			b.cell.InheritGrants(b.now, final.Silent)
+			b.setEndpoints(2, false)
+			b.advance(60 * time.Millisecond)
+			b.answerPoll(0)
+			So(b.planAndStore(), ShouldBeEmpty)
+			b.advance(60 * time.Millisecond)
+			b.answerPoll(1, ListedRun{Task: task, Run: 7})
+			So(b.planAndStore(), ShouldBeEmpty)
+			b.advance(500 * time.Millisecond)
+			b.listEnd(1, task, 7, Stopped)
+			b.answerPoll(0)
+			So(b.planAndStore(), ShouldHaveLength, 1)
+		})
+	}
+}
--- a/jobs/orphan.go
+++ b/jobs/orphan.go
@@ -70,3 +70,23 @@
 
 // isEmpty reports whether no run may be on the endpoint.
 func (e *Endpoint) isEmpty() bool { return len(e.runs) == 0 && len(e.orphans) == 0 }
+
+// locatedOrphan is the number of an orphan and its endpoint.
+type locatedOrphan struct {
+	number   int
+	endpoint *Endpoint
+}
+
+// orphansOfWaitingTasks returns the last orphan of each task without a run that must not run
+// twice at a time.
+func (c *Cell) orphansOfWaitingTasks() map[*task]locatedOrphan {
+	located := make(map[*task]locatedOrphan)
+	for _, e := range c.endpoints {
+		for _, o := range e.orphans {
+			if t := o.task; t != nil && t.run == nil && t.needsRun() && !t.step.Speculative && o.Run > located[t].number {
+				located[t] = locatedOrphan{number: o.Run, endpoint: e}
+			}
+		}
+	}
+	return located
+}
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -58,14 +58,15 @@
 // those that TakeBatch has not returned yet.
 func (c *Cell) Snapshot() Snapshot {
 	s := Snapshot{Jobs: make([]JobState, 0, len(c.jobs)), MeasuredRunTimes: c.runTimes.export(), LearnedRunTimes: c.runTimes.exportLearned()}
+	orphans := c.orphansOfWaitingTasks()
 	for _, j := range c.jobs {
-		s.Jobs = append(s.Jobs, j.snapshot())
+		s.Jobs = append(s.Jobs, j.snapshot(orphans))
 	}
 	slices.SortFunc(s.Jobs, func(a, b JobState) int { return strings.Compare(a.Job.ID, b.Job.ID) })
 	return s
 }
 
-func (j *job) snapshot() JobState {
+func (j *job) snapshot(orphans map[*task]locatedOrphan) JobState {
 	state := JobState{Job: j.Job, State: j.state, Next: j.nextOccurrence, Left: j.occurrencesLeft}
 	if j.isOver() && !j.hasRuns() {
 		state.Job = Job{ID: j.ID, Queue: j.Queue, Account: j.Account}
@@ -84,8 +85,8 @@
 		}
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.lastRun > 0 || t.isDone {
-					state.Tasks = append(state.Tasks, t.snapshot())
+				if _, isOrphaned := orphans[t]; t.lastRun > 0 || t.isDone || isOrphaned {
+					state.Tasks = append(state.Tasks, t.snapshot(orphans))
 				}
 			}
 		}
@@ -93,13 +94,16 @@
 	return state
 }
 
-func (t *task) snapshot() TaskState {
+func (t *task) snapshot(orphans map[*task]locatedOrphan) TaskState {
 	state := TaskState{
 		Task: t.name, Run: t.lastRun, Failed: t.failedRuns, IsDone: t.isDone, Saved: t.checkpoint,
 		Suspicion: t.suspicion(), IsGivenUp: t.isGivenUp,
 	}
 	if t.run != nil {
 		state.Endpoint, state.Born = t.run.endpoint.ID, t.run.endpoint.born
+	} else if o, ok := orphans[t]; ok {
+		// The next owner must not start the task before this endpoint has listed its runs.
+		state.Run, state.Endpoint, state.Born = max(state.Run, o.number), o.endpoint.ID, o.endpoint.born
 	}
 	return state
 }
