--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -164,3 +164,32 @@
 		})
 	}
 }
+
+// A run of an earlier owner was started again beside itself, as the endpoint had copied the list of
+// its runs just before it began the run.
+func TestFirstListingMissesInheritedRun(t *testing.T) {
+	Convey("An inherited run is lost only if a listing does not contain it that was asked for after the first one", t, func() {
+		b := newTestbed(2)
+		b.submit(firstID, batchStep(1, 100))
+		start := b.planAndStore()[0]
+		state := b.cell.Snapshot()
+		b.cell = New(Config{Bounds: DefaultBounds(), Inherited: b.now})
+		b.cell.Restore(b.now, state)
+		b.cell.FinishRestore()
+		b.setEndpoints(2, false)
+		b.advance(20 * time.Millisecond)
+		b.answerPoll(0)
+		b.answerPoll(1)
+		So(b.planAndStore(), ShouldBeEmpty)
+		b.advance(60 * time.Millisecond)
+		b.answerOther(start)
+		run := 0
+		if start.Endpoint == endpointName(1) {
+			run = 1
+		}
+		b.answerPoll(run, ListedRun{Task: start.Task, Run: start.Run})
+		So(b.planAndStore(), ShouldBeEmpty)
+		So(b.cell.endpoints[start.Endpoint].orphans, ShouldBeEmpty)
+		
+	})
+}
