--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -147,7 +147,7 @@
 	case e.mayHaveRestarted && !r.isIncarnationKnown && !e.isListed && r.isSentBefore(e.listedSince):
 		// Only through a forwarder can the start have reached a later incarnation than the one
 		// that has ended. That one is gone, or cut off from discovery, too.
-		return later(e.delistedAt.Add(relistDelay), r.orderedAt.Add(c.longestGrant()))
+		return later(e.delistedAt.Add(relistDelay), r.orderedAt.Add(c.usualGrant()))
 	case e.grantUntil == 0 || e.mayHaveRestarted && !r.isIncarnationKnown:
 		// An incarnation that has not listed its runs may have carried the start out.
 		return r.orderedAt.Add(maxStartDelay)
@@ -162,30 +162,34 @@
 	return !r.connectedAt.IsZero() && !r.connectedAt.After(at)
 }
 
+// usualGrant returns the longest time that a grant lasts on the incarnation of an endpoint
+// that it was meant for.
+func (c *Cell) usualGrant() time.Duration {
+	b := c.config.Bounds
+	return time.Duration(float64(b.Grant)/(1-b.ClockSlack)) + inheritedGrantSlack
+}
+
 // inheritedRunEnd returns the time by which the runs of earlier owners have certainly ended
 // on an endpoint that never answers again.
 func (c *Cell) inheritedRunEnd(e *Endpoint) time.Time {
-	end := c.config.Inherited.Add(c.longestGrant())
+	end := c.config.Inherited.Add(c.usualGrant())
 	if !e.inheritedEnd.IsZero() && e.inheritedEnd.Before(end) {
-		return e.inheritedEnd
+		end = e.inheritedEnd
 	}
-	return end
-}
-
-// longestGrant returns the longest time that a grant lasts for the clock that it was given for.
-func (c *Cell) longestGrant() time.Duration {
-	b := c.config.Bounds
-	return time.Duration(float64(b.Grant)/(1-b.ClockSlack)) + inheritedGrantSlack
+	return later(end, e.strayGrantEnd)
 }
 
 // grantEnd returns the time by which the runs that this owner has ordered on an endpoint have
-// certainly ended if it never answers again, zero if it has given no grant to the present
-// incarnation.
-func (c *Cell) grantEnd(e *Endpoint) time.Time {
-	if e.grantUntil == 0 {
-		return time.Time{}
+// certainly ended if it never answers again, zero if the present incarnation has no grant of
+// this owner.
+func (c *Cell) grantEnd(e *Endpoint) (end time.Time) {
+	if e.grantUntil > 0 {
+		end = e.grantExpiry(c.config.Bounds)
+	}
+	if end = later(end, e.strayGrantEnd); end.IsZero() {
+		return end
 	}
-	return e.grantExpiry(c.config.Bounds).Add(inheritedGrantSlack)
+	return end.Add(inheritedGrantSlack)
 }
 
 // beginDueOccurrences begins the occurrences of timed jobs that are due on the wall
