--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -129,3 +129,67 @@
 		})
 	}
 }
+
+// The next owner started a task beside an orphan that was being stopped during the hand-over.
+func TestHandoverForgetsOrphan(t *testing.T) {
+	for name, isSilent := range map[string]bool{"answers later than others": false, "is silent": true} {
+		Convey("The next owner starts no task of which an endpoint has an orphan that "+name, t, func() {
+			b := newTestbed(2)
+			b.submit(firstID, batchStep(1, 100))
+			task := TaskName{Job: firstID}.String()
+			b.advance(10 * time.Second)
+			b.answerPoll(0)
+			b.answerPoll(1, ListedRun{Task: task, Run: 7})
+			So(b.planAndStore(), ShouldBeEmpty)
+			if isSilent {
+				b.advance(1500 * time.Millisecond)
+				b.cell.PollFailed(b.now, endpointName(1), Unanswered)
+			}
+			final := b.cell.HandoverSnapshot(b.now)
+			b.cell = New(Config{Bounds: DefaultBounds(), Inherited: b.now})
+			b.cell.Restore(b.now, final)
+			b.cell.FinishRestore()
+			b.cell.InheritGrants(b.now, final.Silent)
+			b.setEndpoints(2, false)
+			b.advance(60 * time.Millisecond)
+			b.answerPoll(0)
+			So(b.planAndStore(), ShouldBeEmpty)
+			b.advance(60 * time.Millisecond)
+			b.answerPoll(1, ListedRun{Task: task, Run: 7})
+			So(b.planAndStore(), ShouldBeEmpty)
+			b.advance(500 * time.Millisecond)
+			b.listEnd(1, task, 7, Stopped)
+			b.answerPoll(0)
+			So(b.planAndStore(), ShouldHaveLength, 1)
+		})
+	}
+}
+
+// A run of an earlier owner was started again beside itself, as the endpoint had copied the list of
+// its runs just before it began the run.
+func TestFirstListingMissesInheritedRun(t *testing.T) {
+	Convey("An inherited run is lost only if a listing does not contain it that was asked for after the first one", t, func() {
+		b := newTestbed(2)
+		b.submit(firstID, batchStep(1, 100))
+		start := b.planAndStore()[0]
+		state := b.cell.Snapshot()
+		b.cell = New(Config{Bounds: DefaultBounds(), Inherited: b.now})
+		b.cell.Restore(b.now, state)
+		b.cell.FinishRestore()
+		b.setEndpoints(2, false)
+		b.advance(20 * time.Millisecond)
+		b.answerPoll(0)
+		b.answerPoll(1)
+		So(b.planAndStore(), ShouldBeEmpty)
+		b.advance(60 * time.Millisecond)
+		b.answerOther(start)
+		run := 0
+		if start.Endpoint == endpointName(1) {
+			run = 1
+		}
+		b.answerPoll(run, ListedRun{Task: start.Task, Run: start.Run})
+		So(b.planAndStore(), ShouldBeEmpty)
+		So(b.cell.endpoints[start.Endpoint].orphans, ShouldBeEmpty)
+		
+	})
+}
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -146,8 +146,8 @@
 		return c.inheritedRunEnd(e)
 	case e.mayHaveRestarted && !r.isIncarnationKnown && !e.isListed && r.isSentBefore(e.listedSince):
 		// Only through a forwarder can the start have reached a later incarnation than the one
-		// that has ended, and that one is gone.
-		return e.delistedAt.Add(relistDelay)
+		// that has ended. That one is gone, or cut off from discovery, too.
+		return later(e.delistedAt.Add(relistDelay), r.orderedAt.Add(c.usualGrant()))
 	case e.grantUntil == 0 || e.mayHaveRestarted && !r.isIncarnationKnown:
 		// An incarnation that has not listed its runs may have carried the start out.
 		return r.orderedAt.Add(maxStartDelay)
@@ -162,12 +162,17 @@
 	return !r.connectedAt.IsZero() && !r.connectedAt.After(at)
 }
 
+// usualGrant returns the longest time that a grant lasts on the incarnation of an endpoint
+// that it was meant for.
+func (c *Cell) usualGrant() time.Duration {
+	b := c.config.Bounds
+	return time.Duration(float64(b.Grant)/(1-b.ClockSlack)) + inheritedGrantSlack
+}
+
 // inheritedRunEnd returns the time by which the runs of earlier owners have certainly ended
 // on an endpoint that never answers again.
 func (c *Cell) inheritedRunEnd(e *Endpoint) time.Time {
-	b := c.config.Bounds
-	longest := time.Duration(float64(b.Grant) / (1 - b.ClockSlack))
-	end := c.config.Inherited.Add(longest + inheritedGrantSlack)
+	end := c.config.Inherited.Add(c.usualGrant())
 	if !e.inheritedEnd.IsZero() && e.inheritedEnd.Before(end) {
 		end = e.inheritedEnd
 	}
