Decide on runs of earlier owners by the second listing

The first listing does not have the run, its task was started again, and the second one showed it (TWICE). A run of an earlier owner counts as lost now only if a listing does not contain it that was asked for after the first one had been applied, one poll (60 ms) later.

--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -64,6 +64,8 @@
 	// isReached reports whether the endpoint has listed its runs under this
 	// owner's epoch, after which it refuses the orders of earlier owners.
 	isReached bool
+	// reachedAt is when the first of those listings was applied.
+	reachedAt time.Time
 	// isRefusing reports that the last poll was refused as nothing listens.
 	isRefusing bool
 	// hasCrashed reports that the current incarnation has ended unplanned.
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -32,6 +32,9 @@
 	}
 	e.bornSeenAt = now
 	isFirst := !e.isReached
+	if isFirst {
+		e.reachedAt = now
+	}
 	e.listedClock, e.listedSince, e.isReached, e.isUnresponsive = l.Clock, l.AskedAt, true, false
 	// An endpoint that answers again as the same incarnation has not crashed.
 	e.hasCrashed, e.isCrashUnexplained, e.isRefusing = false, false, false
@@ -101,15 +104,16 @@
 // isAbsent reports whether a run that a listing without omissions, asked for at a time,
 // contains neither as running nor as ended can be neither running on the endpoint nor
 // started later. It is if the endpoint had carried out the start, or a stop of the run,
-// before the listing was asked for. The poll itself keeps starts of earlier owners from
-// being carried out.
+// before the listing was asked for. Starts of earlier owners are not accepted once the
+// endpoint has answered a poll, but one that was accepted just before may have begun
+// after the list for that poll was copied.
 func (r *run) isAbsent(asked time.Time) bool {
 	isSettledBefore := func(at time.Time) bool { return !at.IsZero() && asked.After(at) }
 	switch r.phase {
 	case running, unconfirmed:
 		return isSettledBefore(r.acceptedAt) || isSettledBefore(r.stoppedAt)
 	case inherited:
-		return true
+		return isSettledBefore(r.endpoint.reachedAt)
 	default:
 		return false
 	}
