--- a/jobs/handover_test.go
+++ b/jobs/handover_test.go
@@ -190,6 +190,5 @@
 		b.answerPoll(run, ListedRun{Task: start.Task, Run: start.Run})
 		So(b.planAndStore(), ShouldBeEmpty)
 		So(b.cell.endpoints[start.Endpoint].orphans, ShouldBeEmpty)
-
 	})
 }
