Divide a batch of records that is too large for one value of the store

If the owner ends between two of them, the next one loads the first ones, as with any batch: a placement whose start was not sent is found to be absent by the listings.

--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -41,9 +41,9 @@
 	// snapshot is due when the log is as large as the last snapshot, so that in a large
 	// cell snapshots cost no more than the log itself.
 	minLogBytes = 24 * maxSegmentBytes
-	// maxPartBytes bounds the parts into which a snapshot is divided. The store accepts
-	// values of a megabyte.
-	maxPartBytes = 900 << 10
+	// maxValueBytes bounds the values into which a snapshot or a batch of records is
+	// divided. The store accepts values of a megabyte.
+	maxValueBytes = 900 << 10
 	// commitTimeout bounds one commit attempt; the store answers in milliseconds.
 	commitTimeout = 700 * time.Millisecond
 	// retryDelay is the pause after a failed commit attempt.
@@ -267,23 +267,36 @@
 // IsSnapshotDue reports whether the next write should be a snapshot.
 func (j *Journal) IsSnapshotDue() bool { return j.logBytes >= max(minLogBytes, j.snapshotBytes) }
 
-// Append stores records. It retries until they are stored, the cell has another owner
-// (ErrDeposed), the context ends or the store reports an error that is neither
-// store.ErrRefused nor store.ErrIndeterminate. After any error the records may have been
-// stored, and the Journal must not be used any more.
+// Append stores records, in several writes if they are too large for one value. It retries
+// until they are stored, the cell has another owner (ErrDeposed), the context ends or the
+// store reports an error that is neither store.ErrRefused nor store.ErrIndeterminate. After
+// any error some or all of the records may have been stored, and the Journal must not be used
+// any more.
 func (j *Journal) Append(ctx context.Context, records []jobs.Record) (err error) {
 	defer fault.Annotate(&err, "journal of cell %s", j.config.Cell)
-	buffer := bytes.NewBuffer(j.segment)
-	encoder := json.NewEncoder(buffer)
+	content := j.segment
 	for i := range records {
-		if err := encoder.Encode(&records[i]); err != nil {
+		encoded, err := json.Marshal(&records[i])
+		if err != nil {
 			return err
 		}
+		if len(content) > 0 && len(content)+len(encoded) >= maxValueBytes {
+			if err := j.writeSegment(ctx, content); err != nil {
+				return err
+			}
+			content = j.segment
+		}
+		content = append(append(content, encoded...), '\n')
 	}
+	return j.writeSegment(ctx, content)
+}
+
+// writeSegment stores the content of the current segment and starts a new one if it is full.
+func (j *Journal) writeSegment(ctx context.Context, content []byte) error {
 	key := j.segmentKey(j.sequence)
 	change := store.Change{
 		If:   []store.Condition{j.config.Owner, {Key: key, Revision: j.revision}},
-		Puts: []store.Put{{Key: key, Value: buffer.Bytes()}},
+		Puts: []store.Put{{Key: key, Value: content}},
 	}
 	if j.revision == 0 {
 		// Once a snapshot has removed the segment, its key is missing again. An attempt
@@ -294,8 +307,8 @@
 	if err != nil {
 		return err
 	}
-	j.logBytes += buffer.Len() - len(j.segment)
-	j.segment, j.revision = buffer.Bytes(), revision
+	j.logBytes += len(content) - len(j.segment)
+	j.segment, j.revision = content, revision
 	if len(j.segment) >= maxSegmentBytes {
 		j.fullSegments = append(j.fullSegments, key)
 		j.startSegment()
@@ -335,7 +348,7 @@
 		If:   []store.Condition{j.config.Owner, j.head},
 		Puts: []store.Put{{Key: j.head.Key, Value: strconv.AppendInt(nil, number, 10)}},
 	}
-	for part := range slices.Chunk(buffer.Bytes(), maxPartBytes) {
+	for part := range slices.Chunk(buffer.Bytes(), maxValueBytes) {
 		change.Puts = append(change.Puts, store.Put{Key: j.partKey(len(change.Puts) - 1), Value: part})
 	}
 	j.obsolete = append(j.obsolete, j.fullSegments...)
