Count no overtaken answer as a restart in the bound of an unanswered start

Answers overtake each other when orders are late. Only another incarnation in discovery lengthens the wait now, as before.

TestOvertakenAnswerKeepsTaskWithoutRun failed before.

--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -141,14 +141,16 @@
 // never answers again.
 func (c *Cell) latestRunEnd(r *run) time.Time {
 	e := r.endpoint
+	// An answer with an earlier clock alone shows no restart, as answers overtake each other.
+	isRestarted := !e.registeredRestartAt.IsZero()
 	switch {
 	case r.phase == inherited:
 		return c.inheritedRunEnd(e)
-	case e.mayHaveRestarted && !r.isIncarnationKnown && !e.isListed && r.isSentBefore(e.listedSince):
+	case isRestarted && !r.isIncarnationKnown && !e.isListed && r.isSentBefore(e.listedSince):
 		// Only through a forwarder can the start have reached a later incarnation than the one
 		// that has ended. That one is gone, or cut off from discovery, too.
 		return later(e.delistedAt.Add(relistDelay), r.orderedAt.Add(c.usualGrant()))
-	case e.grantUntil == 0 || e.mayHaveRestarted && !r.isIncarnationKnown:
+	case e.grantUntil == 0 || isRestarted && !r.isIncarnationKnown:
 		// An incarnation that has not listed its runs may have carried the start out.
 		return r.orderedAt.Add(maxStartDelay)
 	default:
--- a/jobs/restart_test.go
+++ b/jobs/restart_test.go
@@ -192,3 +192,28 @@
 		}
 	})
 }
+
+// A task whose start was not answered waited for half a minute, as an answer that had been overtaken
+// counted as a restart of the endpoint, which was then gone.
+func TestOvertakenAnswerKeepsTaskWithoutRun(t *testing.T) {
+	Convey("A task runs again when the grant has expired if only an overtaken answer speaks for a restart", t, func() {
+		b := newTestbed(2)
+		b.submit(firstID, batchStep(1, 100))
+		start := b.planAndStore()[0]
+		b.advance(100 * time.Millisecond)
+		b.answerOther(start)
+		b.cell.endpoints[start.Endpoint].recordContact(b.now, b.clock)
+		b.cell.endpoints[start.Endpoint].recordContact(b.now, b.clock-50)
+		b.cell.StartAnswered(b.now, start, Reply{Answer: Unanswered})
+		var starts []Start
+		passed := time.Duration(0)
+		for ; passed < 9*time.Second && len(starts) == 0; passed += 100 * time.Millisecond {
+			b.advance(100 * time.Millisecond)
+			b.cell.PollFailed(b.now, start.Endpoint, Unanswered)
+			b.answerOther(start)
+			starts = b.planAndStore()
+		}
+		So(starts, ShouldHaveLength, 1)
+		So(passed, ShouldBeGreaterThan, DefaultBounds().Grant)
+	})
+}
