Count grants of earlier owners on an endpoint that has restarted

Cause: a grant is a time on the endpoint's clock. One that an earlier owner sent for an earlier incarnation lasts 10 s on the next one. handleRestart counted such grants only if this owner had sent them.

Evidence: TestStrayGrantOfEarlierOwnerOutlastsCountedOne failed before: the run counted as lost after 5.7 s instead of 10.2 s.

Change: if the first listing for this owner is of another incarnation than the stored one and runs are inherited, the endpoint may have taken such a grant up to that listing.

--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -248,7 +248,10 @@
 // shows whether they exist, which may be the one that shows the restart.
 func (c *Cell) handleRestart(now time.Time, e *Endpoint, born int64) {
 	c.recordCrash(now, e, Restarted)
-	if !e.grantSentAt.IsZero() && !e.grantSentAt.Before(e.listedSince) {
+	// Grants of earlier owners were for the incarnation that they knew. Until this listing the
+	// endpoint took them.
+	isInherited := e.listedSince.IsZero() && e.hasInheritedRuns()
+	if isInherited || !e.grantSentAt.IsZero() && !e.grantSentAt.Before(e.listedSince) {
 		c.recordStrayGrant(now, e)
 	}
 	e.hasCrashed, e.isCrashUnexplained, e.isRefusing = false, false, false
