Divide scarce limits by claims, so that each cell gets to start tasks

Cause: the limit was divided by what cells held, without the size of what waits or its age. Parts below one task were never given back; a cell whose queue does not get empty kept the limit from all others.

Change: the ledger document says what each cell waits for and since which revision.

--- /dev/null
+++ b/internal/cell/ledger/claim.go
@@ -0,0 +1,307 @@
+package ledger
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/jobs"
+)
+
+const (
+	// claimPasses and busyClaimPasses are the numbers of passes for which other cells give
+	// way to a claim of a turn: 1.8 s while less than half of the limit is allocated, as
+	// tasks must not wait for longer than 3 s then, otherwise 9 s.
+	claimPasses     = 6
+	busyClaimPasses = 30
+	// deferralPasses is for how many passes a claim is passed over after that: 3 s. It doubles
+	// each time, up to maxDeferrals times.
+	deferralPasses = 10
+	maxDeferrals   = 4
+	// grantPasses is for how many passes a cell may keep what it has just got until it has
+	// started work with it. Cells are planned at least once in each pass.
+	grantPasses = 2
+)
+
+// allocation is what a cell may use of a limit.
+type allocation struct {
+	jobs.Size
+	// Claim is nil unless the cell waits for more.
+	Claim *claim `json:"claim,omitempty"`
+}
+
+// allocations holds the allocations of all cells, by client account and cell.
+type allocations map[string]map[string]allocation
+
+// claim is a cell's request for a part of a limit that the other cells use.
+type claim struct {
+	// Size is the allocation with which the cell can start its next work.
+	Size jobs.Size `json:"size"`
+	// Since is the revision of the document before the one with the claim.
+	Since int64 `json:"since"`
+}
+
+// isOlder reports whether a claim of a cell is met before the claim of another one.
+func (c *claim) isOlder(cell string, other *claim, otherCell string) bool {
+	if other == nil {
+		return true
+	}
+	return c.Since < other.Since || c.Since == other.Since && cell < otherCell
+}
+
+// eachResource applies f to each resource of some sizes.
+func eachResource(f func(values ...int64) int64, sizes ...jobs.Size) (result jobs.Size) {
+	cpu, memory, gpus := make([]int64, len(sizes)), make([]int64, len(sizes)), make([]int64, len(sizes))
+	for i, s := range sizes {
+		cpu[i], memory[i], gpus[i] = s.CPU, s.Memory, s.GPUs
+	}
+	return jobs.Size{CPU: f(cpu...), Memory: f(memory...), GPUs: f(gpus...)}
+}
+
+// minSize returns the minimum of each resource.
+func minSize(a, b jobs.Size) jobs.Size {
+	return jobs.Size{CPU: min(a.CPU, b.CPU), Memory: min(a.Memory, b.Memory), GPUs: min(a.GPUs, b.GPUs)}
+}
+
+// maxSize returns the maximum of each resource.
+func maxSize(a, b jobs.Size) jobs.Size {
+	return jobs.Size{CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory), GPUs: max(a.GPUs, b.GPUs)}
+}
+
+// ceilingOf returns a limit with unbounded in place of the resources that have none.
+func ceilingOf(limit jobs.Size) jobs.Size {
+	return eachResource(func(values ...int64) int64 {
+		if values[0] == 0 {
+			return unbounded
+		}
+		return values[0]
+	}, limit)
+}
+
+// nextUnit returns the size that a cell has to be able to add to its use to start something;
+// isWaiting is false if it waits for nothing that fits the limit.
+func nextUnit(need jobs.Need, ceiling jobs.Size) (unit jobs.Size, isWaiting bool) {
+	for _, unit := range need.Units {
+		if unit.Fits(ceiling) {
+			return unit, true
+		}
+	}
+	return jobs.Size{}, false
+}
+
+// contention is what one cell has to know of the others that share a limit.
+type contention struct {
+	// free is what the allocations leave of the limit, negative where they exceed it.
+	free jobs.Size
+	// share is the part of the limit that each cell has which holds or claims some of it.
+	share jobs.Size
+	// owed is what the claims of other cells lack, owedBefore the part of it that goes before
+	// the claim of this cell.
+	owed, owedBefore jobs.Size
+	// isTurn reports that the oldest of the claims in owed is for more than a share.
+	isTurn bool
+}
+
+// contend returns the contention for a cell. row holds the allocations of an account; claims
+// for which isDeferred reports true do not count.
+func contend(row map[string]allocation, ceiling jobs.Size, cell string, isDeferred func(cell string, c *claim) bool) (c contention) {
+	contenders := int64(0)
+	var oldest *claim
+	oldestCell := ""
+	own := row[cell].Claim
+	c.free = ceiling
+	for name, a := range row {
+		held := limited(a.Size, ceiling)
+		c.free = c.free.Minus(held)
+		if !held.IsZero() || a.Claim != nil || name == cell {
+			contenders++
+		}
+		if name == cell || a.Claim == nil || a.Claim.Size.Fits(a.Size) || isDeferred(name, a.Claim) {
+			continue
+		}
+		lacking := maxSize(a.Claim.Size.Minus(a.Size), jobs.Size{})
+		c.owed = c.owed.Plus(lacking)
+		if a.Claim.isOlder(name, own, cell) {
+			c.owedBefore = c.owedBefore.Plus(lacking)
+		}
+		if oldest == nil || a.Claim.isOlder(name, oldest, oldestCell) {
+			oldest, oldestCell = a.Claim, name
+		}
+	}
+	c.share = eachResource(func(values ...int64) int64 { return values[0] / max(contenders, 1) }, ceiling)
+	c.isTurn = oldest != nil && !oldest.Size.Fits(c.share)
+	return c
+}
+
+// wholeUnits returns the largest multiple of a unit that fits a size, at most count times.
+func wholeUnits(unit, size jobs.Size) (whole jobs.Size) {
+	if unit.IsZero() {
+		return jobs.Size{}
+	}
+	count := eachResource(func(values ...int64) int64 {
+		if values[0] == 0 {
+			return unbounded
+		}
+		return max(values[1], 0) / values[0]
+	}, unit, size)
+	return unit.Times(min(count.CPU, count.Memory, count.GPUs))
+}
+
+// position is a cell's part of a limit while it is being adjusted.
+type position struct {
+	ceiling  jobs.Size
+	current  allocation
+	revision int64
+	need     jobs.Need
+	// floor is what the allocation is not lowered below.
+	floor jobs.Size
+	// isGranted reports that the cell has just got more and may not have used it yet.
+	isGranted bool
+}
+
+// resolve changes a proposed allocation of a cell to what the claims of all cells allow. It
+// returns the allocation with the claim of the cell, and the size up to which the cell may use it
+// from now on, unbounded if it does not have to give way.
+func (c contention) resolve(p position, proposed jobs.Size) (next allocation, bound jobs.Size) {
+	unit, isWaiting := nextUnit(p.need, p.ceiling)
+	own := wholeUnits(unit, c.share)
+	target := p.need.Used.Plus(unit)
+	if !own.IsZero() {
+		// Within its share a cell gets all that it can use at once.
+		target = maxSize(target, minSize(own, p.need.Used.Plus(p.need.Wanted)))
+	}
+	isFirst := isWaiting && c.owedBefore.IsZero()
+	current, free := p.current.Size, maxSize(c.free, jobs.Size{})
+	// What the oldest claim may take beside the others.
+	taken := jobs.Size{}
+	if isFirst {
+		taken = minSize(target, current.Plus(free))
+	}
+	bound = ceilingOf(jobs.Size{})
+	switch {
+	case c.owed.IsZero():
+	case c.owed.Fits(free):
+		// What the claims lack is there, and taken by none but their cells.
+		proposed = minSize(proposed, maxSize(current.Plus(free.Minus(c.owed)), taken))
+	default:
+		bound = c.keep(p, target, own, isWaiting, isFirst)
+		proposed = minSize(proposed, maxSize(maxSize(bound, p.floor), taken))
+		proposed = maxSize(minSize(proposed, current), taken)
+		proposed = maxSize(proposed, minSize(p.floor, current))
+	}
+	next.Size = withoutLimit(proposed, p.ceiling)
+	bound = withoutLimit(bound, p.ceiling)
+	isEntitled := own.IsZero() || p.need.Used.Plus(unit).Fits(own)
+	if isWaiting && isEntitled && target.Fits(p.ceiling) && !target.Fits(next.Size) {
+		next.Claim = &claim{Size: target, Since: p.revision}
+		if p.current.Claim != nil {
+			next.Claim.Since = p.current.Claim.Since
+		}
+	}
+	return next, bound
+}
+
+// keep returns what a cell keeps while the claims of others lack more than what is free. own is
+// what it may have of its share, target what it needs for its own claim.
+func (c contention) keep(p position, target, own jobs.Size, isWaiting, isFirst bool) jobs.Size {
+	switch {
+	case isFirst:
+		return target
+	case p.isGranted:
+		return p.current.Size
+	case isWaiting && !c.isTurn:
+		return own
+	}
+	return jobs.Size{}
+}
+
+// limited returns a size without the resources that have no limit. What is allocated of those is
+// no part of a limit.
+func limited(size, ceiling jobs.Size) jobs.Size {
+	return eachResource(func(values ...int64) int64 {
+		if values[1] == unbounded {
+			return 0
+		}
+		return values[0]
+	}, size, ceiling)
+}
+
+// withoutLimit returns a size with unbounded for the resources that have no limit.
+func withoutLimit(size, ceiling jobs.Size) jobs.Size {
+	return eachResource(func(values ...int64) int64 {
+		if values[1] == unbounded {
+			return unbounded
+		}
+		return values[0]
+	}, size, ceiling)
+}
+
+// patience records how long cells have given way to a claim.
+type patience struct {
+	since int64
+	// passes counts the passes in which the claim was the oldest one, idlePasses the last of
+	// them in which less than half of the limit was allocated.
+	passes, idlePasses int
+	// deferredUntil is the pass until which the claim does not count, deferrals how often
+	// that was so.
+	deferredUntil, deferrals int
+}
+
+// isDeferred reports whether a claim does not count in a pass.
+func (p patience) isDeferred(c *claim, pass int) bool {
+	return p.since == c.Since && p.deferredUntil > pass
+}
+
+// update counts a pass in which a claim is the oldest one that is not met. isBusy reports that
+// half of the limit is allocated, at least.
+func (p patience) update(c *claim, pass int, isBusy bool) patience {
+	if p.since != c.Since {
+		p = patience{since: c.Since}
+	}
+	p.passes++
+	p.idlePasses++
+	if isBusy {
+		p.idlePasses = 0
+	}
+	if p.idlePasses > claimPasses || p.passes > busyClaimPasses {
+		p.passes, p.idlePasses, p.deferredUntil = 0, 0, pass+deferralPasses<<min(p.deferrals, maxDeferrals)
+		p.deferrals++
+	}
+	return p
+}
+
+// watchClaims begins a pass: it counts for how long the oldest claims in the document have not
+// been met.
+func (l *Ledger) watchClaims() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pass++
+	watched := make(map[accountCell]patience, len(l.patience))
+	for name, account := range l.accounts {
+		row, ceiling := l.stored[name], ceilingOf(account.Limit)
+		var oldest accountCell
+		for cell, a := range row {
+			if a.Claim == nil || a.Claim.Size.Fits(a.Size) {
+				continue
+			}
+			key := accountCell{name, cell}
+			if p, isWatched := l.patience[key]; isWatched {
+				watched[key] = p
+			}
+			first := row[oldest.cell].Claim
+			if !watched[key].isDeferred(a.Claim, l.pass) && (first == nil || a.Claim.isOlder(cell, first, oldest.cell)) {
+				oldest = key
+			}
+		}
+		if first := row[oldest.cell].Claim; first != nil {
+			half := eachResource(func(values ...int64) int64 { return values[0] / 2 }, ceiling)
+			allocated := limited(sumOf(row), ceiling)
+			watched[oldest] = watched[oldest].update(first, l.pass, !allocated.Fits(half))
+			if watched[oldest].isDeferred(first, l.pass) {
+				event.LimitClaimPassedOver.Log(l.log, logrus.Fields{
+					"account": name, "cell": oldest.cell, "claimed": first.Size, "since": first.Since, "allocated": allocated,
+				})
+			}
+		}
+	}
+	l.patience = watched
+}
--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -49,9 +49,6 @@
 	shareDivisor = 64
 )
 
-// allocations holds the resources allocated to each cell, by client account and cell.
-type allocations map[string]map[string]jobs.Size
-
 // Cell is a cell owned by this entry, with the condition of its ownership.
 type Cell struct {
 	Name      string
@@ -71,7 +68,7 @@
 	client *store.Client
 	log    *logrus.Entry
 	// effective is what the cells of this entry may use now.
-	effective atomic.Pointer[allocations]
+	effective atomic.Pointer[map[string]map[string]jobs.Size]
 
 	// balancing is held during Balance. It is locked before mu.
 	balancing sync.Mutex
@@ -101,16 +98,28 @@
 	// answer, nil if there are none. The store may carry one of them out as long as the
 	// document has this revision.
 	unanswered allocations
+	// pass counts the calls of Balance. patience holds how long cells have given way to
+	// each claim, granted the pass in which a cell of this entry got more, both by client
+	// account and cell.
+	pass     int
+	patience map[accountCell]patience
+	granted  map[accountCell]int
+	// bounds holds what cells of this entry may use while they give way to claims.
+	bounds map[accountCell]jobs.Size
 }
 
+// accountCell names the part of a client account's limit in a cell.
+type accountCell struct{ account, cell string }
+
 // New returns a ledger that allows no use until SetSetup and Balance have been
 // called.
 func New(client *store.Client, log *logrus.Entry) *Ledger {
 	l := &Ledger{
 		client: client, log: log, stored: make(allocations), loadedEpochs: make(map[string]int64),
 		accounts: make(map[string]setup.Account), outdated: make(map[string]bool),
+		patience: make(map[accountCell]patience), granted: make(map[accountCell]int), bounds: make(map[accountCell]jobs.Size),
 	}
-	l.effective.Store(&allocations{})
+	l.effective.Store(&map[string]map[string]jobs.Size{})
 	return l
 }
 
@@ -141,15 +150,15 @@
 	return allocation, ok || account != ""
 }
 
-// Cells returns the cells that have allocations, in the order of their names. Those of a cell
-// without an owner cannot be used by others.
+// Cells returns the cells that have allocations or claims, in the order of their names. Those of
+// a cell without an owner cannot be used by others.
 func (l *Ledger) Cells() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	cells := make(map[string]bool)
 	for _, row := range l.stored {
 		for cell, allocation := range row {
-			if !allocation.IsZero() {
+			if !allocation.IsZero() || allocation.Claim != nil {
 				cells[cell] = true
 			}
 		}
@@ -161,10 +170,10 @@
 // is set later counts each cell as using all until it has stored its use.
 const unbounded = 1 << 50
 
-// publish recomputes the effective allocations: the lowest of the stored ones and those
-// that the store has not got or may still get. The caller holds l.mu.
+// publish recomputes the effective allocations: the lowest of the stored ones, those that the
+// store has not got or may still get, and those to which cells give way. The caller holds l.mu.
 func (l *Ledger) publish() {
-	effective := make(allocations, len(l.accounts))
+	effective := make(map[string]map[string]jobs.Size, len(l.accounts))
 	for name, account := range l.accounts {
 		row := make(map[string]jobs.Size)
 		effective[name] = row
@@ -172,39 +181,38 @@
 			continue
 		}
 		for cell := range l.loadedEpochs {
-			allocation := l.stored[name][cell]
+			stored := l.stored[name][cell].Size
+			allocation := stored
 			for _, document := range []allocations{l.pending, l.unanswered} {
 				if document != nil {
-					allocation = minSize(allocation, document[name][cell])
+					allocation = minSize(allocation, document[name][cell].Size)
 				}
 			}
-			row[cell] = usable(allocation, l.stored[name][cell], account.Limit, sumOf(l.stored[name]))
+			if bound, isBounded := l.bounds[accountCell{name, cell}]; isBounded {
+				allocation = minSize(allocation, bound)
+			}
+			row[cell] = usable(allocation, stored, account.Limit, sumOf(l.stored[name]))
 		}
 	}
 	l.effective.Store(&effective)
 }
 
 // sumOf returns the sum of an account's allocations by cell.
-func sumOf(row map[string]jobs.Size) (sum jobs.Size) {
-	for _, allocation := range row {
-		sum = sum.Plus(allocation)
+func sumOf(row map[string]allocation) (sum jobs.Size) {
+	for _, a := range row {
+		sum = sum.Plus(a.Size)
 	}
 	return sum
 }
 
-// minSize returns the minimum of each resource.
-func minSize(a, b jobs.Size) jobs.Size {
-	return jobs.Size{CPU: min(a.CPU, b.CPU), Memory: min(a.Memory, b.Memory), GPUs: min(a.GPUs, b.GPUs)}
-}
-
 // lowest returns the lower allocations of two documents. An allocation that one of them
 // lacks is 0.
 func lowest(a, b allocations) allocations {
 	result := make(allocations, len(a))
 	for account, row := range a {
-		result[account] = make(map[string]jobs.Size, len(row))
-		for cell, allocation := range row {
-			result[account][cell] = minSize(allocation, b[account][cell])
+		result[account] = make(map[string]allocation, len(row))
+		for cell, stored := range row {
+			result[account][cell] = allocation{Size: minSize(stored.Size, b[account][cell].Size)}
 		}
 	}
 	return result
@@ -246,6 +254,7 @@
 	l.balancing.Lock()
 	defer l.balancing.Unlock()
 	cells = l.readNeeds(ctx, cells)
+	l.watchClaims()
 	owned := make(map[string]int64, len(cells))
 	for _, cell := range cells {
 		owned[cell.Name] = cell.Condition.Revision
@@ -315,7 +324,7 @@
 	defer l.mu.Unlock()
 	for name := range l.accounts {
 		for _, cell := range cells {
-			isLowered = isLowered || !l.stored[name][cell.Name].Fits(next[name][cell.Name])
+			isLowered = isLowered || !l.stored[name][cell.Name].Fits(next[name][cell.Name].Size)
 		}
 	}
 	if isLowered {
@@ -347,6 +356,9 @@
 	}
 	before := len(l.loadedEpochs)
 	maps.DeleteFunc(l.loadedEpochs, func(name string, epoch int64) bool { return owned[name] != epoch })
+	isLost := func(key accountCell) bool { return l.loadedEpochs[key.cell] == 0 }
+	maps.DeleteFunc(l.bounds, func(key accountCell, _ jobs.Size) bool { return isLost(key) })
+	maps.DeleteFunc(l.granted, func(key accountCell, _ int) bool { return isLost(key) })
 	if len(l.loadedEpochs) < before {
 		l.publish()
 	}
@@ -365,7 +377,7 @@
 	for name, account := range l.accounts {
 		for _, cell := range cells {
 			need := cell.needs[name]
-			if !l.stored[name][cell.Name].Fits(scarceBound(need.Used.Plus(need.Wanted), account.Limit)) {
+			if !l.stored[name][cell.Name].Fits(minSize(need.Used.Plus(need.Wanted), ceilingOf(account.Limit))) {
 				return true
 			}
 		}
@@ -373,19 +385,6 @@
 	return false
 }
 
-// scarceBound returns the most that a cell may keep for its need while a limit is scarce.
-func scarceBound(need, limit jobs.Size) jobs.Size {
-	boundOne := func(need, limit int64) int64 {
-		if limit == 0 {
-			return unbounded
-		}
-		return need + 2*(limit/scarceReserveDivisor)
-	}
-	return jobs.Size{
-		CPU: boundOne(need.CPU, limit.CPU), Memory: boundOne(need.Memory, limit.Memory), GPUs: boundOne(need.GPUs, limit.GPUs),
-	}
-}
-
 // isShort reports whether a cell needs more than its current allocation.
 func (l *Ledger) isShort(cells []Cell, current allocations) bool {
 	l.mu.Lock()
@@ -394,7 +393,7 @@
 		for name, need := range cell.needs {
 			_, isKnown := l.accounts[name]
 			wanted := need.Used.Plus(need.Wanted)
-			if isKnown && !need.Wanted.IsZero() && !wanted.Fits(current[name][cell.Name]) {
+			if isKnown && !need.Wanted.IsZero() && !wanted.Fits(current[name][cell.Name].Size) {
 				return true
 			}
 		}
@@ -449,29 +448,59 @@
 	}
 	for name, account := range l.accounts {
 		if next[name] == nil {
-			next[name] = make(map[string]jobs.Size)
+			next[name] = make(map[string]allocation)
 		}
 		for _, cell := range cells {
-			if l.adjust(next[name], account.Limit, cell, cell.needs[name], l.pending[name][cell.Name]) {
+			if l.adjust(next[name], account, cell) {
 				isDue = true
 			}
 		}
 	}
+	l.publish()
 	return next, isDue
 }
 
-// adjust updates the allocation of one cell in row, which holds the allocations of
-// one account by cell. A new cell, or one that needs more, gets what the limit
-// leaves, up to its need and the reserve; excess is returned, nearly all of it while the limit
-// is scarce, as other cells may wait for it. While the allocations add up to more than the
-// limit, each is lowered to its share of the limit. An allocation is never
-// set below the use when it is lowered, nor below the pending allocation, up to which the
-// use may have risen since the needs were read.
-func (l *Ledger) adjust(row map[string]jobs.Size, limit jobs.Size, cell Cell, need jobs.Need, pending jobs.Size) (isChanged bool) {
+// adjust updates the allocation of one cell in row, which holds the allocations of one account
+// by cell: to what the needs and the limit suggest, as far as claims allow it. An allocation
+// is never set below the use when it is lowered, nor below the pending allocation, up to which
+// the use may have risen since the needs were read.
+func (l *Ledger) adjust(row map[string]allocation, account setup.Account, cell Cell) (isChanged bool) {
+	key := accountCell{account.Name, cell.Name}
+	need, pending := cell.needs[account.Name], l.pending[account.Name][cell.Name].Size
+	current, isKnown := row[cell.Name]
+	proposed := suggest(row, account.Limit, cell.Name, need, pending)
+	ceiling := ceilingOf(account.Limit)
+	granted, isGranted := l.granted[key]
+	c := contend(row, ceiling, cell.Name, func(other string, claim *claim) bool {
+		return l.patience[accountCell{account.Name, other}].isDeferred(claim, l.pass)
+	})
+	next, bound := c.resolve(position{
+		ceiling: ceiling, current: current, revision: l.revision, need: need, floor: maxSize(need.Used, pending),
+		isGranted: isGranted && l.pass-granted < grantPasses,
+	}, proposed)
+	if bound == (jobs.Size{CPU: unbounded, Memory: unbounded, GPUs: unbounded}) {
+		delete(l.bounds, key)
+	} else {
+		l.bounds[key] = bound
+	}
+	if isKnown && next.Size == current.Size && isSameClaim(next.Claim, current.Claim) {
+		return false
+	}
+	row[cell.Name] = next
+	return true
+}
+
+func isSameClaim(a, b *claim) bool { return a == b || a != nil && b != nil && *a == *b }
+
+// suggest returns the allocation of a cell without regard to claims. A new cell, or one that
+// needs more, gets what the limit leaves, up to its need and the reserve; excess is returned,
+// nearly all of it while the limit is scarce, as other cells may wait for it. While the
+// allocations add up to more than the limit, each is lowered to its share of the limit.
+func suggest(row map[string]allocation, limit jobs.Size, cell string, need jobs.Need, pending jobs.Size) jobs.Size {
 	sum := sumOf(row)
-	allocation, isKnown := row[cell.Name]
+	current, isKnown := row[cell]
 	used, wanted := need.Used, need.Used.Plus(need.Wanted)
-	adjustOne := func(allocation, limit, sum, used, wanted, pending int64) int64 {
+	suggestOne := func(allocation, limit, sum, used, wanted, pending int64) int64 {
 		if limit == 0 {
 			return unbounded
 		}
@@ -491,16 +520,11 @@
 		}
 		return allocation
 	}
-	next := jobs.Size{
-		CPU:    adjustOne(allocation.CPU, limit.CPU, sum.CPU, used.CPU, wanted.CPU, pending.CPU),
-		Memory: adjustOne(allocation.Memory, limit.Memory, sum.Memory, used.Memory, wanted.Memory, pending.Memory),
-		GPUs:   adjustOne(allocation.GPUs, limit.GPUs, sum.GPUs, used.GPUs, wanted.GPUs, pending.GPUs),
-	}
-	if isKnown && next == allocation {
-		return false
+	return jobs.Size{
+		CPU:    suggestOne(current.CPU, limit.CPU, sum.CPU, used.CPU, wanted.CPU, pending.CPU),
+		Memory: suggestOne(current.Memory, limit.Memory, sum.Memory, used.Memory, wanted.Memory, pending.Memory),
+		GPUs:   suggestOne(current.GPUs, limit.GPUs, sum.GPUs, used.GPUs, wanted.GPUs, pending.GPUs),
 	}
-	row[cell.Name] = next
-	return true
 }
 
 // commit writes the document, provided that it has not changed and that this entry
@@ -545,11 +569,24 @@
 		l.unanswered = next
 		return err
 	}
+	l.recordGranted(cells, next)
 	l.setStored(next, revision)
 	event.LimitsRedistributed.Log(l.log, logrus.Fields{"revision": revision})
 	return nil
 }
 
+// recordGranted records which cells get more by a document than by the stored one. The caller
+// holds l.mu.
+func (l *Ledger) recordGranted(cells []Cell, next allocations) {
+	for name := range l.accounts {
+		for _, cell := range cells {
+			if !next[name][cell.Name].Fits(l.stored[name][cell.Name].Size) {
+				l.granted[accountCell{name, cell.Name}] = l.pass
+			}
+		}
+	}
+}
+
 // applyConflict records the document that a conflict holds. The caller holds l.mu.
 func (l *Ledger) applyConflict(conflict *store.ConflictError) error {
 	item, isFound := conflict.Item(Key)
--- a/internal/cell/ledger/ledger_test.go
+++ b/internal/cell/ledger/ledger_test.go
@@ -346,6 +346,8 @@
 	used, wanted map[string]int64
 	// arriving is what each cell comes to want during the calls of Balance.
 	arriving int64
+	// unit is the size that each cell waits to add to its use, 0 if it claims nothing.
+	unit int64
 }
 
 func newSharedLimit(t *rapid.T) *sharedLimit {
@@ -408,7 +410,12 @@
 		}
 		needs := func(ctx context.Context) (map[string]jobs.Need, error) {
 			defer l.arrive(t, entry)
-			return needsOf(l.used[cell], max(l.wanted[cell]-l.used[cell], 0))(ctx)
+			needs, err := needsOf(l.used[cell], max(l.wanted[cell]-l.used[cell], 0))(ctx)
+			if need := needs["a"]; l.unit > 0 && need.Wanted.CPU >= l.unit {
+				need.Units = []jobs.Size{{CPU: l.unit}}
+				needs["a"] = need
+			}
+			return needs, err
 		}
 		cells = append(cells, Cell{Name: cell, Condition: l.conditions[cell], Needs: needs})
 	}
@@ -422,7 +429,7 @@
 	l.store.LoseResponses(func(store.Change) bool { return false })
 	l.store.ApplyDeferred()
 	l.store.Defer(nil)
-	l.arriving = 0
+	l.arriving, l.unit = 0, 0
 	clear(l.used)
 	const wanted = 2000
 	for cell, entry := range l.owner {
@@ -466,6 +473,7 @@
 				l.store.Defer(func(change store.Change) bool { return isDeferred && isLedgerWrite(change) })
 			},
 			"apply":  func(*rapid.T) { l.store.ApplyDeferred() },
+			"claim":  func(t *rapid.T) { l.unit = rapid.SampledFrom([]int64{0, 50, 300, 700}).Draw(t, "unit") },
 			"settle": l.settle,
 			"limit": func(t *rapid.T) {
 				l.set(rapid.OneOf(rapid.Just[int64](0), rapid.Int64Range(500, 1500)).Draw(t, "limit"))
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -49,6 +49,8 @@
 	// wanted is the size of the tasks that each client account could not start
 	// in the last planning pass because of its limit.
 	wanted map[string]Size
+	// units holds Need.Units by client account, as of the last planning pass.
+	units map[string][]Size
 
 	runTimes runTimes
 	// kindSpeeds holds the means of the logarithms of the run times in seconds.
@@ -105,6 +107,7 @@
 		orphans:    make(map[string]int),
 		used:       make(map[string]Size),
 		wanted:     make(map[string]Size),
+		units:      make(map[string][]Size),
 		runTimes:   newRunTimes(config.IsForecasting),
 		kindSpeeds: make(map[taskKind]*movingAverage),
 
@@ -363,8 +366,15 @@
 type Need struct {
 	// Used is the size of its runs, Wanted that of the tasks held back by its limit.
 	Used, Wanted Size
+	// Units are the sizes of tasks, and of whole gangs, that its limit alone keeps from
+	// starting: each once, in scheduling order, maxNeedUnits at most.
+	Units []Size
 }
 
+// maxNeedUnits is the largest number of sizes in Need.Units. The first one that fits the whole
+// limit of the account counts.
+const maxNeedUnits = 4
+
 // Needs returns the needs of all client accounts with runs or unmet demand.
 func (c *Cell) Needs() map[string]Need {
 	needs := make(map[string]Need, len(c.used))
@@ -373,7 +383,7 @@
 	}
 	for account, wanted := range c.wanted {
 		need := needs[account]
-		need.Wanted = wanted
+		need.Wanted, need.Units = wanted, slices.Clone(c.units[account])
 		needs[account] = need
 	}
 	delete(needs, "")
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -717,6 +717,25 @@
 		need := b.cell.Needs()["a"]
 		So(need.Used.CPU, ShouldEqual, 200)
 		So(need.Wanted.CPU, ShouldBeGreaterThan, 0)
+		So(need.Units, ShouldResemble, []Size{{CPU: 100, Memory: 10}})
+	})
+	Convey("What its limit keeps from starting is a gang as a whole, and only what has room", t, func() {
+		gang := batchStep(3, 100)
+		gang.Gang = true
+		for name, c := range map[string]struct {
+			step  Step
+			units []Size
+		}{
+			"a task":                       {step: batchStep(3, 300), units: []Size{{CPU: 300, Memory: 10}}},
+			"a gang":                       {step: gang, units: []Size{{CPU: 300, Memory: 30}}},
+			"a task larger than endpoints": {step: batchStep(1, 9000)},
+		} {
+			b := newTestbed(1)
+			b.cell.config.AccountLimit = func(string) (Size, bool) { return Size{CPU: 50, Memory: 1000}, true }
+			b.cell.Submit(b.now, Job{ID: firstID, Queue: "q", Account: "a", Attempts: 2, Steps: []Step{c.step}})
+			So(b.planAndAccept(), ShouldBeEmpty)
+			SoMsg(name, b.cell.Needs()["a"].Units, ShouldResemble, c.units)
+		}
 	})
 }
 
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -123,7 +123,7 @@
 			stillWaiting = append(stillWaiting, t)
 			continue
 		}
-		if !p.checkAccountLimit(s.occurrence.job, s.Each) {
+		if !p.checkAccountLimit(s.occurrence.job, s.Each, func() bool { return p.chooseEndpoint(t) != nil }) {
 			isBlocked = true
 			stillWaiting = append(stillWaiting, t)
 			continue
@@ -149,12 +149,17 @@
 }
 
 // checkAccountLimit reports whether the client account of a job may use another
-// size. If not, the size is added to the account's unmet demand.
-func (p *placer) checkAccountLimit(j *job, size Size) bool {
-	if p.cell.isWithinLimit(j, size) {
+// size. If not, the size is added to the account's unmet demand, and to its units if hasRoom
+// reports that there is room for it in the cell.
+func (p *placer) checkAccountLimit(j *job, size Size, hasRoom func() bool) bool {
+	c := p.cell
+	if c.isWithinLimit(j, size) {
 		return true
 	}
-	p.cell.wanted[j.Account] = p.cell.wanted[j.Account].Plus(size)
+	c.wanted[j.Account] = c.wanted[j.Account].Plus(size)
+	if units := c.units[j.Account]; len(units) < maxNeedUnits && !slices.Contains(units, size) && hasRoom() {
+		c.units[j.Account] = append(units, size)
+	}
 	return false
 }
 
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -43,6 +43,7 @@
 	c.sortActive(func(a, b *job) int { return a.rank.compare(b.rank) })
 	c.orderByShare(now)
 	clear(c.wanted)
+	clear(c.units)
 	p := c.newPlacer(now)
 	p.requiredLabels = c.requiredLabels()
 	p.quarantine = c.newQuarantine(len(p.candidates))
