--- a/internal/back/store/store.go
+++ b/internal/back/store/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -17,6 +18,9 @@
 	// ErrIndeterminate means that no usable response arrived, or one that does not rule
 	// out an effect. The call may have been carried out, or may still be.
 	ErrIndeterminate = errors.New("the store did not answer")
+	// ErrInvalid means that the store does not take such a call, however often it is made. It is
+	// an ErrIndeterminate too: the platform does not say that such a call has no effect.
+	ErrInvalid = fmt.Errorf("the store does not take the call: %w", ErrIndeterminate)
 	// ErrNotFound means that the key or lease does not exist.
 	ErrNotFound = errors.New("not in the store")
 	// ErrCompacted means that the store no longer has the changes after the revision
--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -81,6 +81,7 @@
 	SnapshotStored         = define(627, logrus.InfoLevel, "snapshot of a cell stored")
 	WriteUnanswered        = define(628, logrus.WarnLevel, "write of a cell had attempts without an answer")
 	CellEndedUnstored      = define(629, logrus.InfoLevel, "cell ended with records that were not stored")
+	WriteInvalid           = define(639, logrus.ErrorLevel, "store does not take a write of a cell")
 	StoreUnreachable       = define(630, logrus.WarnLevel, "store unreachable")
 	StoreReachable         = define(631, logrus.InfoLevel, "store reachable again")
 	SessionExpired         = define(632, logrus.WarnLevel, "store session expired")
--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -46,6 +46,9 @@
 	maxValueBytes = 900 << 10
 	// commitTimeout bounds one commit attempt; the store answers in milliseconds.
 	commitTimeout = 700 * time.Millisecond
+	// maxInvalidAttempts is how often the store has to answer that it does not take a write
+	// until that counts.
+	maxInvalidAttempts = 3
 	// retryDelay is the pause after a failed commit attempt.
 	retryDelay = 40 * time.Millisecond
 	// sequenceDigits is the width to which sequence numbers are padded with zeros, so
@@ -78,8 +81,9 @@
 	sequence int64
 	segment  []byte
 	// revision is the store revision of the current segment, 0 if it is not stored
-	// yet.
-	revision int64
+	// yet. isAttempted reports that a write of it has failed, and may have been carried out.
+	revision    int64
+	isAttempted bool
 	// fullSegments holds the keys of the segments that the next snapshot replaces,
 	// obsolete those of segments that were replaced and are to be removed.
 	fullSegments, obsolete []string
@@ -268,10 +272,11 @@
 func (j *Journal) IsSnapshotDue() bool { return j.logBytes >= max(minLogBytes, j.snapshotBytes) }
 
 // Append stores records, in several writes if they are too large for one value. It retries
-// until they are stored, the cell has another owner (ErrDeposed), the context ends or the
-// store reports an error that is neither store.ErrRefused nor store.ErrIndeterminate. After
-// any error some or all of the records may have been stored, and the Journal must not be used
-// any more.
+// until they are stored, the cell has another owner (ErrDeposed), the context ends, the store
+// does not take the write (store.ErrInvalid) or it reports an error that is neither
+// store.ErrRefused nor store.ErrIndeterminate. After any error some or all of the records may have
+// been stored, and the Journal must not be used any more, except that after store.ErrInvalid a
+// snapshot that contains them may be written.
 func (j *Journal) Append(ctx context.Context, records []jobs.Record) (err error) {
 	defer fault.Annotate(&err, "journal of cell %s", j.config.Cell)
 	content := j.segment
@@ -286,6 +291,9 @@
 			}
 			content = j.segment
 		}
+		if len(encoded) >= maxValueBytes {
+			return fmt.Errorf("%w: a record of %d bytes: %.100s", store.ErrInvalid, len(encoded), encoded)
+		}
 		content = append(append(content, encoded...), '\n')
 	}
 	return j.writeSegment(ctx, content)
@@ -303,10 +311,12 @@
 		// to create it that is carried out only then must fail.
 		change.If = append(change.If, j.head)
 	}
+	j.isAttempted = true
 	revision, err := j.commitAndRemove(ctx, change)
 	if err != nil {
 		return err
 	}
+	j.isAttempted = false
 	j.logBytes += len(content) - len(j.segment)
 	j.segment, j.revision = content, revision
 	if len(j.segment) >= maxSegmentBytes {
@@ -319,16 +329,21 @@
 // startSegment continues with a new, empty segment.
 func (j *Journal) startSegment() {
 	j.sequence++
-	j.segment, j.revision = j.segment[:0], 0
+	j.segment, j.revision, j.isAttempted = j.segment[:0], 0, false
 }
 
 // WriteSnapshot stores a snapshot of the whole state in place of all earlier records. The
 // snapshot must contain the records that have not been appended. It retries and fails
-// as Append does.
+// as Append does; after store.ErrInvalid the records may be appended, and a snapshot is due again
+// when the log has doubled.
 func (j *Journal) WriteSnapshot(ctx context.Context, state jobs.Snapshot) (err error) {
 	defer fault.Annotate(&err, "snapshot of cell %s", j.config.Cell)
 	if j.revision > 0 {
 		j.fullSegments = append(j.fullSegments, j.segmentKey(j.sequence))
+	}
+	if j.revision > 0 || j.isAttempted {
+		// The attempt fails once the snapshot has another head. If it was carried out, the
+		// segment is older than the snapshot.
 		j.startSegment()
 	}
 	buffer := &bytes.Buffer{}
@@ -351,9 +366,12 @@
 	for part := range slices.Chunk(buffer.Bytes(), maxValueBytes) {
 		change.Puts = append(change.Puts, store.Put{Key: j.partKey(len(change.Puts) - 1), Value: part})
 	}
-	j.obsolete = append(j.obsolete, j.fullSegments...)
-	j.fullSegments = nil
+	kept, replaced := j.obsolete, j.fullSegments
+	j.obsolete, j.fullSegments = slices.Concat(kept, replaced), nil
 	revision, err := j.commitAndRemove(ctx, change)
+	if errors.Is(err, store.ErrInvalid) {
+		j.obsolete, j.fullSegments, j.snapshotBytes = kept, replaced, 2*j.logBytes
+	}
 	if err != nil {
 		return err
 	}
@@ -387,11 +405,12 @@
 	return revision, err
 }
 
-// commit retries a change until its outcome is known or the context ends. An attempt
+// commit retries a change until its outcome is known, the store does not take it or the context
+// ends. An attempt
 // without an answer may have succeeded and make the next one conflict, so conflicts
 // are compared with the change itself.
 func (j *Journal) commit(ctx context.Context, change store.Change) (revision int64, err error) {
-	unanswered := 0
+	unanswered, invalid := 0, 0
 	defer func() {
 		if unanswered > 0 {
 			event.WriteUnanswered.Log(j.config.Log, logrus.Fields{
@@ -399,6 +418,9 @@
 			})
 		}
 	}()
+	if size := len(change.If) + len(change.Puts) + len(change.Remove); size > store.MaxChangeSize {
+		return 0, fmt.Errorf("%w: a change of %d keys", store.ErrInvalid, size)
+	}
 	for {
 		attemptCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 		revision, err = j.config.Client.Commit(attemptCtx, change)
@@ -410,6 +432,10 @@
 			return j.resolveConflict(conflict, change)
 		}
 		switch {
+		case errors.Is(err, store.ErrInvalid):
+			if invalid++; invalid >= maxInvalidAttempts {
+				return 0, err
+			}
 		case errors.Is(err, store.ErrIndeterminate):
 			unanswered++
 		case !errors.Is(err, store.ErrRefused):
--- a/internal/cell/journal/split_test.go
+++ b/internal/cell/journal/split_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"errors"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"gitlab.com/chicorypin/chicorypin/internal/back/store"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
@@ -56,3 +60,26 @@
 		})
 	}
 }
+
+// A snapshot is one change of the store, which takes a limited number of values. One with more was
+// refused by the store for good.
+func TestSnapshotBeyondChangeSizeIsReported(t *testing.T) {
+	Convey("A snapshot that needs more values than a change may have is not written, and records still are", t, func() {
+		s := keyvalue.New()
+		j, _ := load(t, s, takeOwnership(t, s, "a"))
+		random := rand.New(rand.NewPCG(1, 2))
+		state := jobs.Snapshot{}
+		for i := range store.MaxChangeSize + 8 {
+			noise := make([]byte, maxValueBytes)
+			for k := range noise {
+				noise[k] = byte(random.UintN(256))
+			}
+			state.Jobs = append(state.Jobs, jobs.JobState{Job: jobs.Job{ID: jobRecord(i).Job.ID, Spec: base64.StdEncoding.EncodeToString(noise)}})
+		}
+		So(errors.Is(j.WriteSnapshot(context.Background(), state), store.ErrInvalid), ShouldBeTrue)
+		So(j.IsSnapshotDue(), ShouldBeFalse)
+		So(j.Append(context.Background(), []jobs.Record{jobRecord(1)}), ShouldBeNil)
+		_, cell := load(t, s, takeOwnership(t, s, "b"))
+		So(cell.Active(), ShouldEqual, 1)
+	})
+}
--- a/internal/cell/ledger/ledger_test.go
+++ b/internal/cell/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -587,3 +588,22 @@
 		}
 	}
 }
+
+// The allocations of all accounts and cells are one value of the store, which takes a megabyte.
+func TestDocumentFitsValueOfStore(t *testing.T) {
+	Convey("At the design size the document takes less than half of a value, with claims everywhere", t, func() {
+		const accounts, cells, valueBytes = 85, 26, 1 << 20
+		document := make(allocations)
+		for i := range accounts {
+			row := make(map[string]allocation)
+			for k := range cells {
+				size := jobs.Size{CPU: unbounded, Memory: unbounded, GPUs: unbounded}
+				row[fmt.Sprintf("pool-of-some-length-%02d", k)] = allocation{Size: size, Claim: &claim{Size: size, Since: unbounded}}
+			}
+			document[fmt.Sprintf("account-of-some-length-%02d", i)] = row
+		}
+		data, err := json.Marshal(document)
+		So(err, ShouldBeNil)
+		So(len(data), ShouldBeLessThan, valueBytes/2)
+	})
+}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync/atomic"
 	"time"
@@ -113,6 +114,8 @@
 	// writeStarted is when the write in progress began; it counts only if isWriting.
 	writeStarted time.Time
 	isWriting    bool
+	// isSnapshotNext makes the next write a snapshot, whether one is due or not.
+	isSnapshotNext bool
 	// unconfirmedRecords is the number of records in the write in progress, or in the
 	// one that failed.
 	unconfirmedRecords int
@@ -283,12 +286,20 @@
 // write ends. Those registered while it is in progress belong to changes that it does not
 // contain, so they wait for the next write.
 func (o *Owner) write(now time.Time, batch jobs.Batch) {
+	// Records after a final snapshot would outdate it, so another one takes their place.
+	isSnapshot := o.journal.IsSnapshotDue() || o.isSnapshotNext || o.isHandingOver
+	o.isSnapshotNext = false
+	o.storeBatch(now, batch, o.takeCallbacks(), isSnapshot, false)
+}
+
+// storeBatch is the part of write that is done again in the other form, as a snapshot or as records,
+// if the store does not take the first one. isRetry reports that this is the second one. The changes
+// that were made meanwhile are stored with it.
+func (o *Owner) storeBatch(now time.Time, batch jobs.Batch, callbacks []func(err error), isSnapshot, isRetry bool) {
 	o.isWriting, o.writeStarted, o.unconfirmedRecords = true, now, len(batch.Records)
-	callbacks := o.takeCallbacks()
 	var snapshot *jobs.Snapshot
-	// Records after a final snapshot would outdate it, so another one takes their place.
-	isFinal := o.isHandingOver
-	if o.journal.IsSnapshotDue() || isFinal {
+	isFinal := isSnapshot && o.isHandingOver
+	if isSnapshot {
 		s := o.snapshot(now, isFinal)
 		snapshot = &s
 	}
@@ -303,6 +314,14 @@
 		o.post(func() {
 			o.isWriting = false
 			o.metrics.writeDuration.RecordDuration(took)
+			if errors.Is(err, store.ErrInvalid) {
+				o.logInvalidWrite(batch, isSnapshot, err)
+				if !isRetry {
+					more := append(callbacks, o.takeCallbacks()...)
+					o.storeBatch(now, batch.Followed(o.cell.TakeBatch()), more, !isSnapshot, true)
+					return
+				}
+			}
 			if err != nil {
 				o.abort(err)
 				runCallbacks(callbacks, ErrIndeterminate)
@@ -316,6 +335,23 @@
 	})
 }
 
+// logInvalidWrite logs a write that the store does not take. For records it names the largest.
+func (o *Owner) logInvalidWrite(batch jobs.Batch, isSnapshot bool, err error) {
+	fields := logrus.Fields{"snapshot": isSnapshot, "records": len(batch.Records), "error": err.Error(), "epoch": int64(o.epoch)}
+	largest := 0
+	for _, record := range batch.Records {
+		encoded, err := json.Marshal(record)
+		if err == nil && len(encoded) > largest {
+			largest = len(encoded)
+			fields["bytes"], fields["largest"] = largest, string(encoded[:min(largest, maxLoggedRecord)])
+		}
+	}
+	event.WriteInvalid.Log(o.config.Log, fields)
+}
+
+// maxLoggedRecord is how many bytes of a record are logged: its kind and its job.
+const maxLoggedRecord = 120
+
 // snapshot returns the state of the cell, for the next owner if it is final.
 func (o *Owner) snapshot(now time.Time, isFinal bool) jobs.Snapshot {
 	if isFinal {
--- a/internal/mesh/relay/call.go
+++ b/internal/mesh/relay/call.go
@@ -61,6 +61,7 @@
 const (
 	failureRefused       failure = "refused"
 	failureIndeterminate failure = "open"
+	failureInvalid       failure = "invalid"
 	failureAbsent        failure = "absent"
 	failureCompacted     failure = "compacted"
 	failureConflict      failure = "conflict"
@@ -82,6 +83,8 @@
 		return store.ErrCompacted
 	case failureConflict:
 		return &store.ConflictError{Items: a.Items}
+	case failureInvalid:
+		return fmt.Errorf("%w: %s", store.ErrInvalid, a.Reason)
 	case failureRefused:
 		return fmt.Errorf("%w: %s", store.ErrRefused, a.Reason)
 	default:
@@ -106,6 +109,8 @@
 		a.Failure = failureCompacted
 	case errors.Is(err, store.ErrRefused):
 		a.Failure = failureRefused
+	case errors.Is(err, store.ErrInvalid):
+		a.Failure = failureInvalid
 	default:
 		a.Failure = failureIndeterminate
 	}
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -37,6 +37,8 @@
 	// out; nil for never.
 	isDeferred func(change store.Change) bool
 	deferred   []store.Change
+	// isInvalid decides whether a change is not taken; nil for none.
+	isInvalid func(change store.Change) bool
 }
 
 type lease struct {
@@ -85,6 +87,15 @@
 	s.isDeferred = isDeferred
 }
 
+// Reject makes the commits for which isInvalid returns true fail with store.ErrInvalid, without
+// an effect. A nil function ends this. The function is called with the store locked and must not
+// call the store.
+func (s *Store) Reject(isInvalid func(change store.Change) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isInvalid = isInvalid
+}
+
 // ApplyDeferred carries out the deferred commits whose conditions still hold, in the order
 // of their calls, drops the others, and returns how many it has carried out.
 func (s *Store) ApplyDeferred() (count int) {
@@ -293,6 +304,9 @@
 		s.deferred = append(s.deferred, change)
 		return 0, store.ErrIndeterminate
 	}
+	if isTooLarge(change) || s.isInvalid != nil && s.isInvalid(change) {
+		return 0, store.ErrInvalid
+	}
 	if err := s.apply(change); err != nil {
 		return 0, err
 	}
@@ -302,6 +316,15 @@
 	return s.revision, nil
 }
 
+// maxValueBytes is the largest value that the platform's store takes.
+const maxValueBytes = 1 << 20
+
+// isTooLarge reports whether the platform's store does not take a change because of its size.
+func isTooLarge(change store.Change) bool {
+	isLong := func(p store.Put) bool { return len(p.Value) > maxValueBytes }
+	return len(change.If)+len(change.Puts)+len(change.Remove) > store.MaxChangeSize || slices.ContainsFunc(change.Puts, isLong)
+}
+
 // apply carries out a change at the next revision. The error is a *store.ConflictError if
 // a condition is not met, and store.ErrNotFound if a lease does not exist.
 func (s *Store) apply(change store.Change) error {
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -230,6 +230,15 @@
 	applied  []endMark
 }
 
+// Followed returns the decisions of b and those of a later batch.
+func (b Batch) Followed(later Batch) Batch {
+	return Batch{
+		Records: slices.Concat(b.Records, later.Records), Ends: slices.Concat(b.Ends, later.Ends),
+		starts: slices.Concat(b.starts, later.starts), finished: slices.Concat(b.finished, later.finished),
+		applied: slices.Concat(b.applied, later.applied),
+	}
+}
+
 // endMark states that the run ends of an endpoint's incarnation were applied up to a
 // number.
 type endMark struct {
