--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -317,7 +318,7 @@
 			if errors.Is(err, store.ErrInvalid) {
 				o.logInvalidWrite(batch, isSnapshot, err)
 				if !isRetry {
-					more := append(callbacks, o.takeCallbacks()...)
+					more := slices.Concat(callbacks, o.takeCallbacks())
 					o.storeBatch(now, batch.Followed(o.cell.TakeBatch()), more, !isSnapshot, true)
 					return
 				}
