Record where the jobs of a queue are, so that a moved queue keeps them

Cause: the cell of a job was the pool of its queue in the configuration in force at each call. Nothing recorded where jobs are, and entries apply a version at different moments.

Change: live/homes holds the cells of each queue; each write of new jobs depends on it, so the store orders moves and acceptances.

--- a/internal/cell/journal/journal.go
+++ b/internal/cell/journal/journal.go
@@ -69,6 +69,10 @@
 	Log   *logrus.Entry
 }
 
+// Guard returns a further condition of a write. current is nil before the first attempt and the
+// present state of the condition's key when it was not met. After an error nothing is written.
+type Guard func(current *store.Item) (condition store.Condition, err error)
+
 // Journal writes the records of a cell. It is not safe for concurrent use.
 type Journal struct {
 	config Config
@@ -84,6 +88,8 @@
 	// yet. isAttempted reports that a write of it has failed, and may have been carried out.
 	revision    int64
 	isAttempted bool
+	// guard is that of the write in progress, nil for none.
+	guard Guard
 	// fullSegments holds the keys of the segments that the next snapshot replaces,
 	// obsolete those of segments that were replaced and are to be removed.
 	fullSegments, obsolete []string
@@ -278,7 +284,14 @@
 // been stored, and the Journal must not be used any more, except that after store.ErrInvalid a
 // snapshot that contains them may be written.
 func (j *Journal) Append(ctx context.Context, records []jobs.Record) (err error) {
+	return j.AppendGuarded(ctx, records, nil)
+}
+
+// AppendGuarded is Append with a guard, nil for none. Some of the records may be stored when the
+// guard reports an error for the rest.
+func (j *Journal) AppendGuarded(ctx context.Context, records []jobs.Record, guard Guard) (err error) {
 	defer fault.Annotate(&err, "journal of cell %s", j.config.Cell)
+	j.guard = guard
 	content := j.segment
 	for i := range records {
 		encoded, err := json.Marshal(&records[i])
@@ -337,7 +350,13 @@
 // as Append does; after store.ErrInvalid the records may be appended, and a snapshot is due again
 // when the log has doubled.
 func (j *Journal) WriteSnapshot(ctx context.Context, state jobs.Snapshot) (err error) {
+	return j.WriteSnapshotGuarded(ctx, state, nil)
+}
+
+// WriteSnapshotGuarded is WriteSnapshot with a guard, nil for none.
+func (j *Journal) WriteSnapshotGuarded(ctx context.Context, state jobs.Snapshot, guard Guard) (err error) {
 	defer fault.Annotate(&err, "snapshot of cell %s", j.config.Cell)
+	j.guard = guard
 	if j.revision > 0 {
 		j.fullSegments = append(j.fullSegments, j.segmentKey(j.sequence))
 	}
@@ -396,8 +415,18 @@
 // commitAndRemove commits a change, which it fills up with removals of obsolete
 // segments. Segments that remain are older than the snapshot, and Load skips them.
 func (j *Journal) commitAndRemove(ctx context.Context, change store.Change) (revision int64, err error) {
+	if j.guard != nil {
+		condition, err := j.guard(nil)
+		if err != nil {
+			return 0, err
+		}
+		change.If = append(change.If, condition)
+	}
 	removed := max(min(len(j.obsolete), store.MaxChangeSize-len(change.If)-len(change.Puts)), 0)
 	change.Remove = j.obsolete[:removed]
+	if size := len(change.If) + len(change.Puts) + removed; size > store.MaxChangeSize {
+		return 0, fmt.Errorf("%w: a change of %d keys", store.ErrInvalid, size)
+	}
 	revision, err = j.commit(ctx, change)
 	if err == nil {
 		j.obsolete = j.obsolete[removed:]
@@ -418,9 +447,6 @@
 			})
 		}
 	}()
-	if size := len(change.If) + len(change.Puts) + len(change.Remove); size > store.MaxChangeSize {
-		return 0, fmt.Errorf("%w: a change of %d keys", store.ErrInvalid, size)
-	}
 	for {
 		attemptCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 		revision, err = j.config.Client.Commit(attemptCtx, change)
@@ -429,7 +455,14 @@
 			return revision, nil
 		}
 		if conflict, ok := errors.AsType[*store.ConflictError](err); ok {
-			return j.resolveConflict(conflict, change)
+			revision, err = j.resolveConflict(conflict, change)
+			if err == nil || j.guard == nil || !isGuardAlone(conflict, change) {
+				return revision, err
+			}
+			if err := j.renewGuard(conflict, change); err != nil {
+				return 0, err
+			}
+			continue
 		}
 		switch {
 		case errors.Is(err, store.ErrInvalid):
@@ -449,6 +482,27 @@
 	}
 }
 
+// renewGuard replaces the last condition of a change, that of the guard, by the present one.
+func (j *Journal) renewGuard(conflict *store.ConflictError, change store.Change) (err error) {
+	last := len(change.If) - 1
+	item, _ := conflict.Item(change.If[last].Key)
+	change.If[last], err = j.guard(&item)
+	return err
+}
+
+// isGuardAlone reports whether the last condition of a change, that of the guard, is the only one
+// that was not met.
+func isGuardAlone(conflict *store.ConflictError, change store.Change) bool {
+	last := len(change.If) - 1
+	for i, condition := range change.If {
+		item, _ := conflict.Item(condition.Key)
+		if isMet := item.Revision == condition.Revision; isMet == (i == last) {
+			return false
+		}
+	}
+	return true
+}
+
 // resolveConflict returns the revision of the change if an earlier attempt has stored
 // it, and ErrDeposed otherwise.
 func (j *Journal) resolveConflict(conflict *store.ConflictError, change store.Change) (revision int64, err error) {
--- a/internal/cell/journal/journal_test.go
+++ b/internal/cell/journal/journal_test.go
@@ -425,3 +425,50 @@
 		So(isInherited(s), ShouldBeTrue)
 	})
 }
+
+// A write of new jobs that depends on where their queue is was given up after each change of another
+// queue, or carried out after the queue had moved.
+func TestGuardedWrite(t *testing.T) {
+	const guardKey = "guard"
+	errMoved := errors.New("moved")
+	for name, write := range map[string]func(j *Journal, guard Guard) error{
+		"records": func(j *Journal, guard Guard) error {
+			return j.AppendGuarded(context.Background(), []jobs.Record{jobRecord(1)}, guard)
+		},
+		"a snapshot": func(j *Journal, guard Guard) error {
+			return j.WriteSnapshotGuarded(context.Background(), jobs.Snapshot{Jobs: []jobs.JobState{{Job: *jobRecord(1).Job}}}, guard)
+		},
+	} {
+		Convey("A guarded write is tried again with the present condition, or ends with the error of the guard: "+name, t, func() {
+			for isAllowed, expected := range map[bool]error{true: nil, false: errMoved} {
+				s := keyvalue.New()
+				j, _ := load(t, s, takeOwnership(t, s, "a"))
+				s.Put(guardKey, []byte("v"))
+				calls := 0
+				err := write(j, func(current *store.Item) (store.Condition, error) {
+					calls++
+					switch {
+					case current == nil:
+						return store.Condition{Key: guardKey, Revision: 0}, nil
+					case isAllowed:
+						return store.Condition{Key: guardKey, Revision: current.Revision}, nil
+					}
+					return store.Condition{}, errMoved
+				})
+				So(errors.Is(err, expected), ShouldBeTrue)
+				So(calls, ShouldEqual, 2)
+				_, cell := load(t, s, takeOwnership(t, s, "b"))
+				So(cell.Active() == 1, ShouldEqual, isAllowed)
+			}
+		})
+	}
+	Convey("An owner that was replaced is told so, whatever the guard says", t, func() {
+		s := keyvalue.New()
+		j, _ := load(t, s, takeOwnership(t, s, "a"))
+		takeOwnership(t, s, "b")
+		err := j.AppendGuarded(context.Background(), []jobs.Record{jobRecord(1)}, func(*store.Item) (store.Condition, error) {
+			return store.Condition{Key: guardKey, Revision: 5}, nil
+		})
+		So(errors.Is(err, ErrDeposed), ShouldBeTrue)
+	})
+}
--- a/internal/cell/owner/abandoned_test.go
+++ b/internal/cell/owner/abandoned_test.go
@@ -23,7 +23,7 @@
 			return err
 		},
 		"Status": func(ctx context.Context, o *Owner) error {
-			_, _, err := o.Status(ctx, id)
+			_, _, err := o.Status(ctx, Lookup{ID: id})
 			return err
 		},
 		"Pending": func(ctx context.Context, o *Owner) error {
@@ -31,7 +31,7 @@
 			return err
 		},
 		"Cancel": func(ctx context.Context, o *Owner) error {
-			_, err := o.Cancel(ctx, id)
+			_, err := o.Cancel(ctx, Lookup{ID: id})
 			return err
 		},
 		"Needs": func(ctx context.Context, o *Owner) error {
--- a/internal/cell/owner/invalid_test.go
+++ b/internal/cell/owner/invalid_test.go
@@ -45,7 +45,7 @@
 		if !await.Until(waitTimeout, next.IsServing) {
 			return false
 		}
-		_, isKnown, err := next.Status(context.Background(), id)
+		_, isKnown, err := next.Status(context.Background(), Lookup{ID: id})
 		return err == nil && isKnown
 	}
 	for name, isInvalid := range map[string]func(change store.Change) bool{
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -19,6 +19,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/homes"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/journal"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
@@ -72,6 +73,9 @@
 	Bounds    jobs.Bounds
 	// OwnedSince is when this ownership began.
 	OwnedSince time.Time
+	// Guard returns the condition under which the cell may store new jobs. Its error is one of
+	// journal.Guard, also without a current state. A nil function sets no condition.
+	Guard func(accepted []homes.Acceptance, current *store.Item) (store.Condition, error)
 	// AccountLimit returns the resources that a client account may use in this cell.
 	// isBounded is false if there is no limit.
 	AccountLimit func(account string) (limit jobs.Size, isBounded bool)
@@ -115,6 +119,8 @@
 	// writeStarted is when the write in progress began; it counts only if isWriting.
 	writeStarted time.Time
 	isWriting    bool
+	// accepted holds the new jobs that are not in a write yet, if Config.Guard is set.
+	accepted []homes.Acceptance
 	// isSnapshotNext makes the next write a snapshot, whether one is due or not.
 	isSnapshotNext bool
 	// unconfirmedRecords is the number of records in the write in progress, or in the
@@ -290,13 +296,15 @@
 	// Records after a final snapshot would outdate it, so another one takes their place.
 	isSnapshot := o.journal.IsSnapshotDue() || o.isSnapshotNext || o.isHandingOver
 	o.isSnapshotNext = false
-	o.storeBatch(now, batch, o.takeCallbacks(), isSnapshot, false)
+	accepted := o.accepted
+	o.accepted = nil
+	o.storeBatch(now, batch, o.takeCallbacks(), accepted, isSnapshot, false)
 }
 
 // storeBatch is the part of write that is done again in the other form, as a snapshot or as records,
 // if the store does not take the first one. isRetry reports that this is the second one. The changes
 // that were made meanwhile are stored with it.
-func (o *Owner) storeBatch(now time.Time, batch jobs.Batch, callbacks []func(err error), isSnapshot, isRetry bool) {
+func (o *Owner) storeBatch(now time.Time, batch jobs.Batch, callbacks []func(err error), accepted []homes.Acceptance, isSnapshot, isRetry bool) {
 	o.isWriting, o.writeStarted, o.unconfirmedRecords = true, now, len(batch.Records)
 	var snapshot *jobs.Snapshot
 	isFinal := isSnapshot && o.isHandingOver
@@ -304,12 +312,16 @@
 		s := o.snapshot(now, isFinal)
 		snapshot = &s
 	}
+	var guard journal.Guard
+	if len(accepted) > 0 {
+		guard = func(current *store.Item) (store.Condition, error) { return o.config.Guard(accepted, current) }
+	}
 	o.workers.Go(func() {
 		var err error
 		if snapshot != nil {
-			err = o.journal.WriteSnapshot(o.ctx, *snapshot)
+			err = o.journal.WriteSnapshotGuarded(o.ctx, *snapshot, guard)
 		} else {
-			err = o.journal.Append(o.ctx, batch.Records)
+			err = o.journal.AppendGuarded(o.ctx, batch.Records, guard)
 		}
 		took := boot.Now().Sub(now)
 		o.post(func() {
@@ -319,7 +331,9 @@
 				o.logInvalidWrite(batch, isSnapshot, err)
 				if !isRetry {
 					more := slices.Concat(callbacks, o.takeCallbacks())
-					o.storeBatch(now, batch.Followed(o.cell.TakeBatch()), more, !isSnapshot, true)
+					accepted = slices.Concat(accepted, o.accepted)
+					o.accepted = nil
+					o.storeBatch(now, batch.Followed(o.cell.TakeBatch()), more, accepted, !isSnapshot, true)
 					return
 				}
 			}
--- a/internal/cell/owner/owner_test.go
+++ b/internal/cell/owner/owner_test.go
@@ -186,7 +186,7 @@
 		<-gate.started
 		cancelled := make(chan error, 1)
 		go func() {
-			_, err := o.Cancel(context.Background(), "000000000000000a")
+			_, err := o.Cancel(context.Background(), Lookup{ID: "000000000000000a"})
 			cancelled <- err
 		}()
 		So(await.Until(waitTimeout, func() bool { return o.pendingCallbacks() == 1 }), ShouldBeTrue)
@@ -362,7 +362,7 @@
 			cancelled := make(chan struct{})
 			go func() {
 				defer close(cancelled)
-				_, _ = o.Cancel(context.Background(), "000000000000000a")
+				_, _ = o.Cancel(context.Background(), Lookup{ID: "000000000000000a"})
 			}()
 			if isDown {
 				So(await.Until(waitTimeout, o.isWriteStarted), ShouldBeTrue)
--- a/internal/cell/owner/request.go
+++ b/internal/cell/owner/request.go
@@ -9,6 +9,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/homes"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
 
@@ -16,32 +17,30 @@
 // store jobs. A takeover or a short outage of the store is over by then.
 const busyRetryDelay = time.Second
 
+// ErrTaken reports that the cell has a job with the ID that the caller may not ask for.
+var ErrTaken = errors.New("the ID is that of another client's job")
+
 // Submit adds a job and returns once it is stored, or returns a verdict that rejects
 // it. A job whose ID is already known is accepted and left unchanged.
 // ErrIndeterminate means that the job may have been accepted, ErrNotDone that it was
-// not.
+// not, as does ErrTaken.
 func (o *Owner) Submit(ctx context.Context, job jobs.Job) (verdict jobs.Verdict, err error) {
+	return o.SubmitAfter(ctx, job, 0)
+}
+
+// SubmitAfter is Submit for a job whose queue has this cell as its home since a move (see
+// homes.Acceptance). The error is homes.ErrMoved, and the job was not accepted, if that is not so.
+func (o *Owner) SubmitAfter(ctx context.Context, job jobs.Job, move int64) (verdict jobs.Verdict, err error) {
 	stored := make(chan error, 1)
 	receivedAt := boot.Now()
 	verdict, err = queryLoop(ctx, o, func() jobs.Verdict {
-		now := boot.Now()
-		isStoreSlow := o.isWriting && now.Sub(o.writeStarted) > slowWriteLimit
-		if o.isHandingOver || isStoreSlow || !o.config.IsStoreUp() {
-			stored <- ErrNotDone
-			return jobs.Verdict{RetryAfter: busyRetryDelay, Reason: "the cell cannot store jobs now"}
-		}
-		admitted := o.cell.Admit(now, &job)
-		if !admitted.IsAccepted {
-			stored <- nil
-			return admitted
-		}
-		isNew := o.cell.Submit(now, job)
-		o.onStored = append(o.onStored, func(err error) { stored <- err })
-		admitted.Reason = "new"
-		if !isNew {
-			admitted.Reason = "known"
+		v, err := o.accept(job, homes.Acceptance{Queue: job.Queue, Move: move})
+		if v.IsAccepted {
+			o.onStored = append(o.onStored, func(err error) { stored <- err })
+		} else {
+			stored <- err
 		}
-		return admitted
+		return v
 	})
 	if err != nil {
 		return jobs.Verdict{RetryAfter: busyRetryDelay}, err
@@ -52,7 +51,7 @@
 		"took": boot.Now().Sub(receivedAt).Milliseconds(),
 	}
 	switch {
-	case errors.Is(err, ErrNotDone):
+	case errors.Is(err, ErrNotDone), errors.Is(err, ErrTaken), errors.Is(err, homes.ErrMoved):
 		event.JobRejected.Log(o.config.Log, fields)
 	case err != nil:
 		event.JobRequestUnanswered.Log(o.config.Log, fields)
@@ -65,6 +64,38 @@
 	return verdict, err
 }
 
+// accept adds a job to the cell if it may, and returns the verdict. The job counts as accepted once
+// it is stored. It runs in the loop. The errors are those of SubmitAfter.
+func (o *Owner) accept(job jobs.Job, acceptance homes.Acceptance) (verdict jobs.Verdict, err error) {
+	now := boot.Now()
+	isStoreSlow := o.isWriting && now.Sub(o.writeStarted) > slowWriteLimit
+	if o.isHandingOver || isStoreSlow || !o.config.IsStoreUp() {
+		return jobs.Verdict{RetryAfter: busyRetryDelay, Reason: "the cell cannot store jobs now"}, ErrNotDone
+	}
+	isKnown, isTaken := o.cell.IsKnown(job.ID, jobs.Caller{Queue: job.Queue, Account: job.Account})
+	if isTaken {
+		return jobs.Verdict{Reason: ErrTaken.Error()}, ErrTaken
+	}
+	if !isKnown && o.config.Guard != nil {
+		if _, err := o.config.Guard([]homes.Acceptance{acceptance}, nil); err != nil {
+			return jobs.Verdict{RetryAfter: busyRetryDelay, Reason: err.Error()}, err
+		}
+	}
+	verdict = o.cell.Admit(now, &job)
+	if !verdict.IsAccepted {
+		return verdict, nil
+	}
+	isNew := o.cell.Submit(now, job)
+	if isNew && o.config.Guard != nil {
+		o.accepted = append(o.accepted, acceptance)
+	}
+	verdict.Reason = "new"
+	if !isNew {
+		verdict.Reason = "known"
+	}
+	return verdict, nil
+}
+
 // awaitStored waits for the result of storing a request's changes. It returns
 // ErrIndeterminate if the context or the owner ends first.
 func (o *Owner) awaitStored(ctx context.Context, stored <-chan error) error {
@@ -78,16 +109,47 @@
 	}
 }
 
-// Status returns the state of a job; isKnown is false if the cell has no such job.
-func (o *Owner) Status(ctx context.Context, id string) (state jobs.State, isKnown bool, err error) {
+// Lookup names a job and who asks for it.
+type Lookup struct {
+	ID string
+	// Caller is nil if every job may be asked for.
+	Caller *jobs.Caller
+	// IsStored makes the answer that the job is known wait until it is stored.
+	IsStored bool
+}
+
+// isAllowed reports whether the cell has the job and the caller may ask for it. It runs in the
+// loop.
+func (o *Owner) isAllowed(l Lookup) bool {
+	if l.Caller == nil {
+		return true
+	}
+	isKnown, _ := o.cell.IsKnown(l.ID, *l.Caller)
+	return isKnown
+}
+
+// Status returns the state of a job; isKnown is false if the cell has no such job, or the caller
+// may not ask for it.
+func (o *Owner) Status(ctx context.Context, l Lookup) (state jobs.State, isKnown bool, err error) {
 	type status struct {
 		state   jobs.State
 		isKnown bool
 	}
+	stored := make(chan error, 1)
 	found, err := queryLoop(ctx, o, func() (s status) {
-		s.state, s.isKnown = o.cell.Status(id)
+		if o.isAllowed(l) {
+			s.state, s.isKnown = o.cell.Status(l.ID)
+		}
+		if s.isKnown && l.IsStored {
+			o.onStored = append(o.onStored, func(err error) { stored <- err })
+		} else {
+			stored <- nil
+		}
 		return s
 	})
+	if err == nil {
+		err = o.awaitStored(ctx, stored)
+	}
 	return found.state, found.isKnown, err
 }
 
@@ -98,11 +160,12 @@
 }
 
 // Cancel cancels a job and returns once that is stored; isKnown is false if the cell
-// has no such job. ErrIndeterminate means that the job may have been cancelled.
-func (o *Owner) Cancel(ctx context.Context, id string) (isKnown bool, err error) {
+// has no such job, or the caller may not ask for it. ErrIndeterminate means that the job may have
+// been cancelled.
+func (o *Owner) Cancel(ctx context.Context, l Lookup) (isKnown bool, err error) {
 	stored := make(chan error, 1)
 	isKnown, err = queryLoop(ctx, o, func() bool {
-		if !o.cell.Cancel(boot.Now(), id) {
+		if !o.isAllowed(l) || !o.cell.Cancel(boot.Now(), l.ID) {
 			stored <- nil
 			return false
 		}
@@ -113,7 +176,7 @@
 		return false, err
 	}
 	err = o.awaitStored(ctx, stored)
-	event.JobCancelled.Log(o.config.Log, logrus.Fields{"job": id, "known": isKnown, "open": err != nil})
+	event.JobCancelled.Log(o.config.Log, logrus.Fields{"job": l.ID, "known": isKnown, "open": err != nil})
 	return isKnown, err
 }
 
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -25,6 +25,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/homes"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/ledger"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/owner"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/roster"
@@ -108,6 +109,7 @@
 	session     *store.Session
 	roster      *roster.Roster
 	ledger      *ledger.Ledger
+	homes       *homes.Homes
 	setup       atomic.Pointer[setup.Setup]
 	storeHealth storeHealth
 	// directory holds the endpoints that are registered in the store.
@@ -165,7 +167,7 @@
 		Prefix: d.platform.EvacuationPrefix, Client: d.store, IsStoreUp: d.isStoreUp, IsNeeded: d.isOwner, Log: d.log,
 	})
 	d.roster = roster.New(roster.Config{Client: d.store, Self: d.self, OnChange: d.wakeManager})
-	d.ledger = ledger.New(d.store, d.log)
+	d.ledger, d.homes = ledger.New(d.store, d.log), homes.New(d.store, d.log)
 	d.session = store.NewSession(store.SessionConfig{
 		Client: d.store, TTL: sessionTTL,
 		OnGrant: d.onLeaseGranted, OnExpiry: d.onLeaseLost, OnFailure: d.storeHealth.recordFailure, OnSuccess: d.storeHealth.recordSuccess,
@@ -336,7 +338,8 @@
 			continue
 		}
 		// The owner of a cell that is not configured any more returns its allocations.
-		cells := append(configuredCells(s), d.ledger.Cells()...)
+		// The jobs of a queue are where it was before, too.
+		cells := slices.Concat(configuredCells(s), d.ledger.Cells(), d.homes.Cells())
 		slices.Sort(cells)
 		cells = slices.Compact(cells)
 		if d.platform.Cloud != nil {
@@ -420,7 +423,7 @@
 	o := owner.New(owner.Config{
 		Cell: cell, Store: d.store, Endpoints: d.platform.Endpoints, Condition: condition,
 		IsValid: d.session.IsValid, IsStoreUp: d.isStoreUp, Bounds: d.bounds(), OwnedSince: boot.Now(),
-		AccountLimit: d.accountLimit(cell), AccountWeight: d.accountWeight, Advise: d.platform.Advise,
+		Guard: d.guard(cell), AccountLimit: d.accountLimit(cell), AccountWeight: d.accountWeight, Advise: d.platform.Advise,
 		Evacuated: d.evacuations.centres, AreEvacuationsKnown: d.evacuations.areKnown,
 		IsForecasting: d.config.Settings.Forecast,
 		Log:           d.log.WithField("cell", cell),
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,6 +58,9 @@
 	done   chan struct{}
 	logs   *logBuffer
 
+	// isHeldBack is set while the entry gets no changes of the configuration (holdBackConfig).
+	isHeldBack atomic.Bool
+
 	mu sync.Mutex
 	// isDisconnected is set while the entry cannot reach the store directly.
 	isDisconnected bool
@@ -216,6 +220,16 @@
 	return registration, err
 }
 
+// configQuickInBlue is the value of a configuration that sends the queue "quick" to the pool "blue".
+const configQuickInBlue = "quick in blue"
+
+// configAllInRed is the value of a configuration that sends all queues to the pool "red" and has no
+// other pool.
+const configAllInRed = "all in red"
+
+// configWithoutQuick is the value of a configuration without the queue "quick".
+const configWithoutQuick = "without quick"
+
 // configWithoutBlue is the value of a configuration without the pool "blue" and its queue.
 const configWithoutBlue = "without blue"
 
@@ -226,12 +240,22 @@
 		Queues: []setup.Queue{
 			{Name: "quick", Host: "h", Prefix: "/quick/", Pool: "red", MaxAttempts: 3, Stretch: 2, Target: 2 * time.Second},
 			{Name: "open", Host: "h", Prefix: "/open/", Pool: "blue", IsAnonymous: true, MaxAttempts: 3, Stretch: 2, Target: 2 * time.Second},
+			{Name: "public", Host: "h", Prefix: "/public/", Pool: "red", IsAnonymous: true, MaxAttempts: 3, Stretch: 2, Target: 2 * time.Second},
 		},
 		Pools:    []setup.Pool{{Name: "red"}, {Name: "blue"}},
 		Accounts: map[string]setup.Account{"team": {Name: "team", Weight: 1, Limit: jobs.Size{CPU: 12000, Memory: 12000}}},
 		Keys:     make(map[setup.Digest]string),
 	}
-	s.Keys[digest("secret")] = "team"
+	s.Keys[digest("secret")], s.Keys[digest("other secret")] = "team", "other"
+	if string(value) == configAllInRed {
+		s.Queues[1].Pool, s.Pools = "red", s.Pools[:1]
+	}
+	if string(value) == configWithoutQuick {
+		s.Queues = s.Queues[1:]
+	}
+	if string(value) == configQuickInBlue {
+		s.Queues[0].Pool = "blue"
+	}
 	if string(value) == configWithoutBlue {
 		s.Queues, s.Pools = s.Queues[:1], s.Pools[:1]
 	}
@@ -242,12 +266,17 @@
 // call sends a request to the entry with a number and returns the status and body of the
 // response. Without a response, the status is 0 and content the error.
 func (s *system) call(number int, method, path, body string) (status int, content string) {
+	return s.callWithKey("secret", number, method, path, body)
+}
+
+// callWithKey is call with another key.
+func (s *system) callWithKey(key string, number int, method, path, body string) (status int, content string) {
 	request, err := http.NewRequest(method, s.entries[number].url+path, strings.NewReader(body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	request.Host = "h"
-	request.Header.Set("Authorization", "Bearer secret")
+	request.Header.Set("Authorization", "Bearer "+key)
 	client := &http.Client{Timeout: 5 * time.Second}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/daemon/fleet/request.go
+++ b/internal/daemon/fleet/request.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/homes"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/ledger"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/owner"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/roster"
@@ -126,42 +127,6 @@
 	return response, nil
 }
 
-// submit sends a job to the owner of a cell and returns its verdict.
-func (d *Daemon) submit(ctx context.Context, cell string, job jobs.Job) (verdict jobs.Verdict, err error) {
-	data, err := json.Marshal(job)
-	if err != nil {
-		return jobs.Verdict{}, err
-	}
-	request := &wire.Request{Cell: cell, Body: &wire.Request_Submit{Submit: &wire.Submit{Job: data}}}
-	response, err := d.callOwner(ctx, request)
-	if err != nil {
-		return jobs.Verdict{}, err
-	}
-	return jobs.Verdict{
-		IsAccepted: response.GetOutcome() == call.Done,
-		RetryAfter: time.Duration(response.GetRetry()) * time.Millisecond,
-		Reason:     response.GetReason(),
-	}, nil
-}
-
-// status returns the state of a job; isKnown is false if the cell has no such job.
-func (d *Daemon) status(ctx context.Context, cell, id string) (state jobs.State, isKnown bool, err error) {
-	response, err := d.callOwner(ctx, &wire.Request{Cell: cell, Body: &wire.Request_Status{Status: &wire.Status{Job: id}}})
-	return jobs.State(response.GetState()), response.GetOutcome() == call.Done, err
-}
-
-// cancelJob cancels a job; isKnown is false if the cell has no such job.
-func (d *Daemon) cancelJob(ctx context.Context, cell, id string) (isKnown bool, err error) {
-	response, err := d.callOwner(ctx, &wire.Request{Cell: cell, Body: &wire.Request_Cancel{Cancel: &wire.Cancel{Job: id}}})
-	return response.GetOutcome() == call.Done, err
-}
-
-// pending returns the number of accepted jobs of a queue that have not started.
-func (d *Daemon) pending(ctx context.Context, cell, queue string) (count int, err error) {
-	response, err := d.callOwner(ctx, &wire.Request{Cell: cell, Body: &wire.Request_Pending{Pending: &wire.Pending{Queue: queue}}})
-	return int(response.GetCount()), err
-}
-
 // serve handles a request of a peer or of this entry as the owner of its cell, or makes
 // a relayed call to the store. It is safe for concurrent use.
 func (d *Daemon) serve(ctx context.Context, request *wire.Request) *wire.Response {
@@ -192,10 +157,12 @@
 	case *wire.Request_Submit:
 		return handleSubmit(ctx, o, body.Submit)
 	case *wire.Request_Status:
-		state, isKnown, err := o.Status(ctx, body.Status.GetJob())
+		l := lookup(body.Status.GetJob(), body.Status.GetQueue(), body.Status.GetAccount())
+		l.IsStored = body.Status.GetStored()
+		state, isKnown, err := o.Status(ctx, l)
 		return &wire.Response{Outcome: requestOutcome(isKnown, err), State: string(state)}
 	case *wire.Request_Cancel:
-		isKnown, err := o.Cancel(ctx, body.Cancel.GetJob())
+		isKnown, err := o.Cancel(ctx, lookup(body.Cancel.GetJob(), body.Cancel.GetQueue(), body.Cancel.GetAccount()))
 		return &wire.Response{Outcome: requestOutcome(isKnown, err)}
 	case *wire.Request_Pending:
 		count, err := o.Pending(ctx, body.Pending.GetQueue())
@@ -208,12 +175,20 @@
 	return &wire.Response{Outcome: call.Unavailable, Reason: "the request is not known"}
 }
 
+// lookup returns the look-up of a job for a caller.
+func lookup(id, queue, account string) owner.Lookup {
+	return owner.Lookup{ID: id, Caller: &jobs.Caller{Queue: queue, Account: account}}
+}
+
 func handleSubmit(ctx context.Context, o *owner.Owner, body *wire.Submit) *wire.Response {
 	var job jobs.Job
 	if err := json.Unmarshal(body.GetJob(), &job); err != nil {
 		return &wire.Response{Outcome: call.Refused, Reason: err.Error()}
 	}
-	verdict, err := o.Submit(ctx, job)
+	verdict, err := o.SubmitAfter(ctx, job, body.GetMove())
+	if errors.Is(err, owner.ErrTaken) {
+		return &wire.Response{Outcome: call.Taken, Reason: err.Error()}
+	}
 	if err != nil {
 		return &wire.Response{Outcome: requestOutcome(true, err)}
 	}
@@ -256,7 +231,7 @@
 // isKnown tells whether the job exists.
 func requestOutcome(isKnown bool, err error) uint32 {
 	switch {
-	case errors.Is(err, owner.ErrNotDone):
+	case errors.Is(err, owner.ErrNotDone), errors.Is(err, homes.ErrMoved):
 		return call.Unavailable
 	case err != nil:
 		return call.Indeterminate
--- a/internal/daemon/fleet/watch.go
+++ b/internal/daemon/fleet/watch.go
@@ -32,7 +32,13 @@
 }
 
 func (d *Daemon) watchRoster(ctx context.Context) {
-	d.watch(ctx, roster.Prefix, 0, d.roster.Replace, d.roster.Update)
+	d.watch(ctx, roster.Prefix, 0, func(items []store.Item) {
+		d.homes.Update(items)
+		d.roster.Replace(items)
+	}, func(items []store.Item) {
+		d.homes.Update(items)
+		d.roster.Update(items)
+	})
 }
 
 // watchOperators watches the keys that operators write: the configuration, the
--- a/internal/front/submitter/submitter.go
+++ b/internal/front/submitter/submitter.go
@@ -1,6 +1,6 @@
 // Package submitter implements the HTTP interface through which clients submit jobs,
 // query their state and cancel them. It determines the queue and the client account of
-// a request, and forwards the request to the owner of the queue's cell.
+// a request, and forwards the request to the owners of the cells with the queue's jobs.
 package submitter
 
 import (
@@ -28,6 +28,9 @@
 	ErrUnavailable = errors.New("the owner of the queue cannot be reached")
 	// ErrIndeterminate means that the request may or may not have been carried out.
 	ErrIndeterminate = errors.New("the owner of the queue did not answer")
+	// ErrTaken means that the ID is that of a job which the caller may not ask for. The request was
+	// not carried out.
+	ErrTaken = errors.New("the ID is taken")
 )
 
 const (
@@ -44,14 +47,23 @@
 	defaultMaxBody = 1 << 20
 )
 
-// Backend calls the owner of a cell. An error that wraps ErrUnavailable means
-// that the request was not carried out; after any other error it may have been.
-// isKnown is false if the cell has no such job.
+// Backend calls the owners of the cells that hold the jobs of a queue. An error that wraps
+// ErrUnavailable or ErrTaken means that the request was not carried out; after any other error it
+// may have been. isKnown is false if no cell has such a job of the caller.
 type Backend struct {
-	Submit  func(ctx context.Context, cell string, job jobs.Job) (jobs.Verdict, error)
-	Status  func(ctx context.Context, cell, id string) (state jobs.State, isKnown bool, err error)
-	Cancel  func(ctx context.Context, cell, id string) (isKnown bool, err error)
-	Pending func(ctx context.Context, cell, queue string) (int, error)
+	Submit  func(ctx context.Context, target Target, job jobs.Job) (jobs.Verdict, error)
+	Status  func(ctx context.Context, target Target, id string) (state jobs.State, isKnown bool, err error)
+	Cancel  func(ctx context.Context, target Target, id string) (isKnown bool, err error)
+	Pending func(ctx context.Context, target Target) (int, error)
+}
+
+// Target is the queue of a request and who makes it.
+type Target struct {
+	Queue *setup.Queue
+	// Revision is the store revision of the configuration that has the queue.
+	Revision int64
+	// Account is the client account of the key, empty for an open queue.
+	Account string
 }
 
 // Codec converts requests and responses from and to their format on the wire.
@@ -90,7 +102,7 @@
 	h := &Handler{config: config, statusCounters: make(map[int]tally.Counter)}
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
 	h.latency = config.Scope.Histogram("request", buckets)
-	for _, status := range []int{200, 400, 401, 404, 405, 410, 413, 429, 503, 504} {
+	for _, status := range []int{200, 400, 401, 404, 405, 409, 410, 413, 429, 503, 504} {
 		h.statusCounters[status] = config.Scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("answers")
 	}
 	return h
@@ -98,9 +110,7 @@
 
 // queueRequest is a request for a queue or one of its jobs.
 type queueRequest struct {
-	queue *setup.Queue
-	// account is the client account of the key, empty for an open queue.
-	account string
+	Target
 	// id is the id of the job, empty if the path names the queue itself.
 	id string
 }
@@ -152,13 +162,13 @@
 	if queue == nil {
 		return h.refuse(http.StatusNotFound, "there is no such queue", 0)
 	}
-	request := queueRequest{queue: queue, id: strings.TrimPrefix(r.URL.Path, queue.Prefix)}
+	request := queueRequest{Target: Target{Queue: queue, Revision: s.Revision}, id: strings.TrimPrefix(r.URL.Path, queue.Prefix)}
 	if !queue.IsAnonymous {
 		account, isKnown := s.Account(h.config.Codec.Key(r))
 		if !isKnown {
 			return h.refuse(http.StatusUnauthorized, "the key is not valid", 0)
 		}
-		request.account = account
+		request.Account = account
 	}
 	switch {
 	case r.Method == http.MethodGet && request.id == "":
@@ -191,15 +201,17 @@
 	if err != nil {
 		return h.refuse(http.StatusBadRequest, err.Error(), 0)
 	}
-	q := request.queue
-	job.ID, job.Queue, job.Account = request.id, q.Name, request.account
+	q := request.Queue
+	job.ID, job.Queue, job.Account = request.id, q.Name, request.Account
 	job.Priority, job.Attempts, job.Stretch, job.Target = q.Priority, q.MaxAttempts, q.Stretch, q.Target
 	job.Advised = q.Advice != nil
 	if err := job.Check(); err != nil {
 		return h.refuse(http.StatusBadRequest, err.Error(), 0)
 	}
-	verdict, err := h.config.Backend.Submit(ctx, q.Pool, job)
+	verdict, err := h.config.Backend.Submit(ctx, request.Target, job)
 	switch {
+	case errors.Is(err, ErrTaken):
+		return h.logFailure("submit", request, err, h.refuse(http.StatusConflict, err.Error(), 0))
 	case errors.Is(err, ErrUnavailable):
 		return h.logFailure("submit", request, err, h.refuse(http.StatusServiceUnavailable, err.Error(), unavailableRetry))
 	case err != nil:
@@ -213,13 +225,13 @@
 // logFailure logs a request that the owner did not answer, and returns resp.
 func (h *Handler) logFailure(verb string, request queueRequest, err error, resp response) response {
 	event.JobRequestUnanswered.Log(h.config.Log, logrus.Fields{
-		"request": verb, "job": request.id, "queue": request.queue.Name, "status": resp.status, "error": err.Error(),
+		"request": verb, "job": request.id, "queue": request.Queue.Name, "status": resp.status, "error": err.Error(),
 	})
 	return resp
 }
 
 func (h *Handler) status(ctx context.Context, request queueRequest) response {
-	state, isKnown, err := h.config.Backend.Status(ctx, request.queue.Pool, request.id)
+	state, isKnown, err := h.config.Backend.Status(ctx, request.Target, request.id)
 	if err != nil {
 		return h.logFailure("status", request, err, h.refuse(http.StatusServiceUnavailable, err.Error(), unavailableRetry))
 	}
@@ -230,7 +242,7 @@
 }
 
 func (h *Handler) cancel(ctx context.Context, request queueRequest) response {
-	isKnown, err := h.config.Backend.Cancel(ctx, request.queue.Pool, request.id)
+	isKnown, err := h.config.Backend.Cancel(ctx, request.Target, request.id)
 	switch {
 	case errors.Is(err, ErrUnavailable):
 		return h.logFailure("cancel", request, err, h.refuse(http.StatusServiceUnavailable, err.Error(), unavailableRetry))
@@ -243,7 +255,7 @@
 }
 
 func (h *Handler) pending(ctx context.Context, request queueRequest) response {
-	count, err := h.config.Backend.Pending(ctx, request.queue.Pool, request.queue.Name)
+	count, err := h.config.Backend.Pending(ctx, request.Target)
 	if err != nil {
 		return h.logFailure("pending", request, err, h.refuse(http.StatusServiceUnavailable, err.Error(), unavailableRetry))
 	}
--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -72,6 +72,8 @@
 	UnknownJob
 	// Unavailable means that the entry cannot process the request now; nothing was done.
 	Unavailable
+	// Taken means that another client's job has the ID; nothing was done.
+	Taken
 )
 
 // Config sets up a Mesh.
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -134,6 +134,24 @@
 	return true
 }
 
+// Caller is who asks for a job: by a key of a client account, or with an empty account through a
+// queue that needs no key.
+type Caller struct{ Queue, Account string }
+
+// mayAccess reports whether the caller may ask for a job.
+func (c Caller) mayAccess(*Job) bool { return true }
+
+// IsKnown reports whether the cell has a job that a caller may ask for, and isTaken whether
+// it has one with that ID that the caller may not ask for.
+func (c *Cell) IsKnown(id string, caller Caller) (isKnown, isTaken bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return false, false
+	}
+	isKnown = caller.mayAccess(&j.Job)
+	return isKnown, !isKnown
+}
+
 // Cancel cancels a job and reports whether its ID is known. The cancellation
 // counts as accepted once the records of the next batch are stored. A job that
 // has already ended is left unchanged.
