Answer for a job only to its client account

What callers saw: with the key of another client account, or through an open queue of the pool, GET and DELETE for a job were answered 200, and the job was cancelled; a submission under its ID was answered 200 though nothing of it was stored.

Cause: a cell found jobs by their IDs alone.

Evidence: TestJobsOfOthersAreReached failed before (200 instead of 410).

Change: a job is reached with a key of its account, or without one through its own queue if that needs none. Others get 410, and 409 for a submission under its ID.

--- a/internal/daemon/fleet/queue_test.go
+++ b/internal/daemon/fleet/queue_test.go
@@ -193,3 +193,34 @@
 
 // oneTask is a job of one short task.
 const oneTask = `{"spec":"s","steps":[{"n":1,"each":{"cpu":100,"mem":10}}]}`
+
+// A job was shown to and cancelled by whoever knew its ID, with the key of another client account or
+// through an open queue of the pool; a submission under the ID was answered 200 and not stored.
+func TestJobsOfOthersAreReached(t *testing.T) {
+	Convey("A job is reached with a key of its account only", t, func() {
+		s := newSystem(t, 2)
+		path := jobPath("quick", 0xf<<60)
+		So(s.submit(0, path), ShouldBeTrue)
+		for name, c := range map[string]struct {
+			key, method, path string
+			status            int
+		}{
+			"other account, state":        {"other secret", http.MethodGet, path, 410},
+			"other account, cancellation": {"other secret", http.MethodDelete, path, 410},
+			"other account, submission":   {"other secret", http.MethodPost, path, 409},
+			"open queue, state":           {"", http.MethodGet, jobPath("public", 0xf<<60), 410},
+			"open queue, cancellation":    {"", http.MethodDelete, jobPath("public", 0xf<<60), 410},
+			"open queue, submission":      {"", http.MethodPost, jobPath("public", 0xf<<60), 409},
+			"unknown key":                 {"none", http.MethodGet, path, 401},
+			"own account":                 {"secret", http.MethodGet, path, 200},
+			"own account, submission":     {"secret", http.MethodPost, path, 200},
+		} {
+			for i := range s.entries {
+				status, content := s.callWithKey(c.key, i, c.method, c.path, twoSteps)
+				SoMsg(name+": "+content, status, ShouldEqual, c.status)
+			}
+		}
+		_, content := s.call(1, http.MethodGet, path, "")
+		So(content, ShouldNotEqual, `{"state":"cancelled"}`)
+	})
+}
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -138,8 +138,14 @@
 // queue that needs no key.
 type Caller struct{ Queue, Account string }
 
-// mayAccess reports whether the caller may ask for a job.
-func (c Caller) mayAccess(*Job) bool { return true }
+// mayAccess reports whether the caller may ask for a job. A queue may have come to need a key, or
+// to need none, since the job was submitted to it.
+func (c Caller) mayAccess(j *Job) bool {
+	if c.Account != "" && c.Account == j.Account {
+		return true
+	}
+	return c.Queue == j.Queue && (c.Account == "" || j.Account == "")
+}
 
 // IsKnown reports whether the cell has a job that a caller may ask for, and isTaken whether
 // it has one with that ID that the caller may not ask for.
