Test the moves of a queue between pools with real processes

Three entries, twelve endpoints and a store as processes of their own: a queue moves seven times while jobs are submitted at two entries at once and again 3 s later, and an entry is killed and started again.

--- a/internal/proof/minion/system_test.go
+++ b/internal/proof/minion/system_test.go
@@ -27,6 +27,7 @@
 	accountKey = "k3yofateam0000000000"
 	queueHost  = "jobs.example"
 	pool       = "pool-a"
+	otherPool  = "pool-b"
 	// storeLatency is the time that each call to the store takes. Starts are sent when their records
 	// are stored, so they are under way for at least as long.
 	storeLatency = 8 * time.Millisecond
@@ -42,7 +43,9 @@
 	// isSilent makes the requests that an endpoint has received when it is killed stay unanswered,
 	// instead of breaking their connections.
 	isSilent bool
-	seed     uint64
+	// hasOtherPool puts each second endpoint into otherPool.
+	hasOtherPool bool
+	seed         uint64
 }
 
 // system is a set of entries and endpoints that run as processes, and a store.
@@ -66,6 +69,8 @@
 	name              string
 	submitters, ready netip.AddrPort
 	logPath           string
+	settingsPath      string
+	command           *exec.Cmd
 }
 
 // newSystem starts a system and returns once all its entries serve jobs.
@@ -77,7 +82,7 @@
 	}
 	s.store.SetDelay(storeLatency)
 	s.address = startServer(t, newStoreHandler(s.store))
-	s.configure()
+	s.configure(3, pool)
 	for i := range config.endpoints {
 		s.endpoints = append(s.endpoints, s.startEndpoint(i))
 	}
@@ -102,19 +107,23 @@
 	}
 }
 
-// configure writes a configuration with one queue.
-func (s *system) configure() {
+// configure writes a version of the configuration, with one queue to a pool.
+func (s *system) configure(version int, target string) {
+	var services []map[string]any
+	for _, name := range []string{pool, otherPool} {
+		services = append(services, map[string]any{
+			"name": name, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false,
+			"admissionCheck": false, "standby": false,
+		})
+	}
 	data, err := json.Marshal(map[string]any{
-		"version": 3,
+		"version": version,
 		"routes": []map[string]any{{
 			"name": "r-tasks", "host": queueHost, "prefix": "/tasks/", "type": "unsafe", "timeoutMs": 3000,
-			"targetLatencyMs": 600, "priority": 0, "service": pool, "maxAttempts": 3, "stretch": 1.6, "anonymous": false,
-		}},
-		"services": []map[string]any{{
-			"name": pool, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false,
-			"admissionCheck": false, "standby": false,
+			"targetLatencyMs": 600, "priority": 0, "service": target, "maxAttempts": 3, "stretch": 1.6, "anonymous": false,
 		}},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"services": services,
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{{
 			"name": "team", "apiKeys": []string{accountKey}, "priority": 1, "weight": 100,
 			"cap": map[string]int64{"cpu": 1_000_000, "memMb": 4_000_000, "gpus": 0},
@@ -142,23 +151,15 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	path := filepath.Join(folder, "settings.json")
-	if err = os.WriteFile(path, settings, 0o600); err != nil {
+	e.settingsPath = filepath.Join(folder, "settings.json")
+	if err = os.WriteFile(e.settingsPath, settings, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	logFile, err := os.Create(e.logPath)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	command := exec.Command(program, path)
-	command.Stdout, command.Stderr = logFile, logFile
-	if err = command.Start(); err != nil {
+	if err = e.start(); err != nil {
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() {
-		_ = command.Process.Kill()
-		_ = command.Wait()
-		logFile.Close()
+		e.kill()
 		if folder := os.Getenv("LOGS"); s.t.Failed() && folder != "" {
 			_ = os.Rename(e.logPath, filepath.Join(folder, s.t.Name()+"-"+e.name+".log"))
 		}
@@ -166,6 +167,24 @@
 	return e
 }
 
+// start starts the process. Its log is appended to that of the one before.
+func (e *entryProcess) start() error {
+	logFile, err := os.OpenFile(e.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer logFile.Close()
+	e.command = exec.Command(program, e.settingsPath)
+	e.command.Stdout, e.command.Stderr = logFile, logFile
+	return e.command.Start()
+}
+
+// kill kills the process with SIGKILL and waits until it has ended.
+func (e *entryProcess) kill() {
+	_ = e.command.Process.Kill()
+	_ = e.command.Wait()
+}
+
 // endpointHost runs the incarnations of an endpoint behind a forwarder, one at a time.
 type endpointHost struct {
 	t       testing.TB
@@ -178,12 +197,19 @@
 	done chan struct{}
 }
 
+func (s *system) poolOf(number int) string {
+	if s.config.hasOtherPool && number%2 == 1 {
+		return otherPool
+	}
+	return pool
+}
+
 // startEndpoint starts an endpoint and kills it at the end of the test.
 func (s *system) startEndpoint(number int) *endpointHost {
 	s.t.Helper()
 	listen := freeAddress(s.t)
 	h := &endpointHost{t: s.t, record: s.record, config: endpointConfig{
-		ID: fmt.Sprintf("i-%08x", 0x1f049c00+number), Pool: pool, Centre: fmt.Sprintf("z%d", number%3+1),
+		ID: fmt.Sprintf("i-%08x", 0x1f049c00+number), Pool: s.poolOf(number), Centre: fmt.Sprintf("z%d", number%3+1),
 		Listen: listen, Registered: startForwarder(s.t, listen, s.config.isSilent), Store: s.address,
 		ListingDelay: s.config.listingDelay,
 	}}
