Acknowledge no end by the clock of a start's answer alone

Cause: an answer with a clock that a restarted endpoint could not have reached counted as one of the listed incarnation. Clocks may go on over a restart; then an end of the next incarnation was acknowledged, and forgotten by the endpoint, before it was listed.

Evidence: TestEndIsAcknowledgedUnseen failed before, and passes.

Change: the connection that carried the start must have been open before the last listing was asked for as well. Where a forwarder keeps it and the clock goes on, nothing tells the incarnations apart: TestQuickRestartsWithoutClockReset stays red for that.

--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -403,23 +403,25 @@
 	}
 }
 
-// recordStartAnswer records the answer to a start. clock is the endpoint's clock in the
-// answer, in milliseconds, 0 if there is none. isPresent reports whether the start was meant
+// recordStartAnswer records the reply to a start. isPresent reports whether the start was meant
 // for the present incarnation; then a clock is that of this one or of a later one.
-func (e *Endpoint) recordStartAnswer(now time.Time, answer Answer, clock int64, isPresent bool) {
-	isListed := isPresent && e.isListedIncarnation(now, clock)
-	if answer == Unanswered || answer == Accepted && !isListed {
+func (e *Endpoint) recordStartAnswer(now time.Time, reply Reply, isPresent bool) {
+	// A clock may go on over a restart, and a forwarder may keep a connection. An end must not be
+	// acknowledged unseen if either misleads.
+	isOpenBefore := !reply.ConnectedAt.IsZero() && !reply.ConnectedAt.After(e.listedSince)
+	isListed := isPresent && isOpenBefore && e.isListedIncarnation(now, reply.Clock)
+	if reply.Answer == Unanswered || reply.Answer == Accepted && !isListed {
 		e.startAnsweredAt = now
 	}
-	if clock > 0 && isPresent {
-		e.recordContact(now, clock)
+	if reply.Clock > 0 && isPresent {
+		e.recordContact(now, reply.Clock)
 	}
 }
 
 // isListedIncarnation reports whether an answer with the given clock, received by now,
-// comes from the incarnation that made the last listing: a later one started after that
-// listing was asked for, and its clock, which starts at 0 and never runs fast, has not
-// come as far.
+// comes from the incarnation that made the last listing, unless its clock goes on over a restart: a
+// later one started after that listing was asked for, and its clock, which starts at 0 and never
+// runs fast, has not come as far.
 func (e *Endpoint) isListedIncarnation(now time.Time, clock int64) bool {
 	return !e.listedSince.IsZero() && clock > now.Sub(e.listedSince).Milliseconds()
 }
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -255,13 +255,13 @@
 
 // StartAnswered applies the reply to a start.
 func (c *Cell) StartAnswered(now time.Time, s Start, reply Reply) {
-	answer, clock := reply.Answer, reply.Clock
+	answer := reply.Answer
 	e := c.endpoints[s.Endpoint]
 	if e == nil {
 		return
 	}
 	isPresent := s.Born == e.born
-	e.recordStartAnswer(now, answer, clock, isPresent)
+	e.recordStartAnswer(now, reply, isPresent)
 	if !isPresent && answer.mayHaveGranted() {
 		c.recordStrayGrant(now, e)
 	}
@@ -273,7 +273,7 @@
 	switch {
 	case answer == Accepted && isPresent:
 		r.phase, r.acceptedAt, r.confirmedAt, r.progressedAt = running, now, now, now
-		r.isIncarnationKnown = e.isListedIncarnation(now, clock)
+		r.isIncarnationKnown = e.isListedIncarnation(now, reply.Clock)
 	case answer == Accepted:
 		// Either incarnation may have accepted the start; the next listing decides.
 		r.phase, r.acceptedAt = unconfirmed, now
