--- a/internal/cell/ledger/claim.go
+++ b/internal/cell/ledger/claim.go
@@ -48,33 +48,34 @@
 	return c.Since < other.Since || c.Since == other.Since && cell < otherCell
 }
 
-// eachResource applies f to each resource of some sizes.
-func eachResource(f func(values ...int64) int64, sizes ...jobs.Size) (result jobs.Size) {
-	cpu, memory, gpus := make([]int64, len(sizes)), make([]int64, len(sizes)), make([]int64, len(sizes))
-	for i, s := range sizes {
-		cpu[i], memory[i], gpus[i] = s.CPU, s.Memory, s.GPUs
-	}
-	return jobs.Size{CPU: f(cpu...), Memory: f(memory...), GPUs: f(gpus...)}
+// eachResource applies f to each resource of two sizes.
+func eachResource(a, b jobs.Size, f func(a, b int64) int64) jobs.Size {
+	return jobs.Size{CPU: f(a.CPU, b.CPU), Memory: f(a.Memory, b.Memory), GPUs: f(a.GPUs, b.GPUs)}
 }
 
 // minSize returns the minimum of each resource.
 func minSize(a, b jobs.Size) jobs.Size {
-	return jobs.Size{CPU: min(a.CPU, b.CPU), Memory: min(a.Memory, b.Memory), GPUs: min(a.GPUs, b.GPUs)}
+	return eachResource(a, b, func(a, b int64) int64 { return min(a, b) })
 }
 
 // maxSize returns the maximum of each resource.
 func maxSize(a, b jobs.Size) jobs.Size {
-	return jobs.Size{CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory), GPUs: max(a.GPUs, b.GPUs)}
+	return eachResource(a, b, func(a, b int64) int64 { return max(a, b) })
+}
+
+// divided returns a size divided by a number.
+func divided(size jobs.Size, divisor int64) jobs.Size {
+	return jobs.Size{CPU: size.CPU / divisor, Memory: size.Memory / divisor, GPUs: size.GPUs / divisor}
 }
 
 // ceilingOf returns a limit with unbounded in place of the resources that have none.
 func ceilingOf(limit jobs.Size) jobs.Size {
-	return eachResource(func(values ...int64) int64 {
-		if values[0] == 0 {
+	return eachResource(limit, jobs.Size{}, func(limit, _ int64) int64 {
+		if limit == 0 {
 			return unbounded
 		}
-		return values[0]
-	}, limit)
+		return limit
+	})
 }
 
 // nextUnit returns the size that a cell has to be able to add to its use to start something;
@@ -101,6 +102,16 @@
 	isTurn bool
 }
 
+// hasClaims reports whether some cell claims a part of an account's limit.
+func hasClaims(row map[string]allocation) bool {
+	for _, a := range row {
+		if a.Claim != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // contend returns the contention for a cell. row holds the allocations of an account; claims
 // for which isDeferred reports true do not count.
 func contend(row map[string]allocation, ceiling jobs.Size, cell string, isDeferred func(cell string, c *claim) bool) (c contention) {
@@ -127,22 +138,22 @@
 			oldest, oldestCell = a.Claim, name
 		}
 	}
-	c.share = eachResource(func(values ...int64) int64 { return values[0] / max(contenders, 1) }, ceiling)
+	c.share = divided(ceiling, max(contenders, 1))
 	c.isTurn = oldest != nil && !oldest.Size.Fits(c.share)
 	return c
 }
 
-// wholeUnits returns the largest multiple of a unit that fits a size, at most count times.
+// wholeUnits returns the largest multiple of a unit that fits a size.
 func wholeUnits(unit, size jobs.Size) (whole jobs.Size) {
 	if unit.IsZero() {
 		return jobs.Size{}
 	}
-	count := eachResource(func(values ...int64) int64 {
-		if values[0] == 0 {
+	count := eachResource(unit, size, func(unit, size int64) int64 {
+		if unit == 0 {
 			return unbounded
 		}
-		return max(values[1], 0) / values[0]
-	}, unit, size)
+		return max(size, 0) / unit
+	})
 	return unit.Times(min(count.CPU, count.Memory, count.GPUs))
 }
 
@@ -217,22 +228,22 @@
 // limited returns a size without the resources that have no limit. What is allocated of those is
 // no part of a limit.
 func limited(size, ceiling jobs.Size) jobs.Size {
-	return eachResource(func(values ...int64) int64 {
-		if values[1] == unbounded {
+	return eachResource(size, ceiling, func(size, ceiling int64) int64 {
+		if ceiling == unbounded {
 			return 0
 		}
-		return values[0]
-	}, size, ceiling)
+		return size
+	})
 }
 
 // withoutLimit returns a size with unbounded for the resources that have no limit.
 func withoutLimit(size, ceiling jobs.Size) jobs.Size {
-	return eachResource(func(values ...int64) int64 {
-		if values[1] == unbounded {
+	return eachResource(size, ceiling, func(size, ceiling int64) int64 {
+		if ceiling == unbounded {
 			return unbounded
 		}
-		return values[0]
-	}, size, ceiling)
+		return size
+	})
 }
 
 // patience records how long cells have given way to a claim.
@@ -293,9 +304,8 @@
 			}
 		}
 		if first := row[oldest.cell].Claim; first != nil {
-			half := eachResource(func(values ...int64) int64 { return values[0] / 2 }, ceiling)
 			allocated := limited(sumOf(row), ceiling)
-			watched[oldest] = watched[oldest].update(first, l.pass, !allocated.Fits(half))
+			watched[oldest] = watched[oldest].update(first, l.pass, !allocated.Fits(divided(ceiling, 2)))
 			if watched[oldest].isDeferred(first, l.pass) {
 				event.LimitClaimPassedOver.Log(l.log, logrus.Fields{
 					"account": name, "cell": oldest.cell, "claimed": first.Size, "since": first.Since, "allocated": allocated,
--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -468,20 +468,22 @@
 	key := accountCell{account.Name, cell.Name}
 	need, pending := cell.needs[account.Name], l.pending[account.Name][cell.Name].Size
 	current, isKnown := row[cell.Name]
-	proposed := suggest(row, account.Limit, cell.Name, need, pending)
-	ceiling := ceilingOf(account.Limit)
-	granted, isGranted := l.granted[key]
-	c := contend(row, ceiling, cell.Name, func(other string, claim *claim) bool {
-		return l.patience[accountCell{account.Name, other}].isDeferred(claim, l.pass)
-	})
-	next, bound := c.resolve(position{
-		ceiling: ceiling, current: current, revision: l.revision, need: need, floor: maxSize(need.Used, pending),
-		isGranted: isGranted && l.pass-granted < grantPasses,
-	}, proposed)
-	if bound == (jobs.Size{CPU: unbounded, Memory: unbounded, GPUs: unbounded}) {
-		delete(l.bounds, key)
-	} else {
-		l.bounds[key] = bound
+	next := allocation{Size: suggest(row, account.Limit, cell.Name, need, pending)}
+	delete(l.bounds, key)
+	if len(need.Units) > 0 || hasClaims(row) {
+		ceiling := ceilingOf(account.Limit)
+		granted, isGranted := l.granted[key]
+		c := contend(row, ceiling, cell.Name, func(other string, claim *claim) bool {
+			return l.patience[accountCell{account.Name, other}].isDeferred(claim, l.pass)
+		})
+		var bound jobs.Size
+		next, bound = c.resolve(position{
+			ceiling: ceiling, current: current, revision: l.revision, need: need, floor: maxSize(need.Used, pending),
+			isGranted: isGranted && l.pass-granted < grantPasses,
+		}, next.Size)
+		if bound != ceilingOf(jobs.Size{}) {
+			l.bounds[key] = bound
+		}
 	}
 	if isKnown && next.Size == current.Size && isSameClaim(next.Claim, current.Claim) {
 		return false
