Ask the pool's cell for jobs of a queue without a row of homes

Jobs that were stored before there were rows would have been answered 410 after an update of the entries, and a document that was removed could not be written again.

--- a/internal/cell/homes/homes.go
+++ b/internal/cell/homes/homes.go
@@ -81,9 +81,11 @@
 	client *store.Client
 	log    *logrus.Entry
 
-	mu       sync.Mutex
-	stored   document
-	revision int64
+	mu     sync.Mutex
+	stored document
+	// revision is that of the last state of the document that was seen, base the one that a
+	// condition names: 0 while there is no document.
+	revision, base int64
 }
 
 // New returns a view that knows no rows yet.
@@ -101,7 +103,8 @@
 	}
 }
 
-// apply replaces the view by a state of the document, unless that is older.
+// apply replaces the view by a state of the document, unless that is older. Revision 0 is the state
+// of a document that does not exist, as reads and conflicts return it.
 func (h *Homes) apply(item store.Item) (err error) {
 	defer fault.Annotate(&err, "homes of queues")
 	next := make(document)
@@ -112,8 +115,14 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if item.Revision >= h.revision {
-		h.stored, h.revision = next, item.Revision
+	switch {
+	case item.Revision == 0:
+		h.stored, h.base = next, 0
+	case item.Revision >= h.revision:
+		h.stored, h.revision, h.base = next, item.Revision, item.Revision
+		if item.IsRemoved {
+			h.base = 0
+		}
 	}
 	return nil
 }
@@ -123,10 +132,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	item, err := h.client.Get(ctx, Key)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
 	return h.apply(item)
@@ -214,7 +220,7 @@
 	row.Move = h.revision
 	next := maps.Clone(h.stored)
 	next[q.Name], next[pathOf(q)] = row, row
-	return row, proposal{next: next, base: h.revision}, true
+	return row, proposal{next: next, base: h.base}, true
 }
 
 // Acceptance is a new job's claim to be stored in a cell.
@@ -240,5 +246,5 @@
 			return store.Condition{}, ErrMoved
 		}
 	}
-	return store.Condition{Key: Key, Revision: h.revision}, nil
+	return store.Condition{Key: Key, Revision: h.base}, nil
 }
--- a/internal/daemon/fleet/queue.go
+++ b/internal/daemon/fleet/queue.go
@@ -61,6 +61,15 @@
 	}}})
 }
 
+// cellsOf returns the cells that may hold jobs of a queue, as far as is known here. Without a row, its
+// jobs are from before there were rows, or there are none.
+func (d *Daemon) cellsOf(target submitter.Target) []string {
+	if cells := d.homes.Row(target.Queue).Cells; len(cells) > 0 {
+		return cells
+	}
+	return []string{target.Queue.Pool}
+}
+
 // find calls the owners of the cells that may hold a job, the home first, until one knows the job.
 // isKnown is false if none does, as the store's present list of the cells shows. An error of one
 // cell is reported if no other one knows the job.
@@ -68,7 +77,7 @@
 	var asked []string
 	isFresh := false
 	for {
-		cells := slices.DeleteFunc(d.homes.Row(target.Queue).Cells, func(cell string) bool { return slices.Contains(asked, cell) })
+		cells := slices.DeleteFunc(d.cellsOf(target), func(cell string) bool { return slices.Contains(asked, cell) })
 		for _, cell := range cells {
 			response, visitErr := visit(cell)
 			if visitErr == nil && response.GetOutcome() == call.Done {
@@ -109,7 +118,7 @@
 
 // pending returns the number of accepted jobs of a queue, in all its cells, that have not started.
 func (d *Daemon) pending(ctx context.Context, target submitter.Target) (count int, err error) {
-	for _, cell := range d.homes.Row(target.Queue).Cells {
+	for _, cell := range d.cellsOf(target) {
 		response, err := d.callOwner(ctx, &wire.Request{Cell: cell, Body: &wire.Request_Pending{Pending: &wire.Pending{Queue: target.Queue.Name}}})
 		if err != nil {
 			return 0, err
--- a/internal/daemon/fleet/queue_test.go
+++ b/internal/daemon/fleet/queue_test.go
@@ -172,6 +172,21 @@
 		So(s.startedTwice(), ShouldBeEmpty)
 		So(s.workers.Running(), ShouldEqual, 3)
 	})
+	Convey("Jobs that were stored before there were rows of homes are known", t, func() {
+		s := newSystem(t, 2)
+		path := jobPath("quick", 0xf<<60)
+		So(s.submit(0, path), ShouldBeTrue)
+		s.store.Remove("live/homes")
+		So(await.Until(5*time.Second, func() bool {
+			return len(s.entries[0].daemon.homes.Cells())+len(s.entries[1].daemon.homes.Cells()) == 0
+		}), ShouldBeTrue)
+		status, _ := s.call(1, http.MethodGet, path, "")
+		So(status, ShouldEqual, 200)
+		So(s.submit(1, path), ShouldBeTrue)
+		So(s.submit(0, jobPath("quick", 2)), ShouldBeTrue)
+		So(s.completes(1, jobPath("quick", 2), 8*time.Second), ShouldBeTrue)
+		So(s.startedTwice(), ShouldBeEmpty)
+	})
 	Convey("While a former cell cannot be asked, nothing is accepted or said to be unknown", t, func() {
 		s := &system{t: t, store: keyvalue.New()}
 		s.store.Put("cell/gone/log/000000000001", []byte(`{"cancel":"000000000000000a"}`))
