Make one call for advice at a time

Cause: an owner asked for all waiting steps at once. The service handles one call at a time for each entry, so tickets had expired when they arrived, and all steps asked again.

--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -89,9 +89,9 @@
 	// IsForecasting predicts run times from finished runs instead of by their mean.
 	IsForecasting bool
 	// Advise returns a ticket for each of the endpoints that may run a step, by
-	// endpoint ID, and how long the tickets are valid. It is nil if no queue needs
+	// endpoint ID, and until when the tickets are valid. It is nil if no queue needs
 	// advice.
-	Advise func(ctx context.Context, step string, ids []string) (map[string]string, time.Duration, error)
+	Advise func(ctx context.Context, step string, ids []string) (tickets map[string]string, until time.Time, err error)
 	Log    *logrus.Entry
 	Scope  tally.Scope
 }
@@ -121,6 +121,8 @@
 	isWriting    bool
 	// accepted holds the new jobs that are not in a write yet, if Config.Guard is set.
 	accepted []homes.Acceptance
+	// isAdviceRequested reports that a call of Config.Advise is under way.
+	isAdviceRequested bool
 	// isSnapshotNext makes the next write a snapshot, whether one is due or not.
 	isSnapshotNext bool
 	// unconfirmedRecords is the number of records in the write in progress, or in the
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -46,6 +46,8 @@
 	isRelayAllowed bool
 	// stopSeconds is the stop time of entries; 0 stands for 0.4 s.
 	stopSeconds float64
+	// advise is Platform.Advise.
+	advise func(ctx context.Context, step string, ids []string) (map[string]string, time.Duration, error)
 	// wrapStore changes the client of the store that an entry uses; nil leaves it as it is.
 	wrapStore func(e *entry, client *store.Client)
 }
@@ -183,7 +185,7 @@
 		Platform: Platform{
 			Store: client, Endpoints: s.workers.Client(), Codec: submitter.NewCodec(), ReadyPath: "/ready",
 			OperatorPrefix: "op/", ConfigKey: "op/config", WavePrefix: "op/wave/", EvacuationPrefix: "op/evacuate/", EndpointPrefix: "servers/",
-			DecodeConfig: testConfig, DecodeEndpoint: testEndpoint,
+			Advise: s.advise, DecodeConfig: testConfig, DecodeEndpoint: testEndpoint,
 			DecodeWave: func([]byte) (cloud.Wave, error) { return cloud.Wave{}, nil },
 		},
 	})
@@ -223,6 +225,9 @@
 // configQuickInBlue is the value of a configuration that sends the queue "quick" to the pool "blue".
 const configQuickInBlue = "quick in blue"
 
+// configAdvised is the value of a configuration in which the queue "quick" needs advice.
+const configAdvised = "advised"
+
 // configAllInRed is the value of a configuration that sends all queues to the pool "red" and has no
 // other pool.
 const configAllInRed = "all in red"
@@ -247,6 +252,9 @@
 		Keys:     make(map[setup.Digest]string),
 	}
 	s.Keys[digest("secret")], s.Keys[digest("other secret")] = "team", "other"
+	if string(value) == configAdvised {
+		s.Queues[0].Advice = &setup.Advice{}
+	}
 	if string(value) == configAllInRed {
 		s.Queues[1].Pool, s.Pools = "red", s.Pools[:1]
 	}
--- a/jobs/advice.go
+++ b/jobs/advice.go
@@ -30,10 +30,10 @@
 	requestedAt time.Time
 }
 
-// AdviceRequests returns the requests to send now for queues with advice: one for
-// each step with waiting tasks and no valid ticket for an endpoint with room. The caller
-// passes the answer to AdviceAnswered, or reports the failure of the call to AdviceFailed.
-func (c *Cell) AdviceRequests(now time.Time) []AdviceRequest {
+// AdviceRequests returns the requests to send now for queues with advice, limit at most: one for
+// each step with waiting tasks and no valid ticket for an endpoint with room, in scheduling order. The
+// caller passes the answer to AdviceAnswered, or reports the failure of the call to AdviceFailed.
+func (c *Cell) AdviceRequests(now time.Time, limit int) []AdviceRequest {
 	var requests []AdviceRequest
 	for _, j := range c.active {
 		if !j.Advised || j.isOver() {
@@ -41,6 +41,9 @@
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
+				if len(requests) >= limit {
+					return requests
+				}
 				if !s.isReady || len(s.waiting) == 0 || now.Sub(s.adviceRequested) < adviceRetryInterval || s.hasUsableTicket(c, now) {
 					continue
 				}
--- a/jobs/advice_test.go
+++ b/jobs/advice_test.go
@@ -23,7 +23,7 @@
 			if len(b.planAndStore()) > 0 {
 				break
 			}
-			for _, q := range b.cell.AdviceRequests(b.now) {
+			for _, q := range b.cell.AdviceRequests(b.now, 10) {
 				So(len(q.Endpoints), ShouldBeLessThanOrEqualTo, maxAdviceEndpoints)
 				open = append(open, answer{b.now.Add(300 * time.Millisecond), q})
 				calls++
@@ -65,7 +65,7 @@
 		full := b.planAndAccept()[0].Endpoint
 		submit(b)
 		b.planAndStore()
-		q := b.cell.AdviceRequests(b.now)[0]
+		q := b.cell.AdviceRequests(b.now, 10)[0]
 		b.cell.AdviceAnswered(b.now, q, map[string]string{full: "ticket"}, b.now.Add(time.Minute))
 		waited, _ := play(b, func(id string) bool { return id == endpointName(39) })
 		So(waited, ShouldBeLessThan, 3*time.Second)
@@ -81,13 +81,13 @@
 		b := newTestbed(1)
 		submit(b)
 		b.planAndStore()
-		calls := b.cell.AdviceRequests(b.now)
+		calls := b.cell.AdviceRequests(b.now, 10)
 		So(calls, ShouldHaveLength, 1)
 		b.advance(100 * time.Millisecond)
 		b.cell.AdviceFailed(b.now, calls[0])
-		So(b.cell.AdviceRequests(b.now), ShouldBeEmpty)
+		So(b.cell.AdviceRequests(b.now, 10), ShouldBeEmpty)
 		b.advance(adviceFailureDelay)
 		b.answerPoll(0)
-		So(b.cell.AdviceRequests(b.now), ShouldHaveLength, 1)
+		So(b.cell.AdviceRequests(b.now, 10), ShouldHaveLength, 1)
 	})
 }
--- a/jobs/cell_test.go
+++ b/jobs/cell_test.go
@@ -1042,7 +1042,7 @@
 		b := newTestbed(2)
 		b.cell.Submit(b.now, Job{ID: firstID, Queue: "q", Attempts: 2, Advised: true, Steps: []Step{batchStep(1, 100)}})
 		So(b.planAndStore(), ShouldBeEmpty)
-		questions := b.cell.AdviceRequests(b.now)
+		questions := b.cell.AdviceRequests(b.now, 10)
 		So(questions, ShouldHaveLength, 1)
 		So(questions[0].Step, ShouldEqual, firstID+".0.0")
 		So(questions[0].Endpoints, ShouldResemble, []string{endpointName(0), endpointName(1)})
