Do not stop runs whose ends an endpoint has not listed yet

Cause: an endpoint lists 500 ends at a time.

Change: while a listing may omit ends, a run that it does not contain counts as perhaps ended: it is not stopped for lack of progress, and a stop that was sent is not repeated.

--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -90,6 +90,8 @@
 	listedClock int64
 	// listedSince is when the last listing that was applied was asked for.
 	listedSince time.Time
+	// mayOmitEnds reports that there may be further ends than those in that listing.
+	mayOmitEnds bool
 	// startAnsweredAt is when a start was last answered, or found unanswered, that may
 	// have met a later incarnation than the listed one.
 	startAnsweredAt time.Time
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -171,6 +171,9 @@
 	// start out: the endpoint has listed the run, or answered the start with a clock that a
 	// later one cannot have. It bounds how long the run can last on a silent endpoint.
 	isIncarnationKnown bool
+	// listedSince is when the last listing that has the run as running was asked for, zero if
+	// there was none.
+	listedSince time.Time
 	// isKnownSettled reports that the endpoint has survived the start of the run, as far as
 	// that is stored.
 	isKnownSettled bool
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -54,6 +54,7 @@
 			unknown = append(unknown, row)
 		}
 	}
+	e.mayOmitEnds = l.MayOmitEnds
 	c.applyEnds(now, e, l.Ended)
 	c.clearSettled(e)
 	// A run that is not listed may be among the ends that were omitted.
@@ -119,6 +120,13 @@
 	}
 }
 
+// mayHaveOmittedEnd reports whether the run is missing from the last listing of its endpoint as its
+// end is among those that the listing omits, as far as is known.
+func (r *run) mayHaveOmittedEnd() bool {
+	e := r.endpoint
+	return e.mayOmitEnds && r.listedSince.Before(e.listedSince)
+}
+
 // applyListedRun updates a run from its row in a listing. It returns nil if the cell has
 // no such run.
 func (c *Cell) applyListedRun(now time.Time, e *Endpoint, row ListedRun) *run {
@@ -126,7 +134,7 @@
 	if r == nil || r.number != row.Run {
 		return nil
 	}
-	r.isIncarnationKnown = true
+	r.isIncarnationKnown, r.listedSince = true, e.listedSince
 	if r.phase != running {
 		r.phase, r.acceptedAt = running, now
 		if r.confirmedAt.IsZero() {
@@ -358,6 +366,10 @@
 			if !r.isStopNeeded() || r.phase == placed || r.phase == ordered || now.Sub(r.stopSentAt) < stopRetryInterval {
 				continue
 			}
+			// A stop that was sent is not repeated for a run that has probably ended.
+			if !r.stopSentAt.IsZero() && r.mayHaveOmittedEnd() {
+				continue
+			}
 			r.stopSentAt = now
 			if r.firstStopSentAt.IsZero() {
 				r.firstStopSentAt = now
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -261,7 +261,7 @@
 		}
 		for _, r := range e.runs {
 			s := r.task.step
-			if r.phase != running || r.isStopping || s.LongRunning || now.Sub(r.progressedAt) < r.progressTimeout(now) {
+			if r.phase != running || r.isStopping || s.LongRunning || now.Sub(r.progressedAt) < r.progressTimeout(now) || r.mayHaveOmittedEnd() {
 				continue
 			}
 			if c.runTime(s.occurrence.job, s.number) > maxWatchedRunTime {
--- a/jobs/stop_test.go
+++ b/jobs/stop_test.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -196,3 +198,51 @@
 		So(evacuate(), ShouldHaveLength, 1)
 	})
 }
+
+// A wide job ended on an endpoint faster than it lists ends. Runs whose ends it had not listed yet
+// seemed to make no progress and were stopped, each again and again: 4,000 stops a second, behind
+// which the starts of long-running tasks waited until their grants had run out (LOST, review/1 beside
+// load).
+func TestOmittedEndsAreStopped(t *testing.T) {
+	// play lists the end of the first of three runs on an endpoint for some seconds, and beside it what
+	// running returns. It returns how often each run is ordered to stop.
+	play := func(isCancelled bool, running func(starts []Start) []ListedRun) (stops map[string]int) {
+		b := newTestbed(1)
+		b.submit(firstID, batchStep(3, 100))
+		starts := b.planAndAccept()
+		So(starts, ShouldHaveLength, 3)
+		if isCancelled {
+			b.cell.Cancel(b.now, firstID)
+		}
+		stops = make(map[string]int)
+		for range 40 {
+			b.advance(100 * time.Millisecond)
+			b.cell.ApplyListing(b.now, Listing{
+				Endpoint: endpointName(0), AskedAt: b.now, Born: b.born, Clock: b.clock, Running: running(starts), MayOmitEnds: true,
+				Ended: []ListedEnd{{Number: 1, End: End{Task: starts[0].Task, Run: 1, Outcome: Done}}},
+			})
+			b.planAndStore()
+			for _, stop := range b.cell.Stops(b.now) {
+				stops[stop.Task]++
+			}
+		}
+		return stops
+	}
+	none := func([]Start) []ListedRun { return nil }
+	Convey("Runs that are not listed are not stopped for lack of progress while ends may be omitted", t, func() {
+		So(play(false, none), ShouldBeEmpty)
+	})
+	Convey("Runs that are listed without progress are", t, func() {
+		stops := play(false, func(starts []Start) []ListedRun { return []ListedRun{{Task: starts[1].Task, Run: 1, Percent: 5}} })
+		So(stops, ShouldHaveLength, 1)
+	})
+	Convey("A stop is not repeated while the end of its run may be omitted", t, func() {
+		for task, count := range play(true, none) {
+			SoMsg(task, count, ShouldEqual, 1)
+		}
+	})
+	Convey("It is while the run is listed", t, func() {
+		stops := play(true, func(starts []Start) []ListedRun { return []ListedRun{{Task: starts[1].Task, Run: 1, Percent: 5}} })
+		So(slices.Max(slices.Collect(maps.Values(stops))), ShouldBeGreaterThan, 3)
+	})
+}
