Confirm no request in the cycle after an owner has given up

Cause, by reading and shown by a test: when a write fails, the owner's loop goes through one more cycle before it ends. If nothing else is to be stored, that cycle confirmed all requests that had come during the write, for instance a repeated submission of the job whose record was not stored. The test prints the logs now.

Evidence: TestEndedOwnerConfirmsRequests failed before (confirmed without an error).

--- a/internal/cell/owner/invalid_test.go
+++ b/internal/cell/owner/invalid_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/store"
+	"gitlab.com/chicorypin/chicorypin/internal/cell/journal"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/keyvalue"
 	"gitlab.com/chicorypin/chicorypin/jobs"
@@ -100,3 +101,22 @@
 		So(isStored(s, large.ID), ShouldBeTrue)
 	})
 }
+
+// An owner whose write had failed went through one more planning cycle, which confirmed the requests that had
+// come during the write: a repeated submission was answered 200 although the job was not stored (LOST).
+func TestEndedOwnerConfirmsRequests(t *testing.T) {
+	Convey("A request that waits when the owner gives up is not confirmed", t, func() {
+		o := New(newConfig(t, keyvalue.New()))
+		ended := make(chan error, 1)
+		go func() { ended <- o.Run() }()
+		So(await.Until(waitTimeout, o.IsServing), ShouldBeTrue)
+		confirmed := make(chan error, 1)
+		o.post(func() {
+			o.onStored = append(o.onStored, func(err error) { confirmed <- err })
+			o.lastPlanned = time.Time{}
+			o.abort(journal.ErrDeposed)
+		})
+		So(<-ended, ShouldEqual, journal.ErrDeposed)
+		So(<-confirmed, ShouldEqual, ErrIndeterminate)
+	})
+}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -241,7 +241,8 @@
 	now := boot.Now()
 	o.updatePaused()
 	o.updateEvacuated(now)
-	if !o.isCycleDue || o.isWriting || o.isPaused {
+	// After an abort nothing is stored any more, so nothing must be confirmed.
+	if !o.isCycleDue || o.isWriting || o.isPaused || o.ctx.Err() != nil {
 		return 0
 	}
 	if wait := minCycleGap - now.Sub(o.lastPlanned); wait > 0 {
--- a/internal/daemon/fleet/queue_test.go
+++ b/internal/daemon/fleet/queue_test.go
@@ -180,7 +180,10 @@
 		So(await.Until(5*time.Second, func() bool {
 			return len(s.entries[0].daemon.homes.Cells())+len(s.entries[1].daemon.homes.Cells()) == 0
 		}), ShouldBeTrue)
-		status, _ := s.call(1, http.MethodGet, path, "")
+		status, content := s.call(1, http.MethodGet, path, "")
+		if status != 200 {
+			t.Logf("%s\n%s\n%s", content, s.entries[0].logs, s.entries[1].logs)
+		}
 		So(status, ShouldEqual, 200)
 		So(s.submit(1, path), ShouldBeTrue)
 		So(s.submit(0, jobPath("quick", 2)), ShouldBeTrue)
