--- /dev/null
+++ b/review/world/cases.go
@@ -0,0 +1,280 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+var cases = map[string]func(w *world){
+	"crashes": playCrashes,
+	"gang":    playGang,
+	"wave":    playWave,
+	"cap":     playCap,
+}
+
+// playCrashes has the only minion with a label crash a few times, and checks that a job that needs the
+// label isn't shown as failed, as none of its runs ends so.
+func playCrashes(w *world) {
+	const (
+		crashes = 5
+		upTime  = 500 * time.Millisecond
+		outage  = 3 * time.Second
+	)
+	w.configure(false)
+	for i := range 9 {
+		w.cloud.add(fmt.Sprintf("m-%d", i+1), "main", fmt.Sprintf("zone-%d", i%3+1), "a", fmt.Sprintf("r1-%d", i/3+1))
+	}
+	w.cloud.add("m-10", "main", "zone-1", "b", "r1-4")
+	w.startEntries(3)
+	time.Sleep(6 * time.Second)
+	j := &job{ID: "00000000000000a1", Spec: "rota", workMs: 3000, Steps: []step{{Count: 1, CPU: 1000, MemMb: 1000, EstRuntimeMs: 3000, Requires: "b"}}}
+	w.submit(j, 10*time.Second)
+	if w.isTrouble {
+		time.Sleep(upTime)
+		for i := range crashes {
+			m := w.minionOf("m-10")
+			m.down(fmt.Sprintf("crash %d", i+1))
+			time.Sleep(outage)
+			m.up()
+			if i < crashes-1 {
+				time.Sleep(upTime)
+			}
+		}
+	}
+	state := w.await(j, 40*time.Second, "completed", "failed")
+	w.mu.Lock()
+	failures := w.failures[j.ID+".0.0.0"]
+	w.mu.Unlock()
+	w.rec("the job is shown as %q; %d of its runs ended 'failed', maxAttempts is 4", state, failures)
+	if state == "failed" && failures < 4 {
+		w.breaks("LOST: job %s is shown as failed, and only %d runs of its task ended 'failed'", j.ID, failures)
+	} else if state != "completed" {
+		w.breaks("LOST: job %s is shown as %q, 40 s after its minion was back for good", j.ID, state)
+	}
+}
+
+// playGang has one minion crash under a gang that checkpoints, and checks that the gang is not
+// started so that it waits for itself in vain: long after the crash no run may end 'alone'.
+func playGang(w *world) {
+	const (
+		crashAt = 3050 * time.Millisecond
+		outage  = 4 * time.Second
+		contact = 3 * time.Second
+	)
+	w.configure(false)
+	for i := range 7 {
+		w.cloud.add(fmt.Sprintf("m-%d", i+1), "main", fmt.Sprintf("zone-%d", i%3+1), "a", fmt.Sprintf("r1-%d", i/4+1))
+	}
+	w.startEntries(3)
+	time.Sleep(6 * time.Second)
+	member := make(chan string, 1)
+	alone := 0
+	var calmSince time.Time
+	checkpoints := make(map[int]map[string]bool)
+	w.onStart = func(r *run, m *minion) {
+		if r.task == "00000000000000b2.0.0.1" && r.number == 1 {
+			member <- m.machine
+		}
+		if checkpoints[r.number] == nil {
+			checkpoints[r.number] = make(map[string]bool)
+		}
+		checkpoints[r.number][r.checkpoint] = true
+	}
+	w.onEnd = func(r *run, _ *minion, how string) {
+		if how == "alone" && !calmSince.IsZero() && r.started.After(calmSince) {
+			alone++
+		}
+	}
+	j := &job{ID: "00000000000000b2", Spec: "rota", workMs: 8000, Steps: []step{{
+		Count: 3, CPU: 1000, MemMb: 1000, EstRuntimeMs: 8000, Checkpoint: true, Gang: true, AntiAffinity: 1,
+	}}}
+	w.submit(j, 10*time.Second)
+	machine := <-member
+	if w.isTrouble {
+		for {
+			w.gangs.mu.Lock()
+			since := w.gangs.since["00000000000000b2.0.0/1"]
+			w.gangs.mu.Unlock()
+			if !since.IsZero() {
+				time.Sleep(time.Until(since.Add(crashAt)))
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		m := w.minionOf(machine)
+		m.down("crash")
+		time.Sleep(outage)
+		m.up()
+		time.Sleep(contact)
+	}
+	w.mu.Lock()
+	calmSince = time.Now()
+	w.recLocked("from now on nothing has been wrong for %s", contact)
+	w.mu.Unlock()
+	state := w.await(j, 60*time.Second, "completed", "failed")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for number := 1; checkpoints[number] != nil; number++ {
+		if len(checkpoints[number]) > 1 {
+			w.recLocked("the members of run %d were started with %d different values of lastCheckpoint", number, len(checkpoints[number]))
+		}
+	}
+	w.recLocked("the job is shown as %q; %d runs that began in calm have ended 'alone'", state, alone)
+	if alone > 0 {
+		w.breaksLocked("GANG: %d runs have ended 'alone' with no disruption near", alone)
+	}
+}
+
+// playWave has two calls to the service for machines get no answer and be carried out late, and the
+// entry that made the first one killed. It checks that a wave isn't said to be completed while a
+// machine of it hasn't begun its upkeep.
+func playWave(w *world) {
+	const (
+		number      = 1
+		standbyName = "m-3"
+	)
+	w.configure(true)
+	w.cloud.add("m-1", "main", "zone-1", "a", "r1-1")
+	w.cloud.add("m-2", "main", "zone-2", "a", "r1-1")
+	w.cloud.add(standbyName, "spare", "zone-3", "a", "r1-1")
+	isMoveHeld, isUpkeepHeld := false, false
+	moveCarriedOut := make(chan struct{})
+	var move order
+	moved := make(chan string, 1)
+	w.cloud.late = func(o order) time.Duration {
+		switch {
+		case !w.isTrouble || o.machine != standbyName:
+		case o.kind == "move" && !isMoveHeld:
+			isMoveHeld, move = true, o
+			moved <- o.holder
+			// It is carried out by the call below, or after 12 s.
+			time.AfterFunc(12*time.Second, func() {
+				select {
+				case <-moveCarriedOut:
+				default:
+					w.cloud.carryOutLate(move)
+				}
+			})
+			return time.Hour
+		case o.kind == "upkeep" && isMoveHeld && !isUpkeepHeld:
+			isUpkeepHeld = true
+			time.AfterFunc(600*time.Millisecond, func() {
+				close(moveCarriedOut)
+				w.cloud.carryOutLate(move)
+			})
+			return 11 * time.Second
+		}
+		return 0
+	}
+	w.store.onPut = func(i item) {
+		if i.Key != fmt.Sprintf("status/wave/%d", number) {
+			return
+		}
+		w.rec("%s is written: %s", i.Key, i.Value)
+		if !strings.Contains(string(i.Value), "completed") {
+			return
+		}
+		go func() {
+			w.cloud.mu.Lock()
+			defer w.cloud.mu.Unlock()
+			if !slices.Contains(w.cloud.maintained[number], standbyName) {
+				w.breaks("MIXED: wave %d is said to be completed, and %s hasn't begun its upkeep", number, standbyName)
+			}
+		}()
+	}
+	w.startEntries(3)
+	time.Sleep(6 * time.Second)
+	j := &job{ID: "00000000000000c3", Spec: "rota", workMs: 700, Steps: []step{{Count: 1, CPU: 12000, MemMb: 1000, EstRuntimeMs: 700, LongRunning: true}}}
+	w.submit(j, 10*time.Second)
+	if w.isTrouble {
+		select {
+		case holder := <-moved:
+			time.Sleep(300 * time.Millisecond)
+			w.kill(holder, 3500*time.Millisecond)
+		case <-time.After(20 * time.Second):
+			w.fail("machine %s was not ordered to move", standbyName)
+		}
+	} else {
+		time.Sleep(5 * time.Second)
+	}
+	time.Sleep(700 * time.Millisecond)
+	w.cloud.wave(number, 30, 1, standbyName)
+	for range 250 {
+		time.Sleep(100 * time.Millisecond)
+		if w.brokenCount() > 0 {
+			// The upkeep that is carried out late is of interest too.
+			time.Sleep(12 * time.Second)
+			return
+		}
+	}
+	if value := w.store.Get(fmt.Sprintf("status/wave/%d", number)); !strings.Contains(string(value), "completed") {
+		w.rec("wave %d isn't completed: %s", number, value)
+	}
+}
+
+// playCap has the first call for the upkeep of a machine get no answer and be carried out late, and the
+// entry that made it killed. It checks that no more machines of a wave are down than its cap allows.
+func playCap(w *world) {
+	const (
+		number = 1
+		most   = 1
+	)
+	w.configure(false)
+	var names []string
+	for i := range 6 {
+		name := fmt.Sprintf("m-%d", i+1)
+		w.cloud.add(name, "main", fmt.Sprintf("zone-%d", i%3+1), "a", fmt.Sprintf("r1-%d", i/3+1))
+		names = append(names, name)
+	}
+	isHeld := false
+	ordered := make(chan string, 1)
+	w.cloud.late = func(o order) time.Duration {
+		if !w.isTrouble || isHeld || o.kind != "upkeep" {
+			return 0
+		}
+		isHeld = true
+		ordered <- o.holder
+		arrived := time.Now()
+		go func() {
+			// It is carried out 2 to 12 s after it came, while another machine is down.
+			for time.Since(arrived) < 12*time.Second {
+				time.Sleep(50 * time.Millisecond)
+				w.cloud.mu.Lock()
+				isDown := slices.ContainsFunc(w.cloud.machines, func(m *machine) bool { return m.state == "upkeep" })
+				w.cloud.mu.Unlock()
+				if isDown && time.Since(arrived) > 2*time.Second {
+					time.Sleep(300 * time.Millisecond)
+					break
+				}
+			}
+			w.cloud.carryOutLate(o)
+		}()
+		return time.Hour
+	}
+	w.cloud.onUpkeep = func(o order, down int) {
+		if down >= most {
+			w.breaks("LIMIT: the upkeep of %s begins while %d machines of wave %d are down for theirs, cap %d", o.machine, down, o.wave, most)
+		}
+	}
+	w.startEntries(3)
+	time.Sleep(6 * time.Second)
+	w.cloud.wave(number, 40, most, names...)
+	if w.isTrouble {
+		select {
+		case holder := <-ordered:
+			time.Sleep(300 * time.Millisecond)
+			w.kill(holder, 3500*time.Millisecond)
+		case <-time.After(20 * time.Second):
+			w.fail("no upkeep was ordered")
+		}
+	}
+	for range 400 {
+		time.Sleep(100 * time.Millisecond)
+		if strings.Contains(string(w.store.Get(fmt.Sprintf("status/wave/%d", number))), "completed") {
+			w.rec("wave %d is said to be completed", number)
+			return
+		}
+	}
+}
