--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +14,7 @@
 	"gang":    playGang,
 	"wave":    playWave,
 	"cap":     playCap,
+	"name":    playName,
 }
 
 // playCrashes has the only minion with a label crash a few times, and checks that a job that needs the
@@ -278,3 +281,80 @@
 		}
 	}
 }
+
+// playName has the operator remove a queue and add it again under another name, with the same host,
+// prefix and service, in one version. It checks that the accepted jobs are still there for their
+// clients: shown, counted and cancelled.
+func playName(w *world) {
+	const (
+		configApply = 2 * time.Second
+		visible     = 3 * time.Second
+		cancelled   = 3 * time.Second
+	)
+	w.configureAs(7, route{name: "r-q", isAnonymous: true}, false)
+	for i := range 2 {
+		w.cloud.add(fmt.Sprintf("m-%d", i+1), "main", fmt.Sprintf("zone-%d", i+1), "a", "r1-1")
+	}
+	w.startEntries(3)
+	time.Sleep(6 * time.Second)
+	// Each minion has room for one of them, so two run and four wait.
+	var jobs []*job
+	for i := range 6 {
+		j := &job{ID: fmt.Sprintf("00000000000000d%d", i), Spec: "rota", workMs: 700, Steps: []step{{
+			Count: 1, CPU: 16000, MemMb: 1000, EstRuntimeMs: 700, LongRunning: true,
+		}}}
+		jobs = append(jobs, j)
+		w.submit(j, 10*time.Second)
+	}
+	time.Sleep(visible + 2*time.Second)
+	running := func(j *job) bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.present[j.ID+".0.0.0"] != nil
+	}
+	check := func(when string) {
+		waiting := 0
+		for _, j := range jobs {
+			if !running(j) {
+				waiting++
+			}
+			state := w.state(j)
+			w.rec("client: GET %s %s: %s", j.ID, when, state)
+			if state == "410" {
+				w.breaks("LOST: a GET for the accepted job %s is answered 410 %s", j.ID, when)
+			}
+		}
+		for _, e := range w.entries {
+			status, answer := w.call(e, http.MethodGet, "/q/", nil)
+			var body struct {
+				Pending int `json:"pending"`
+			}
+			isCount := status == 200 && json.Unmarshal([]byte(answer), &body) == nil
+			w.rec("client: GET /q/ at %s %s: %d %s; %d jobs haven't begun", e.name, when, status, answer, waiting)
+			if isCount && 2*body.Pending < waiting {
+				w.breaks("MIXED: %s gives %d as pending %s, and %d accepted jobs haven't begun", e.name, body.Pending, when, waiting)
+			}
+		}
+	}
+	check("before")
+	if w.isTrouble {
+		w.rec("operator: version 8 removes the route r-q and adds r-q-2 with the same host, prefix and service")
+		w.configureAs(8, route{name: "r-q-2", isAnonymous: true}, false)
+	}
+	time.Sleep(configApply + visible)
+	check("after")
+	for _, j := range jobs {
+		if running(j) {
+			w.cancel(j)
+		}
+	}
+	at := time.Now()
+	time.Sleep(cancelled + 2*stopGrace)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.present {
+		if r.started.Before(at) {
+			w.breaksLocked("UNASKED: %s runs on %.1f s after the cancelling of its job was answered", r.task, time.Since(at).Seconds())
+		}
+	}
+}
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -381,9 +381,18 @@
 	}
 }
 
+// route is a queue of the configuration.
+type route struct {
+	name        string
+	isAnonymous bool
+}
+
 // configure writes the operator's configuration: a queue whose jobs run in the pool main, and a
 // pool on standby if there is one.
-func (w *world) configure(hasStandby bool) {
+func (w *world) configure(hasStandby bool) { w.configureAs(7, route{name: "r-q"}, hasStandby) }
+
+// configureAs is configure for another version and queue.
+func (w *world) configureAs(version int, r route, hasStandby bool) {
 	service := func(name string, isStandby bool) map[string]any {
 		return map[string]any{
 			"name": name, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "admissionCheck": false, "standby": isStandby,
@@ -395,10 +404,10 @@
 		services = append(services, service("spare", true))
 	}
 	w.store.Put("op/config", map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-q", "host": "jobs.example", "prefix": "/q/", "type": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 2500,
-			"priority": 0, "service": "main", "maxAttempts": 4, "stretch": 2.2, "anonymous": false,
+			"name": r.name, "host": "jobs.example", "prefix": "/q/", "type": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 2500,
+			"priority": 0, "service": "main", "maxAttempts": 4, "stretch": 2.2, "anonymous": r.isAnonymous,
 		}},
 		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
