--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -302,6 +302,16 @@
 	}
 	w.startEntries(3)
 	time.Sleep(6 * time.Second)
+	// The other queue is used first, as a system has more than one.
+	first := &job{ID: "00000000000000de", Spec: "rota", workMs: 100, Steps: []step{{Count: 1, CPU: 100, MemMb: 100, EstRuntimeMs: 100}}}
+	w.mu.Lock()
+	w.jobs[first.ID] = first
+	w.mu.Unlock()
+	status, answer := w.call(w.entries[0], http.MethodPost, "/z/"+first.ID, first)
+	w.rec("client: POST %s at the other queue: %d %s", first.ID, status, answer)
+	if status != 200 {
+		w.fail("the other queue doesn't take a job")
+	}
 	// Each minion has room for one of them, so two run and four wait.
 	var jobs []*job
 	for i := range 6 {
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -387,19 +387,25 @@
 	isAnonymous   bool
 }
 
-// configure writes the operator's configuration: a queue whose jobs run in the pool main, and a
+// configure writes the operator's configuration: two queues whose jobs run in the pool main, and a
 // pool on standby if there is one.
 func (w *world) configure(hasStandby bool) {
 	w.configureAs(7, route{name: "r-q", service: "main"}, hasStandby)
 }
 
-// configureAs is configure for another version and queue, and with more services.
+// configureAs is configure for another version and first queue, and with more services.
 func (w *world) configureAs(version int, r route, hasStandby bool, more ...string) {
 	service := func(name string, isStandby bool) map[string]any {
 		return map[string]any{
 			"name": name, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "admissionCheck": false, "standby": isStandby,
 		}
 	}
+	queue := func(r route, prefix string) map[string]any {
+		return map[string]any{
+			"name": r.name, "host": "jobs.example", "prefix": prefix, "type": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 2500,
+			"priority": 0, "service": r.service, "maxAttempts": 4, "stretch": 2.2, "anonymous": r.isAnonymous,
+		}
+	}
 	services := []any{service("main", false)}
 	for _, name := range more {
 		services = append(services, service(name, false))
@@ -410,10 +416,8 @@
 	}
 	w.store.Put("op/config", map[string]any{
 		"version": version,
-		"routes": []any{map[string]any{
-			"name": r.name, "host": "jobs.example", "prefix": "/q/", "type": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 2500,
-			"priority": 0, "service": r.service, "maxAttempts": 4, "stretch": 2.2, "anonymous": r.isAnonymous,
-		}},
+		"routes":  []any{queue(r, "/q/"), queue(route{name: "r-z", service: "main"}, "/z/")},
+
 		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{
