--- a/review/world/world.go
+++ b/review/world/world.go
@@ -64,11 +64,13 @@
 	bin       string
 	dir       string
 	isTrouble bool
-	store     *store
-	cloud     *cloud
-	gangs     *gangs
-	storeAt   string
-	cloudAt   string
+	// isTerse keeps the starts and ends of single runs out of the record.
+	isTerse bool
+	store   *store
+	cloud   *cloud
+	gangs   *gangs
+	storeAt string
+	cloudAt string
 
 	mu       sync.Mutex
 	record   *bufio.Writer
@@ -158,7 +160,9 @@
 	if len(checkpoint) >= 8 {
 		r.base, _ = strconv.ParseInt(checkpoint[:8], 16, 64)
 	}
-	w.recLocked("%s starts %s run %d, lastCheckpoint %q", m.id, task, number, checkpoint)
+	if !w.isTerse {
+		w.recLocked("%s starts %s run %d, lastCheckpoint %q", m.id, task, number, checkpoint)
+	}
 	if other := w.present[task]; other != nil {
 		w.breaksLocked("TWICE: %s run %d starts while run %d is there", task, number, other.number)
 	}
@@ -184,7 +188,9 @@
 	if how == "failed" {
 		w.failures[r.task]++
 	}
-	w.recLocked("%s: %s run %d ends: %s, after %.1f s", m.id, r.task, r.number, how, time.Since(r.started).Seconds())
+	if !w.isTerse {
+		w.recLocked("%s: %s run %d ends: %s, after %.1f s", m.id, r.task, r.number, how, time.Since(r.started).Seconds())
+	}
 	if w.onEnd != nil {
 		w.onEnd(r, m, how)
 	}
