--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -38,7 +38,7 @@
 	var calmSince time.Time
 	checkpoints := make(map[int]map[string]bool)
 	w.onStart = func(r *run, m *minion) {
-		if r.task == "00000000000000b2.0.0.1" && r.number == 1 {
+		if r.task == "00000000000000bb.0.0.1" && r.number == 1 {
 			member <- m.machine
 		}
 		if checkpoints[r.number] == nil {
@@ -51,7 +51,7 @@
 			alone++
 		}
 	}
-	j := &job{ID: "00000000000000b2", Spec: "rota", workMs: 8000, Steps: []step{{
+	j := &job{ID: "00000000000000bb", Spec: "rota", workMs: 8000, Steps: []step{{
 		Count: 3, CPU: 1000, MemMb: 1000, EstRuntimeMs: 8000, Checkpoint: true, Gang: true, AntiAffinity: 1,
 	}}}
 	w.submit(j, 10*time.Second)
@@ -59,7 +59,7 @@
 	if w.isTrouble {
 		for {
 			w.gangs.mu.Lock()
-			since := w.gangs.since["00000000000000b2.0.0/1"]
+			since := w.gangs.since["00000000000000bb.0.0/1"]
 			w.gangs.mu.Unlock()
 			if !since.IsZero() {
 				time.Sleep(time.Until(since.Add(crashAt)))
@@ -150,7 +150,7 @@
 	}
 	w.startEntries(3)
 	time.Sleep(6 * time.Second)
-	j := &job{ID: "00000000000000c3", Spec: "rota", workMs: 700, Steps: []step{{Count: 1, CPU: 12000, MemMb: 1000, EstRuntimeMs: 700, LongRunning: true}}}
+	j := &job{ID: "00000000000000cc", Spec: "rota", workMs: 700, Steps: []step{{Count: 1, CPU: 12000, MemMb: 1000, EstRuntimeMs: 700, LongRunning: true}}}
 	w.submit(j, 10*time.Second)
 	if w.isTrouble {
 		select {
@@ -276,7 +276,7 @@
 	// Each minion has room for one of them, so two run and four wait.
 	var jobs []*job
 	for i := range 6 {
-		j := &job{ID: fmt.Sprintf("00000000000000d%d", i), Spec: "rota", workMs: 700, Steps: []step{{
+		j := &job{ID: fmt.Sprintf("00000000000000a%x", 10+i), Spec: "rota", workMs: 700, Steps: []step{{
 			Count: 1, CPU: 12000, MemMb: 1000, EstRuntimeMs: 700, LongRunning: true,
 		}}}
 		jobs = append(jobs, j)
