--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -398,10 +398,15 @@
 		w.mu.Lock()
 		w.jobs[j.ID] = j
 		w.mu.Unlock()
-		status, answer := w.call(w.entries[i%len(w.entries)], http.MethodPost, "/q/"+j.ID, j)
-		w.rec("client: POST %s with %d tasks: %d %s", j.ID, j.Steps[0].Count, status, answer)
-		if status/100 == 2 {
-			accepted = append(accepted, j)
+		// Without an answer the request comes again, at the next entry.
+		for try := range 2 * len(w.entries) {
+			e := w.entries[(i+try)%len(w.entries)]
+			status, answer := w.call(e, http.MethodPost, "/q/"+j.ID, j)
+			w.rec("client: POST %s with %d tasks at %s: %d %s", j.ID, j.Steps[0].Count, e.name, status, answer)
+			if status/100 == 2 {
+				accepted = append(accepted, j)
+				break
+			}
 		}
 		next = next.Add(usual)
 		time.Sleep(time.Until(next))
