Count on the earlier owner's grant until the next one has given its own

In plays a task runs twice (TWICE) although no endpoint restarts: the endpoint is cut off right after the first poll of a new owner.

Cause: a run of an earlier owner that the endpoint has listed counts as one of the present owner. As long as this one has given the endpoint no grant, the run's end was taken from when its start was ordered, which this owner never did: that is long past, so the run counted as lost as soon as the endpoint had not answered for 1.2 s, and a hand-over told the next owner that it ends in 1 ms. There is no grant yet if the second poll waits until the first one's changes are stored and the store is down, or if discovery shows another incarnation just then. And an inherited run that the first listing does not contain counted as over 5.6 s after the takeover, though a grant for other runs kept it at work.

Change: runs that this owner has not ordered end with the later of the earlier owner's grant and its own.

Evidence, e.g. taken over at once at 8 s, store down for 1.5 s, cut off 0.5 s later: run 1 on e0, run 2 started on e1 at 10.087 s. TestListedRunOfEarlierOwnerExpiresAtOnce failed in 4 of 4 cases: the run counted as lost after 1.3 to 2.7 s instead of 5 to 6 s.

--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -148,8 +148,9 @@
 	// An answer with an earlier clock alone shows no restart, as answers overtake each other.
 	isRestarted := !e.registeredRestartAt.IsZero()
 	switch {
-	case r.phase == inherited:
-		return c.inheritedRunEnd(e)
+	case r.orderedAt.IsZero():
+		// An earlier owner has ordered it. This one may have given the endpoint no grant yet, or one for other runs.
+		return later(c.inheritedRunEnd(e), c.grantEnd(e))
 	case isRestarted && !r.isIncarnationKnown && !e.isListed && r.isSentBefore(e.listedSince):
 		// Only through a forwarder can the start have reached a later incarnation than the one
 		// that has ended. That one is gone, or cut off from discovery, too.
