Keep the end of a grant that is seen to stray during a hand-over

Only where something forwards connections: a run of an endpoint that is cut off again right after it has answered goes on for up to 10 s, and its task is started elsewhere before (TWICE).

Cause: a hand-over names when the runs of silent endpoints end. If such an endpoint answers before the takeover, as another incarnation that has a grant of the former one, the owner stores that in a record. The next one took the end that the state before it names for this grant, too, if discovery did not show the restart yet or the state was of the present incarnation.

Change: that end counts for a stray grant only if the state itself tells of it, and no later record.

--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -108,6 +108,8 @@
 	strayGrantEnd time.Time
 	// isStrayStored reports that the next owner counts on them, too.
 	isStrayStored bool
+	// isStrayInSnapshot reports that the snapshot that was restored tells of them, and no record after it.
+	isStrayInSnapshot bool
 	// inheritedEnd is the time by which all inherited runs have ended if the present
 	// incarnation does not answer, zero if the previous owner has stored none.
 	inheritedEnd time.Time
--- a/jobs/handover.go
+++ b/jobs/handover.go
@@ -56,7 +56,7 @@
 	for _, s := range silent {
 		if e := c.endpoints[s.Endpoint]; e != nil && e.born == s.Born {
 			e.inheritedEnd = now.Add(time.Duration(s.LeftMilliseconds) * time.Millisecond)
-			if e.isStrayStored {
+			if e.isStrayStored && e.isStrayInSnapshot {
 				// That end is exact also for a stray grant, where inheritStrayGrant assumes the longest one.
 				e.strayGrantEnd = e.inheritedEnd
 			}
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -136,7 +136,7 @@
 		}
 	}
 	for _, stray := range s.Stray {
-		c.inheritStrayGrant(stray)
+		c.inheritStrayGrant(stray, true)
 	}
 }
 
@@ -233,7 +233,7 @@
 	case record.End != nil:
 		c.applyEnd(now, *record.End)
 	case record.Stray != nil:
-		c.inheritStrayGrant(*record.Stray)
+		c.inheritStrayGrant(*record.Stray, false)
 	default:
 		c.applyCrashRecord(now, record)
 	}
--- a/jobs/stray.go
+++ b/jobs/stray.go
@@ -60,12 +60,14 @@
 	}
 }
 
-// inheritStrayGrant applies what an earlier owner has stored. When it did so is not known.
-func (c *Cell) inheritStrayGrant(s StrayGrant) {
+// inheritStrayGrant applies what an earlier owner has stored, in a snapshot or in a record after it. When it did so is
+// not known.
+func (c *Cell) inheritStrayGrant(s StrayGrant, isInSnapshot bool) {
 	e := c.endpoints[s.Endpoint]
 	if e == nil {
 		e = c.newEndpoint(s.Endpoint, s.Born)
 	}
+	e.isStrayInSnapshot = isInSnapshot
 	if e.isStrayStored = !s.IsOver; s.IsOver {
 		e.strayGrantEnd = time.Time{}
 		return
--- a/jobs/succession_test.go
+++ b/jobs/succession_test.go
@@ -70,3 +70,43 @@
 		})
 	}
 }
+
+// A grant was seen to have strayed after the state for the next owner was made, which said of the endpoint that the former
+// incarnation's grant ends soon. The next owner took that end for the one of the grant that had strayed (TWICE).
+func TestStrayGrantDuringHandoverIsCutShort(t *testing.T) {
+	longest := DefaultBounds().longestGrant()
+	for name, c := range map[string]struct {
+		// isKnown reports that the owner knows of the restart before it hands over.
+		isKnown bool
+	}{
+		"that also shows the restart":                          {},
+		"of an incarnation that is known as the state is made": {isKnown: true},
+	} {
+		Convey("A run lasts as long as a stray grant that a listing during the hand-over shows, "+name, t, func() {
+			b := newTestbed(1)
+			b.advance(600 * time.Second)
+			b.answerPoll(0)
+			b.submit(firstID, longRunningStep(2))
+			starts := b.planAndStore()
+			b.cell.StartAnswered(b.now, starts[1], Reply{Answer: Accepted, Clock: b.clock})
+			b.advance(450 * time.Millisecond)
+			b.cell.StartAnswered(b.now, starts[0], Reply{Answer: Unanswered, IsBound: true})
+			b.born, b.clock = 2, 20
+			if c.isKnown {
+				b.cell.ApplyListing(b.now, Listing{Endpoint: endpointName(0), AskedAt: b.now.Add(-time.Second), Born: 2, Clock: b.clock, IsBound: true, MayOmitEnds: true})
+				b.cell.NextPoll(b.now, endpointName(0))
+			}
+			b.advance(maxRenewalAge + 100*time.Millisecond)
+			b.cell.TakeBatch()
+			state := b.cell.HandoverSnapshot(b.now)
+			So(state.Silent, ShouldHaveLength, 1)
+			b.advance(100 * time.Millisecond)
+			b.cell.ApplyListing(b.now, Listing{
+				Endpoint: endpointName(0), AskedAt: b.now, Born: 2, FormerBorn: 1, Clock: b.clock, IsBound: true,
+				Running: []ListedRun{{Task: starts[0].Task, Run: 1, Percent: 100}},
+			})
+			b.succeed(state, b.cell.TakeBatch().Records, 1)
+			So(timeUntilLost(b), ShouldBeBetween, longest-200*time.Millisecond, longest+time.Second)
+		})
+	}
+}
