Tell the next owner of runs beside the current ones of their tasks

And replayed records counted a task twice on an endpoint that it had come back to, as long as the owner served: the room was lost.

A run that is placed where the task has been before replaces the former one.

TestNextOwnerCountsUsage failed in 4 of 4 cases.

--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -50,12 +50,23 @@
 	// the start time of the endpoint's current incarnation, in Unix milliseconds.
 	Endpoint string `json:"e,omitempty"`
 	Born     int64  `json:"b,omitempty"`
+	// Others are the runs beside that one, of a speculative task or of one that is done.
+	Others []OtherRun `json:"others,omitempty"`
 	// Suspicion is what is known against the task, nil if nothing. IsGivenUp reports that it
 	// was given up.
 	Suspicion *Suspicion `json:"c,omitempty"`
 	IsGivenUp bool       `json:"quit,omitempty"`
 }
 
+// OtherRun is a run that is or may be on an endpoint and is not the current one of its task. It takes room and counts against the limit
+// of the client account until it has ended.
+type OtherRun struct {
+	Run      int    `json:"r"`
+	Endpoint string `json:"e"`
+	// Born is the start time of the endpoint's current incarnation, in Unix milliseconds.
+	Born int64 `json:"b,omitempty"`
+}
+
 // Snapshot returns the state that results from all records so far, including
 // those that TakeBatch has not returned yet.
 func (c *Cell) Snapshot() Snapshot {
@@ -63,17 +74,49 @@
 		Jobs: make([]JobState, 0, len(c.jobs)), MeasuredRunTimes: c.runTimes.export(), LearnedRunTimes: c.runTimes.exportLearned(),
 		Stray: c.strayGrants(),
 	}
-	orphans := c.orphansOfWaitingTasks()
+	runs := otherRuns{orphans: c.orphansOfWaitingTasks(), others: c.runsBesideCurrent()}
 	for _, j := range c.jobs {
-		s.Jobs = append(s.Jobs, j.snapshot(orphans))
+		s.Jobs = append(s.Jobs, j.snapshot(runs))
 	}
 	slices.SortFunc(s.Jobs, func(a, b JobState) int { return strings.Compare(a.Job.ID, b.Job.ID) })
 	return s
 }
 
-func (j *job) snapshot(orphans map[*task]locatedOrphan) JobState {
+// otherRuns holds what is on endpoints besides the current runs of tasks, by task.
+type otherRuns struct {
+	orphans map[*task]locatedOrphan
+	others  map[*task][]OtherRun
+}
+
+// runsBesideCurrent returns the runs of each task that are not its current one.
+func (c *Cell) runsBesideCurrent() map[*task][]OtherRun {
+	others := make(map[*task][]OtherRun)
+	for _, e := range c.endpoints {
+		for _, r := range e.runs {
+			if r.task.run != r && r.phase != placed {
+				others[r.task] = append(others[r.task], OtherRun{Run: r.number, Endpoint: e.ID, Born: e.born})
+			}
+		}
+	}
+	for _, runs := range others {
+		slices.SortFunc(runs, func(a, b OtherRun) int { return a.Run - b.Run })
+	}
+	return others
+}
+
+// hasAny reports whether a task of the job has other runs than the current one.
+func (r otherRuns) hasAny(j *job) bool {
+	for t := range r.others {
+		if t.step.occurrence.job == j {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *job) snapshot(runs otherRuns) JobState {
 	state := JobState{Job: j.Job, State: j.state, Next: j.nextOccurrence, Left: j.occurrencesLeft}
-	if j.isOver() && !j.hasRuns() {
+	if j.isOver() && !j.hasRuns() && !runs.hasAny(j) {
 		state.Job = Job{ID: j.ID, Queue: j.Queue, Path: j.Path, Account: j.Account}
 		return state
 	}
@@ -90,8 +133,8 @@
 		}
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if _, isOrphaned := orphans[t]; t.lastRun > 0 || t.isDone || isOrphaned {
-					state.Tasks = append(state.Tasks, t.snapshot(orphans))
+				if _, isOrphaned := runs.orphans[t]; t.lastRun > 0 || t.isDone || isOrphaned {
+					state.Tasks = append(state.Tasks, t.snapshot(runs))
 				}
 			}
 		}
@@ -99,14 +142,14 @@
 	return state
 }
 
-func (t *task) snapshot(orphans map[*task]locatedOrphan) TaskState {
+func (t *task) snapshot(runs otherRuns) TaskState {
 	state := TaskState{
 		Task: t.name, Run: t.lastRun, Failed: t.failedRuns, IsDone: t.isDone, Saved: t.checkpoint,
-		Suspicion: t.suspicion(), IsGivenUp: t.isGivenUp,
+		Suspicion: t.suspicion(), IsGivenUp: t.isGivenUp, Others: runs.others[t],
 	}
 	if t.run != nil {
 		state.Endpoint, state.Born = t.run.endpoint.ID, t.run.endpoint.born
-	} else if o, ok := orphans[t]; ok {
+	} else if o, ok := runs.orphans[t]; ok {
 		// The next owner must not start the task before this endpoint has listed its runs.
 		state.Run, state.Endpoint, state.Born = max(state.Run, o.number), o.endpoint.ID, o.endpoint.born
 	}
@@ -156,9 +199,14 @@
 	if t == nil {
 		return
 	}
-	t.lastRun, t.failedRuns, t.checkpoint = state.Run, state.Failed, state.Saved
+	t.failedRuns, t.checkpoint = state.Failed, state.Saved
+	c.inheritOthers(t, state.Others)
+	t.lastRun = state.Run
 	if state.IsDone {
 		t.step.waiting = remove(t.step.waiting, t)
+		if state.Endpoint != "" {
+			c.inherit(t, state.Endpoint, state.Born)
+		}
 		c.complete(now, t)
 		return
 	}
@@ -172,6 +220,18 @@
 	}
 }
 
+// inheritOthers adds the runs of a task that are not its current one.
+func (c *Cell) inheritOthers(t *task, others []OtherRun) {
+	for _, other := range others {
+		t.lastRun = other.Run
+		c.inherit(t, other.Endpoint, other.Born)
+		t.run = nil
+	}
+	if len(others) > 0 {
+		t.step.waiting = append(t.step.waiting, t)
+	}
+}
+
 // inherit adds a run that an earlier owner may have started on an endpoint.
 func (c *Cell) inherit(t *task, endpointID string, born int64) {
 	if j := t.step.occurrence.job; !j.isOver() {
@@ -184,9 +244,13 @@
 	// Each placement is on the same incarnation of the endpoint as the one stored before it, or
 	// on a later one. A snapshot names one incarnation for all.
 	e.born = born
+	if former := e.runs[t.name]; former != nil {
+		// It has ended, or the task would not have been placed there again.
+		c.removeRun(former)
+	}
 	switch {
 	case t.run == nil:
-	case t.step.Speculative && t.run.endpoint != e:
+	case t.step.Speculative:
 		// The previous copy may still be running; it keeps its reservation until its
 		// endpoint lists its runs.
 		t.run = nil
--- a/jobs/succession_test.go
+++ b/jobs/succession_test.go
@@ -110,3 +110,50 @@
 		})
 	}
 }
+
+// The next owner did not know of runs that were not the current ones of their tasks, or counted those twice that an endpoint had had before.
+func TestNextOwnerCountsUsage(t *testing.T) {
+	task := TaskName{Job: firstID}.String()
+	place := func(run, endpoint int) Record {
+		return Record{Placement: &Placement{Task: task, Run: run, Endpoint: endpointName(endpoint), Born: 1}}
+	}
+	for name, c := range map[string]struct {
+		step    Step
+		records []Record
+		// used is the processors that are in use on each endpoint.
+		used []int64
+	}{
+		"a copy of a task beside its first run": {
+			step: Step{Count: 1, Speculative: true}, records: []Record{place(1, 0), place(2, 1)}, used: []int64{100, 100},
+		},
+		"a copy on an endpoint whose first run has ended": {
+			step: Step{Count: 1, Speculative: true}, records: []Record{place(1, 0), place(2, 1), place(3, 0)}, used: []int64{100, 100},
+		},
+		"the first run of a task whose copy is done": {
+			step: Step{Count: 1, Speculative: true}, records: []Record{place(1, 0), place(2, 1), {End: &End{Task: task, Run: 2, Outcome: Done}}}, used: []int64{100, 0},
+		},
+		"the last run of a task of which an earlier one is done": {
+			step: Step{Count: 1, Speculative: true}, records: []Record{place(1, 0), place(2, 1), {End: &End{Task: task, Run: 1, Outcome: Done}}}, used: []int64{100, 100},
+		},
+	} {
+		Convey("The next owner counts what is in use: "+name, t, func() {
+			b := newTestbed(2)
+			c.step.Each = Size{CPU: 100, Memory: 10}
+			// A second step keeps the job from being over.
+			records := append([]Record{{Job: &Job{ID: firstID, Queue: "q", Account: "red", Steps: []Step{c.step, batchStep(1, 50)}}}}, c.records...)
+			for _, way := range []string{"records", "snapshot", "snapshot of that"} {
+				if way == "records" {
+					b.succeed(Snapshot{}, records, 2)
+				} else {
+					b.succeed(b.cell.Snapshot(), nil, 2)
+				}
+				sum := int64(0)
+				for i, cpu := range c.used {
+					SoMsg(way, b.cell.endpoints[endpointName(i)].used.CPU, ShouldEqual, cpu)
+					sum += cpu
+				}
+				SoMsg(way, b.cell.used["red"].CPU, ShouldEqual, sum)
+			}
+		})
+	}
+}
