Report a connection that has outlived a restart also if a start found that first

What callers saw: nothing yet.

Cause: a start that asks a connection for its incarnation overwrote which one had listed its runs there before. The next poll on the connection then named the present incarnation as the former one, and the cell took the connection as new.

Change: the connection keeps the first incarnation that has listed its runs since the last poll, and the next poll reports it.

--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -36,6 +36,8 @@
 	incarnation int
 	// listedBorn is the incarnation that has listed its runs on the connection, 0 if none has.
 	listedBorn int64
+	// formerBorn is the first incarnation that has listed its runs on the connection, from the last poll on.
+	formerBorn int64
 }
 
 // Takeover stops the current owner at once and starts a new one. Orders of the old
@@ -274,7 +276,7 @@
 		handle: func(e *Endpoint, c *connection, respond func(jobs.Answer, int64)) {
 			listing, answer := e.poll(o.epoch, 0, 0)
 			if answer == jobs.Accepted {
-				c.listedBorn = listing.Born
+				c.listedBorn, c.formerBorn = listing.Born, cmp.Or(c.formerBorn, listing.Born)
 			}
 			respond(answer, e.clock())
 		},
@@ -425,9 +427,9 @@
 			listing = received
 			listing.AskedAt, listing.Clock, listing.IsBound = askedAt, clock, !w.config.IsUnbound
 			if listing.IsBound {
-				listing.FormerBorn = c.listedBorn
+				listing.FormerBorn = c.formerBorn
 			}
-			c.listedBorn = listing.Born
+			c.listedBorn, c.formerBorn = listing.Born, listing.Born
 			respond(answer, clock)
 		})
 	}, onAnswer: func(reply jobs.Reply) {
