Stop a start that may be carried out late on the next incarnation, too

What callers saw: nothing yet. Behind something that forwards connections, a task ran twice in a test (TestStartOutlivesItsStop, red so far): an unanswered start waited in the forwarder, its endpoint accepted the stop and restarted, and the next incarnation carried the start out beside the next run of the task.

Cause: an incarnation refuses a run that it was told to stop, but the next one knows nothing of that, and the cell had forgotten the run.

Change: the cell keeps the starts that were not answered and whose runs count as lost, for as long as they may be carried out (30 s), and stops them on each incarnation that lists its runs. The endpoint refuses a run that it was told to stop before. A start that arrives between the restart and that stop is still carried out, until the stop arrives. Starts of earlier owners need no stop: their fencing tokens are lower.

--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -94,7 +94,9 @@
 	// call.
 	losses    []Loss
 	lossCount int
-	crashRate crashRate
+	// lateStarts are the starts that may still be carried out although their runs count as lost.
+	lateStarts []lateStart
+	crashRate  crashRate
 	// adviceModels holds the models of the queues with advice, by name. No advice is requested
 	// before adviceRetryAt.
 	adviceModels  map[string]*adviceModel
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -348,6 +348,9 @@
 	if clock > 0 {
 		e.recordContact(now, clock)
 	}
+	if answer == Accepted {
+		c.recordLateStop(s)
+	}
 	r := e.runs[s.Task]
 	if r == nil || r.number != s.Run {
 		return
@@ -391,7 +394,7 @@
 			stops = append(stops, Stop{Endpoint: e.ID, Task: r.task.name, Run: r.number, Born: e.born, Reason: r.stopReason})
 		}
 	}
-	return stops
+	return append(stops, c.lateStops(now)...)
 }
 
 // IsStopCurrent reports whether a stop that is queued for sending is still needed. It is not
--- a/jobs/loss.go
+++ b/jobs/loss.go
@@ -62,6 +62,7 @@
 func (c *Cell) loseRun(now time.Time, r *run, rule LossRule) {
 	c.counts.Lost++
 	c.lossCount++
+	c.recordLateStart(r)
 	r.task.lastLoss = &loss{run: r.number, endpoint: r.endpoint.ID, rule: rule, at: now}
 	if len(c.losses) < maxLosses {
 		c.losses = append(c.losses, newLoss(now, r, rule))
