Acknowledge ends only to the incarnation that has listed them

What callers saw: nothing yet. Behind something that forwards connections, a task was started again after it was done, in the emulator.

Cause: a poll acknowledges the ends of one incarnation by number, and it was sent on any connection, also on one that leads to the next incarnation. That one numbers its ends anew and forgot those up to the number before the owner had seen them.

Evidence: two cases of TestGrantReachesNextIncarnation fail on: polls on a new connection acknowledge.

Change: as its grant, the acknowledgement of a poll goes out only on a connection on which the incarnation that it is meant for has listed its runs. On others the next poll acknowledges.

Result: the cases pass.

--- a/internal/back/endpoint/endpoint.go
+++ b/internal/back/endpoint/endpoint.go
@@ -42,7 +42,7 @@
 	Epoch Epoch
 	// Born is the incarnation that the poll is meant for, as in jobs.Poll.
 	Born int64
-	// Seen acknowledges all run ends up to this number. The endpoint need not keep
+	// Seen acknowledges all run ends up to this number of the incarnation Born. The endpoint need not keep
 	// them any longer.
 	Seen int64
 	// Until is the new expiry of the grant of all runs on the endpoint's clock, in
@@ -64,7 +64,8 @@
 	// Pace limits a run to a percentage of its full speed.
 	Pace func(ctx context.Context, target Target, epoch Epoch, order jobs.Pace) Receipt
 	// Poll polls an endpoint: it lists the runs and extends their grant. Another incarnation than
-	// poll.Born lists its runs, too, but does not get the grant; the one that is meant may not get it either.
+	// poll.Born lists its runs, too, but gets neither the grant nor the acknowledgement of ends; the one that is
+	// meant may not get them either.
 	// The listing is valid only if the answer of the receipt is jobs.Accepted.
 	Poll func(ctx context.Context, target Target, poll Poll) (jobs.Listing, Receipt)
 	// Forget releases what is kept for calls to an endpoint that will get no more of
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -418,11 +418,11 @@
 	var listing jobs.Listing
 	askedAt := w.now
 	o.send(message{endpoint: e.id, handle: func(e *Endpoint, c *connection, respond func(jobs.Answer, int64)) {
-		until := poll.Until
+		until, seen := poll.Until, poll.Seen
 		if c.listedBorn != poll.Born && !w.config.IsUnbound {
-			until = 0
+			until, seen = 0, 0
 		}
-		received, answer := e.poll(o.epoch, poll.Seen, until)
+		received, answer := e.poll(o.epoch, seen, until)
 		e.afterListing(func(clock int64) {
 			listing = received
 			listing.AskedAt, listing.Clock, listing.IsBound = askedAt, clock, !w.config.IsUnbound
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -489,7 +489,7 @@
 	// IsNeeded reports that the endpoint has to be polled now, to list its runs or
 	// to extend its grant.
 	IsNeeded bool
-	// Born is the incarnation that Until is meant for. No other one may get it.
+	// Born is the incarnation that Seen and Until are meant for. No other one may get them.
 	Born int64
 	// Seen is the number of the last run end whose records are stored, 0 if the endpoint
 	// has forgotten these ends or may have restarted, and have runs that it has not listed.
