Say what the transport of an owner has to guarantee

What callers saw: users of package jobs with a transport of their own could not know that it has to keep the incarnations of an endpoint apart.

Change: the documentation of the package.

--- a/jobs/doc.go
+++ b/jobs/doc.go
@@ -18,4 +18,14 @@
 // service discovery: whether an endpoint has restarted, and what it runs then, is
 // known from its listing alone. While any endpoint lists a run of a task, no other one is
 // started.
+//
+// The owner sends the orders, and its transport has to keep the incarnations of an endpoint apart: the expiry of a
+// grant is a time on the clock of one of them, and each one numbers its ends anew. A Start, and the Until and Seen
+// of a Poll, must reach no other incarnation than their Born. To send them only on a connection on which that
+// incarnation has listed its runs is enough if connections end with the incarnation that they lead to;
+// where something forwards them, Listing.FormerBorn has to report that one has not. A Stop may reach any
+// incarnation. A transport that does so sets IsBound of Listing and Reply. Without it an owner counts on stray grants,
+// but the next owners don't know of them: a task may run twice if its endpoint restarts quickly and is
+// cut off as the owner changes. The same may happen behind a forwarder if the owner ends before it has a listing
+// of the next incarnation.
 package jobs
