--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -26,6 +26,8 @@
 		}
 		// An incarnation that was up later than the current one cannot be an earlier one.
 		c.handleRestart(now, e, l)
+	} else if l.isForwarded() {
+		c.recordForwarder(now, e)
 	}
 	if l.Clock < e.listedClock || l.AskedAt.Before(e.listedSince) {
 		return nil
@@ -346,6 +348,9 @@
 	if clock > 0 {
 		e.recordContact(now, clock)
 	}
+	if answer == Accepted {
+		c.recordLateStop(s)
+	}
 	r := e.runs[s.Task]
 	if r == nil || r.number != s.Run {
 		return
@@ -389,7 +394,7 @@
 			stops = append(stops, Stop{Endpoint: e.ID, Task: r.task.name, Run: r.number, Born: e.born, Reason: r.stopReason})
 		}
 	}
-	return stops
+	return append(stops, c.lateStops(now)...)
 }
 
 // IsStopCurrent reports whether a stop that is queued for sending is still needed. It is not
