Speed up runs that an earlier owner has slowed

A filling task that had been slowed for a serving one on its endpoint stays slow after a change of the owner, a long-running one for as long as that owner serves.

Cause: paces are not stored, and the next owner took inherited runs for running at full speed. It orders a pace only if it differs from the last one, so it never ordered full speed.

Change: the pace of an inherited run is not known. Full speed is ordered once the tail latencies are well below their targets, a quarter or two thirds of it while they are close, as for any run at full speed. That may be faster than before the takeover, for one step of 0.6 s.

Evidence: TestPacedRunStaysSlow failed in 2 of 3 cases: a run at pace 0 got no order at all.

--- a/jobs/pace.go
+++ b/jobs/pace.go
@@ -16,6 +16,8 @@
 	paceInterval = 600 * time.Millisecond
 	// fullPace is full speed, in percent.
 	fullPace = 100
+	// unknownPace is the sentPace of a run of an earlier owner, which may have ordered any.
+	unknownPace = -1
 )
 
 // Paces returns the pace orders to send now. Where serving tasks share an endpoint
@@ -40,6 +42,9 @@
 				percent = r.pace * 2 / 3
 			case worstRatio < paceNearTarget-0.2:
 				percent = min(r.pace+paceStep, fullPace)
+			case r.sentPace == unknownPace:
+				// Whatever it is, it needs no change.
+				continue
 			}
 			r.pace = percent
 			if r.pace == r.sentPace {
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -258,7 +258,7 @@
 		c.removeRun(t.run)
 	}
 	t.step.waiting = remove(t.step.waiting, t)
-	r := &run{task: t, number: t.lastRun, endpoint: e, born: born, orderedBorn: born, phase: inherited, reserved: t.step.Reserved(), pace: 100, sentPace: 100}
+	r := &run{task: t, number: t.lastRun, endpoint: e, born: born, orderedBorn: born, phase: inherited, reserved: t.step.Reserved(), pace: fullPace, sentPace: unknownPace}
 	c.attach(r)
 }
 
--- a/jobs/succession_test.go
+++ b/jobs/succession_test.go
@@ -157,3 +157,46 @@
 		})
 	}
 }
+
+// The next owner took the runs that the one before had slowed for running at full speed, so they stayed slow, or stood still, for as long as
+// nothing was to be slowed further.
+func TestPacedRunStaysSlow(t *testing.T) {
+	for name, c := range map[string]struct {
+		// tails are the tail latencies that the endpoint lists after the takeover, where 100 ms are the target.
+		tails []int
+		// percents are the paces that are ordered for a run that stood still.
+		percents []int
+	}{
+		"to full speed if the latency is low": {tails: []int{50, 50}, percents: []int{100}},
+		"in steps if the latency is high":     {tails: []int{150, 50, 50}, percents: []int{25, 35, 45}},
+		"not before the latency is low":       {tails: []int{70, 70, 50}, percents: []int{100}},
+	} {
+		Convey("A run that an earlier owner has slowed is sped up again, "+name, t, func() {
+			b := newTestbed(1)
+			serving, filling := longRunningStep(1), longRunningStep(1)
+			serving.Target, filling.Fills = 100*time.Millisecond, true
+			b.submit(firstID, serving)
+			b.submit(secondID, filling)
+			b.planAndAccept()
+			percents := []int{}
+			pace := func(tails ...int) {
+				for _, tail := range tails {
+					b.advance(paceInterval + time.Millisecond)
+					b.answerPoll(0,
+						ListedRun{Task: TaskName{Job: firstID}.String(), Run: 1, Percent: 100, Measurement: tail}, ListedRun{Task: TaskName{Job: secondID}.String(), Run: 1},
+					)
+					for _, p := range b.cell.Paces(b.now) {
+						b.cell.PaceAnswered(p, Accepted)
+						percents = append(percents, p.Percent)
+					}
+				}
+			}
+			pace(150, 150, 150, 150)
+			So(percents, ShouldResemble, []int{25, 6, 1, 0})
+			b.succeed(b.cell.Snapshot(), nil, 1)
+			percents = nil
+			pace(c.tails...)
+			So(percents, ShouldResemble, c.percents)
+		})
+	}
+}
