Hand over in all plays of TestSuccession

Three milliseconds after a pass of planning a batch is being written, and HandOver does nothing then: up to two of the six moments played no hand-over. With seven all do.

--- a/jobs/emulator/succession_test.go
+++ b/jobs/emulator/succession_test.go
@@ -140,7 +140,8 @@
 	w.Submit(jobs.Job{ID: successionID, Queue: "q", Account: "red", Attempts: 2, Stretch: 30, Steps: []jobs.Step{{
 		Count: count, LongRunning: change == nil, Each: jobs.Size{CPU: 1000, Memory: 100}, MaxUnavailable: 3,
 	}}})
-	w.Advance(wait + 3*time.Millisecond)
+	// No batch is being written then, so that the owner can hand over at once.
+	w.Advance(wait + 7*time.Millisecond)
 	return w, w.endpoints[0]
 }
 
