Count the grant of an order without an answer if another incarnation lists its runs next

Cause: an order with a grant goes out on a kept connection as its endpoint falls silent. The owner gives it up and closes the connection; what forwards it delivers the order to the next incarnation, whose clock knows no such expiry: the grant lasts for 10 s. The next listing comes over a new connection and shows no former incarnation, so that neither this owner nor the next one counted it. PROTOCOL.md: "A call that receives no response may have been executed. It may also be executed seconds later".

Change: the transport says of an order without an answer whether its connection was still open. If one with a grant was given up so since the last listing, and the next listing shows another incarnation, the longest grant counts, for this owner and, stored, for the next ones. An order whose connection was reset or closed counts as before.

--- a/internal/back/endpoint/endpoint.go
+++ b/internal/back/endpoint/endpoint.go
@@ -30,8 +30,8 @@
 	// ConnectedAt is when the connection that carried the call had been opened, zero if
 	// no connection was opened or the time is unknown.
 	ConnectedAt time.Time
-	// IsBound is that of jobs.Reply.
-	IsBound bool
+	// IsBound and IsSilent are those of jobs.Reply.
+	IsBound, IsSilent bool
 	// Reason is the endpoint's reason for a refusal, or the error of a call without
 	// a response.
 	Reason string
--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -256,7 +256,7 @@
 		o.metrics.startDuration.RecordDuration(now.Sub(startedAt))
 		o.logUnaccepted("start", start.Endpoint, start.Task, start.Run, receipt)
 		o.cell.StartAnswered(now, start, jobs.Reply{
-			Answer: receipt.Answer, Clock: receipt.Clock, ConnectedAt: receipt.ConnectedAt, IsBound: receipt.IsBound,
+			Answer: receipt.Answer, Clock: receipt.Clock, ConnectedAt: receipt.ConnectedAt, IsBound: receipt.IsBound, IsSilent: receipt.IsSilent,
 		})
 	})
 }
--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -151,6 +151,9 @@
 	o.metrics.pollDuration.RecordDuration(boot.Now().Sub(startedAt))
 	stored := make(chan struct{})
 	err := o.runInLoop(ctx, func() {
+		if receipt.IsSilent && poll.Until > 0 {
+			o.cell.GrantUnanswered(boot.Now(), p.target.ID, poll.Born)
+		}
 		o.handlePoll(p, listing, receipt)
 		o.onStored = append(o.onStored, func(err error) {
 			// After an error the owner ends, and with it the context.
--- a/internal/proof/minion/recut_test.go
+++ b/internal/proof/minion/recut_test.go
@@ -16,10 +16,12 @@
 // The times of a round: the endpoints of a data centre are down, their owner is killed, and they are cut off.
 const (
 	// The environment variable SEED is added to recutSeed.
-	recutSeed     = 55
-	recutRounds   = 3
-	recutWarmUp   = 5 * time.Second
-	recutDown     = 600 * time.Millisecond
+	recutSeed   = 55
+	recutRounds = 3
+	recutWarmUp = 5 * time.Second
+	recutDown   = 600 * time.Millisecond
+	// recutLongDown is longer than an order waits for its answer, and most polls.
+	recutLongDown = 1200 * time.Millisecond
 	recutKill     = 2 * time.Second
 	recutCut      = 2600 * time.Millisecond
 	recutCutFor   = 9 * time.Second
@@ -44,15 +46,20 @@
 // recutCases are the ways in which servers restart: what becomes of their connections, and how far the clock of
 // each incarnation is behind that of the one before.
 var recutCases = map[string]recutCase{
-	"connections dropped":                 {outageDrops, clockStep},
-	"connections queued":                  {outageQueues, clockStep},
-	"connections queued, clock ahead":     {outageQueues, -clockStep},
-	"connections kept, as behind a relay": {outageKeeps, clockStep},
+	"connections dropped":                 {outageDrops, recutDown, clockStep, false},
+	"connections queued":                  {outageQueues, recutDown, clockStep, false},
+	"connections queued, clock ahead":     {outageQueues, recutDown, -clockStep, false},
+	"connections kept, as behind a relay": {outageKeeps, recutDown, clockStep, false},
+	"kept, down for longer":               {outageKeeps, recutLongDown, clockStep, false},
+	"kept, down for longer, owner stays":  {outageKeeps, recutLongDown, clockStep, true},
 }
 
 type recutCase struct {
-	outage    outage
-	clockStep time.Duration
+	outage outage
+	// down is how long the servers are silent.
+	down, clockStep time.Duration
+	// isOwnerKept lets the owner be.
+	isOwnerKept bool
 }
 
 // The grant of a start for the former incarnation of a server lasted longer on the next one than the next
@@ -63,7 +70,7 @@
 			Convey("No task runs twice while servers restart, their owner is killed and they are cut off", t, FailureContinues, func() {
 				seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 				s := newSystem(t, systemConfig{entries: 3, endpoints: 24, hasLinks: true, outage: c.outage, seed: recutSeed + seed})
-				s.recut(c.clockStep)
+				s.recut(c)
 				s.expectNoneTwice()
 			})
 		})
@@ -71,7 +78,7 @@
 }
 
 // recut plays the rounds while jobs are submitted.
-func (s *system) recut(clockStep time.Duration) {
+func (s *system) recut(c recutCase) {
 	end := time.Now().Add(recutWarmUp + recutRounds*recutRoundFor)
 	var workers conc.WaitGroup
 	for number := range submitterCount {
@@ -89,13 +96,13 @@
 	}
 	time.Sleep(recutWarmUp)
 	for range recutRounds {
-		s.recutOnce(clockStep)
+		s.recutOnce(c)
 	}
 	workers.Wait()
 }
 
 // recutOnce plays a round.
-func (s *system) recutOnce(clockStep time.Duration) {
+func (s *system) recutOnce(c recutCase) {
 	begin := time.Now()
 	at := func(after time.Duration) { time.Sleep(time.Until(begin.Add(after))) }
 	random := rand.New(rand.NewPCG(s.config.seed, uint64(len(s.jobs))))
@@ -107,9 +114,9 @@
 		h.link.fallSilent(true)
 		h.kill()
 	}
-	at(recutDown)
+	at(c.down)
 	for _, h := range hosts {
-		h.config.Clock -= clockStep
+		h.config.Clock -= c.clockStep
 		h.config.RegisterDelay = time.Duration(random.Int64N(int64(maxRegisterDelay)))
 		h.start()
 		h.awaitUp()
@@ -117,13 +124,17 @@
 	}
 	at(recutKill)
 	owner := s.owner()
-	owner.kill()
+	if !c.isOwnerKept {
+		owner.kill()
+	}
 	at(recutCut)
 	for _, h := range hosts {
 		h.link.fallSilent(false)
 	}
-	if err := owner.start(); err != nil {
-		s.t.Error(err)
+	if !c.isOwnerKept {
+		if err := owner.start(); err != nil {
+			s.t.Error(err)
+		}
 	}
 	at(recutCut + recutCutFor)
 	for _, h := range hosts {
--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -78,6 +78,9 @@
 	// later incarnation may carry them out. Otherwise they wait in the endpoint and end with
 	// the incarnation that was up when they were sent.
 	HoldsLateOrders bool
+	// HoldsDirectOrders makes late orders wait there without a forwarder, too: a call without an answer may be
+	// carried out seconds later.
+	HoldsDirectOrders bool
 	// MaxListingDelay is the longest time from when an endpoint copies the list of its runs
 	// for the answer to a poll until it reads the clock for that answer and sends it. With 0
 	// both are of the same moment.
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -306,6 +306,9 @@
 		}
 		isAnswered = true
 		reply := jobs.Reply{Answer: a, Clock: clock}
+		if a == jobs.Unanswered {
+			reply.IsSilent = o.giveUp(e, c)
+		}
 		if c != nil {
 			reply.ConnectedAt = c.openedAt
 		}
@@ -353,12 +356,22 @@
 	}
 }
 
+// giveUp closes a connection on which an order was not answered, and reports whether it was open: one whose incarnation has
+// ended is reset when it is used, unless something forwards it.
+func (o *owner) giveUp(e *Endpoint, c *connection) (wasOpen bool) {
+	if o.connections[e] == c {
+		delete(o.connections, e)
+	}
+	return o.world.config.HasForwarder || o.world.config.HoldsDirectOrders || c.incarnation == e.incarnation
+}
+
 // isLost reports whether an order that arrives now on a connection does not reach the endpoint:
 // it is down or unreachable, or has restarted with no forwarder before it. sentTo is the
 // incarnation that was up when the order was sent.
 func (o *owner) isLost(e *Endpoint, c *connection, sentTo int) bool {
 	config := &o.world.config
-	hasEnded := e.incarnation != c.incarnation && !config.HasForwarder ||
+	isHeld := o.world.isCarriedOutLate && config.HoldsDirectOrders
+	hasEnded := e.incarnation != c.incarnation && !config.HasForwarder && !isHeld ||
 		o.world.isCarriedOutLate && e.incarnation != sentTo && !config.HoldsLateOrders
 	return !e.isUp || e.isPartitioned() || e.cutEpoch == o.epoch || hasEnded
 }
@@ -438,6 +451,9 @@
 				o.sendStop(orphan)
 			}
 		} else {
+			if reply.IsSilent && poll.Until > 0 {
+				o.cell.GrantUnanswered(w.now, e.id, poll.Born)
+			}
 			o.cell.PollFailed(w.now, e.id, reply.Answer)
 		}
 		// The next poll acknowledges the listed ends once they are stored.
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -106,6 +106,9 @@
 	// strayGrantEnd is the time by which grants that were meant for an earlier incarnation
 	// have expired on the present one, zero if it can have received none.
 	strayGrantEnd time.Time
+	// silentAt is when an order with a grant for the present incarnation was last given up without an answer
+	// while its connection was open.
+	silentAt time.Time
 	// unlikelyGrantEnd is that time for grants that may have strayed only if a connection has outlived the
 	// restart, zero if there are none.
 	unlikelyGrantEnd time.Time
@@ -427,6 +430,20 @@
 	return !e.listedSince.IsZero() && clock > now.Sub(e.listedSince).Milliseconds()
 }
 
+// GrantUnanswered records that a poll with a grant for an incarnation of an endpoint was given up without an
+// answer while its connection was open.
+func (c *Cell) GrantUnanswered(now time.Time, id string, born int64) {
+	e := c.endpoints[id]
+	switch {
+	case e == nil:
+	case e.born == born:
+		e.silentAt = now
+	default:
+		c.recordStrayGrant(now, e)
+		c.storeStrayGrant(e)
+	}
+}
+
 // PollFailed records that an endpoint did not list its runs when it was polled. Nothing is
 // placed on it until it has listed them again: a network partition affects many
 // endpoints at once, and a task placed on an unreachable endpoint is stuck until the
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -272,8 +272,11 @@
 	}
 	isPresent := s.Born == e.born
 	e.recordStartAnswer(now, reply, isPresent)
-	if !isPresent && answer.mayHaveGranted() {
+	switch {
+	case !isPresent && answer.mayHaveGranted():
 		c.recordStrayStart(now, e, reply)
+	case isPresent && reply.IsSilent:
+		e.silentAt = now
 	}
 	r := e.runs[s.Task]
 	if r == nil || r.number != s.Run || r.phase != ordered {
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -166,6 +166,9 @@
 	// IsBound reports that a start is sent only on a connection on which the incarnation that it is meant
 	// for has listed its runs.
 	IsBound bool
+	// IsSilent reports that no answer came while the connection was open. Something that forwards it
+	// may still hold the order, and deliver it to a later incarnation.
+	IsSilent bool
 }
 
 // Answer is the result of an order.
--- a/jobs/stray.go
+++ b/jobs/stray.go
@@ -32,9 +32,10 @@
 }
 
 // recordGrantsOfBefore records which grants may have strayed over a restart that a listing shows, and reports
-// whether its connection shows that they can have.
+// whether something shows that they can have: the connection of the listing, or an order without an answer.
 func (c *Cell) recordGrantsOfBefore(now time.Time, e *Endpoint, l Listing) (isSeen bool) {
 	e.unlikelyGrantEnd = time.Time{}
+	defer func() { e.silentAt = time.Time{} }()
 	// Grants of earlier owners were for the incarnation that they knew. Until this listing the
 	// endpoint took them.
 	isInherited := e.listedSince.IsZero() && e.hasInheritedRuns()
@@ -43,13 +44,14 @@
 		return false
 	}
 	// Those of this owner went astray only if they could.
-	if isInherited || !l.IsBound || l.isForwarded() {
+	isSeen = l.isForwarded() || e.silentAt.After(e.listedSince)
+	if isInherited || !l.IsBound || isSeen {
 		c.recordStrayGrant(now, e)
 	}
-	if !l.isForwarded() {
+	if !isSeen {
 		e.unlikelyGrantEnd = now.Add(c.config.Bounds.longestGrant())
 	}
-	return l.isForwarded()
+	return isSeen
 }
 
 // recordForwarder records a listing over a connection that has outlived a restart of the endpoint, which an
@@ -72,9 +74,9 @@
 }
 
 // recordStrayStart records the reply to a start for an earlier incarnation, which may have reached the
-// present one. A bound one that was not answered has probably ended with its connection.
+// present one. A bound one whose connection ended without an answer has probably ended with it.
 func (c *Cell) recordStrayStart(now time.Time, e *Endpoint, reply Reply) {
-	isSeen := reply.Answer != Unanswered || e.isStrayStored
+	isSeen := reply.Answer != Unanswered || reply.IsSilent || e.isStrayStored
 	if isSeen || !reply.IsBound {
 		c.recordStrayGrant(now, e)
 	}
