Show that a poll without an answer leaves a grant that its owner does not count

What callers saw: nothing yet. Behind something that forwards connections, a task may run twice without a change of the owner.

Cause: a poll with a grant for the former incarnation reaches the next one and its answer is lost. The next poll names no former incarnation that differs, so the owner takes it that the grant has ended with its connection, as it does directly: it counts 5.6 s, and the grant lasts 10 s.

Change: the two tests only. To count each grant whose poll was not answered would make the runs of each endpoint that has crashed wait for 10.7 s (LOST), as before.

--- a/jobs/emulator/takeover_test.go
+++ b/jobs/emulator/takeover_test.go
@@ -118,6 +118,50 @@
 	}
 }
 
+// A poll with a grant for the former incarnation may reach the next one over a connection that outlives the restart.
+// If its answer is lost, the next poll uses another connection, and the owner does not know that the grant has
+// strayed: the run of an endpoint that is cut off then goes on beside its successor (TWICE).
+func TestUnansweredPollLeavesForwardedGrant(t *testing.T) { playUnansweredPolls(t, true) }
+
+// The same without a forwarder: the poll ends with its connection.
+func TestUnansweredPollLeavesGrant(t *testing.T) { playUnansweredPolls(t, false) }
+
+func playUnansweredPolls(t *testing.T, hasForwarder bool) {
+	const step = 100 * time.Millisecond
+	for name, lost := range map[string]time.Duration{"none": 0, "for 300 ms": 300 * time.Millisecond, "for 600 ms": 600 * time.Millisecond} {
+		Convey("A task runs once if its endpoint restarts, its answers are lost, and it is cut off later: answers lost "+name, t, func() {
+			plays, broken := 0, 0
+			last := ""
+			for wait := time.Duration(0); wait < step; wait += 10 * time.Millisecond {
+				for delay := step; delay < 3*time.Second; delay += step {
+					w, job := newForwardedWorld(hasForwarder)
+					w.Submit(job)
+					w.Advance(7*time.Second + wait)
+					e := runningEndpoint(w)
+					e.LoseAnswers(lost)
+					e.Crash(time.Millisecond)
+					w.Advance(lost + delay)
+					if e = runningEndpoint(w); e == nil || e.incarnation == 1 {
+						continue
+					}
+					e.Partition(20 * time.Second)
+					w.Advance(14 * time.Second)
+					plays++
+					if found := w.Violations(); len(found) > 0 {
+						broken++
+						last = found[0]
+					}
+				}
+			}
+			if broken > 0 {
+				t.Logf("answers lost %s: %d of %d plays, e.g. %s", name, broken, plays, last)
+			}
+			So(broken, ShouldEqual, 0)
+			So(plays, ShouldBeGreaterThan, 60)
+		})
+	}
+}
+
 // cutOff cuts an endpoint off and changes the owner, in either order.
 func cutOff(w *World, e *Endpoint, changeOwner func(w *World, e *Endpoint), isCutFirst bool) {
 	if isCutFirst {
