Tell the next owner of a cell which endpoints the steward is about to order

A long-running task is started on a machine that is being moved or maintained, and ends with it (AVAIL, and its work is thrown away).

Cause: the steward orders a machine after the owner of its cell has cordoned the endpoint and said that nothing runs there. An owner that takes over in between knows of no cordon and starts tasks there.

Change: the state that the steward stores before its orders names their endpoints, and an owner reads it once it owns the cell, beside its load, and cordons them for 4 s, as the steward would. After the write the steward asks the owners again: one that took over before the write answers now, and one that takes over later reads it. The next steward keeps the endpoints of the one before in the state for the quiet period. A refused order is taken out with the next write of the state.

| way that was weighed | why, or why not | |---|---| | the owner's answer carries its epoch, and the write depends on the ownership key | does not cover owners that take over while the order is under way, so the read is needed anyway; a new field of the calls between entries, conditions for all pools in a change of 32, and a write that fails if any one of the owners has changed | | the steward stores what it intends before the first cordon | a write for each operation that is given up; the write no longer comes right before the orders, so it would not tell a replaced steward | | the steward stores its orders, and owners read them at their takeover | chosen, with the second question instead of the condition |

Cost: one read of the store for each takeover, which ends the owner if it fails, as its load does; a write after refused orders; a call to the owner for each batch of orders. None per poll or per plan.

--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -86,6 +86,10 @@
 	// are not evacuated.
 	Evacuated           func() []string
 	AreEvacuationsKnown func() bool
+	// Leaving returns the endpoints that are to get no work for LeavingDuration after the takeover, since
+	// orders for their machines may be carried out. It is nil if there are none.
+	Leaving         func(ctx context.Context) (endpoints []string, err error)
+	LeavingDuration time.Duration
 	// AccountWeight returns the weight of a client account's share of the cell.
 	AccountWeight func(account string) (weight float64)
 	// QueueAt returns the queue that the configuration in force has at a path, as jobs.Config does.
@@ -120,6 +124,11 @@
 	workers background.Group
 	isReady atomic.Bool
 
+	// leaving holds the endpoints of Config.Leaving, leavingUntil when they may get work again. Both
+	// are set before the loop.
+	leaving      []string
+	leavingUntil time.Time
+
 	// The fields from here to lastForgotten belong to the loop. pollers is keyed by
 	// endpoint ID.
 	pollers map[string]*poller
@@ -188,6 +197,8 @@
 	defer close(o.done)
 	defer o.workers.Wait()
 	defer o.cancel()
+	leaving := make(chan error, 1)
+	o.workers.Go(func() { leaving <- o.readLeaving() })
 	o.journal, err = journal.Load(o.ctx, journal.Config{
 		Client: o.config.Store, Cell: o.config.Cell, Owner: o.config.Condition, Log: o.config.Log,
 	}, o.cell, boot.Now())
@@ -198,6 +209,9 @@
 	if err != nil {
 		return err
 	}
+	if err = <-leaving; err != nil {
+		return err
+	}
 	o.isReady.Store(true)
 	event.CellServing.Log(o.config.Log, logrus.Fields{"jobs": o.cell.Active(), "epoch": int64(o.epoch)})
 	o.loop()
@@ -207,6 +221,16 @@
 	return o.runErr
 }
 
+// readLeaving reads the endpoints that are to get no work after the takeover.
+func (o *Owner) readLeaving() (err error) {
+	if o.config.Leaving == nil {
+		return nil
+	}
+	o.leaving, err = o.config.Leaving(o.ctx)
+	o.leavingUntil = boot.Now().Add(o.config.LeavingDuration)
+	return err
+}
+
 // loop handles events and runs planning cycles until the owner ends.
 func (o *Owner) loop() {
 	timer := time.NewTicker(planInterval)
--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -76,6 +76,9 @@
 			o.startPoller(registration)
 		}
 		o.cell.SetEndpoints(now, profiles)
+		for _, id := range o.leaving {
+			o.cell.Evacuate(now, id, o.leavingUntil, false)
+		}
 		for id, p := range o.pollers {
 			if _, isKnown := o.cell.NextPoll(now, id); !isKnown {
 				event.EndpointRemoved.Log(o.config.Log, logrus.Fields{"endpoint": id})
--- a/internal/cell/steward/operation.go
+++ b/internal/cell/steward/operation.go
@@ -145,25 +145,46 @@
 
 // cordonMachines renews the cordons of all machines that are to be moved or
 // maintained, and sends the orders for those that are ready. The orders are stored
-// before any is sent. Machines in standby pools run nothing and need no cordon.
+// before any is sent.
 func (s *Steward) cordonMachines(now time.Time) {
 	s.mu.Lock()
+	var leaving []*operation
+	for _, op := range s.operations {
+		if op.isLeaving() {
+			leaving = append(leaving, op)
+		}
+	}
+	s.mu.Unlock()
+	ready := slices.DeleteFunc(s.cordonPools(now, leaving), func(op *operation) bool { return !s.isOrderDue(now, op) })
+	if len(ready) == 0 || !s.saveState(now, ready) {
+		return
+	}
+	// An owner that has answered may have lost its pool since to one that read the state before. That
+	// one has to answer, too; owners after it read the orders.
+	ready = s.cordonPools(now, ready)
+	if !s.config.IsValid() {
+		return
+	}
+	for _, op := range ready {
+		s.sendOrder(op)
+	}
+}
+
+// cordonPools renews the cordons of operations and returns those whose orders may be sent.
+// Machines in standby pools run nothing and need no cordon.
+func (s *Steward) cordonPools(now time.Time, operations []*operation) (ready []*operation) {
 	byPool := make(map[string][]*operation)
 	isStandby := make(map[string]bool)
 	for _, p := range s.config.Pools() {
 		isStandby[p.Name] = p.IsStandby
 	}
-	var ready []*operation
-	for _, op := range s.operations {
-		switch {
-		case op.phase == phaseReturning:
-		case isStandby[op.sourcePool]:
+	for _, op := range operations {
+		if isStandby[op.sourcePool] {
 			ready = append(ready, op)
-		default:
+		} else {
 			byPool[op.sourcePool] = append(byPool[op.sourcePool], op)
 		}
 	}
-	s.mu.Unlock()
 	var mu sync.Mutex
 	var wait conc.WaitGroup
 	for pool, operations := range byPool {
@@ -175,13 +196,7 @@
 		})
 	}
 	wait.Wait()
-	ready = slices.DeleteFunc(ready, func(op *operation) bool { return !s.isOrderDue(now, op) })
-	if len(ready) == 0 || !s.saveState(now, ready) || !s.config.IsValid() {
-		return
-	}
-	for _, op := range ready {
-		s.sendOrder(op)
-	}
+	return ready
 }
 
 // cordonPool renews the cordons in one pool and returns the operations whose orders
@@ -194,7 +209,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, ownerTimeout)
 	defer cancel()
-	loads, err := s.config.Cells.Cordon(ctx, pool, ids, cordonDuration, true)
+	loads, err := s.config.Cells.Cordon(ctx, pool, ids, CordonDuration, true)
 	if err != nil {
 		// It is unknown whether the machines still run work, so no orders are sent.
 		event.OperationFailed.Log(s.config.Log, logrus.Fields{"call": "cordon", "cell": pool, "error": err.Error()})
@@ -270,6 +285,7 @@
 	default:
 		event.MachineOrderRefused.Log(s.config.Log, fields)
 		s.quietUntil[op.machine] = boot.Now().Add(refusalBackoff)
+		s.isStateChanged = true
 		s.isOrderFenced = s.isOrderFenced || errors.Is(err, cloud.ErrFenced)
 		delete(s.operations, op.machine)
 	}
--- a/internal/cell/steward/state.go
+++ b/internal/cell/steward/state.go
@@ -26,11 +26,31 @@
 	// Ordered lists the machines that were recently ordered. It is written before the
 	// orders are sent.
 	Ordered []string `json:"ordered,omitempty"`
+	// Leaving lists by pool the endpoints of machines whose orders may be carried out, for later
+	// owners of the pools. It is written before the orders are sent.
+	Leaving map[string][]string `json:"leaving,omitempty"`
 	// Elapsed is how long each wave that is not completed has been known, in milliseconds, by
 	// wave number.
 	Elapsed map[int]int64 `json:"elapsed,omitempty"`
 }
 
+// Leaving returns the endpoints of a pool that are to get no work since orders for their machines may
+// be carried out. An owner that takes the pool over reads it once it is the owner, and cordons them
+// for CordonDuration: the owner before, which the steward has asked, passes no cordons on.
+func Leaving(ctx context.Context, client *store.Client, pool string) (endpoints []string, err error) {
+	item, err := client.Get(ctx, stateKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var saved state
+	// Stewards that cannot decode the state send no orders.
+	_ = json.Unmarshal(item.Value, &saved)
+	return saved.Leaving[pool], nil
+}
+
 // elapsedSaveInterval is how often the state is saved while a wave is not completed, so that
 // the next holder knows how much of its time has passed.
 const elapsedSaveInterval = time.Second
@@ -102,6 +122,7 @@
 		s.quietUntil[machine] = now.Add(s.config.QuietPeriod)
 		s.lastOrdered[machine] = now
 	}
+	s.inheritedLeaving, s.inheritedUntil = saved.Leaving, now.Add(s.config.QuietPeriod)
 	for number, elapsed := range saved.Elapsed {
 		s.knownSince[number] = now.Add(-time.Duration(elapsed) * time.Millisecond)
 	}
@@ -130,6 +151,32 @@
 	return open
 }
 
+// leaving returns the endpoints for state.Leaving. The caller holds s.mu.
+func (s *Steward) leaving(now time.Time, pending []*operation) map[string][]string {
+	leaving := make(map[string][]string)
+	add := func(pool, endpoint string) {
+		if endpoint != "" && !slices.Contains(leaving[pool], endpoint) {
+			leaving[pool] = append(leaving[pool], endpoint)
+		}
+	}
+	for _, op := range pending {
+		add(op.sourcePool, op.endpoint)
+	}
+	for _, op := range s.operations {
+		if op.phase == phaseOrdered || op.phase == phaseUnanswered {
+			add(op.sourcePool, op.endpoint)
+		}
+	}
+	if now.Before(s.inheritedUntil) {
+		for pool, endpoints := range s.inheritedLeaving {
+			for _, endpoint := range endpoints {
+				add(pool, endpoint)
+			}
+		}
+	}
+	return leaving
+}
+
 // saveState stores the state for the next holder, including the machines of
 // operations whose orders are about to be sent. Orders may be sent only if it returns
 // true.
@@ -138,7 +185,7 @@
 	for _, op := range pending {
 		s.lastOrdered[op.machine] = now
 	}
-	current := state{Maintained: s.maintained, Elapsed: s.openWaves(now)}
+	current := state{Maintained: s.maintained, Elapsed: s.openWaves(now), Leaving: s.leaving(now, pending)}
 	for machine, orderedAt := range s.lastOrdered {
 		if now.Sub(orderedAt) < orderRetention {
 			current.Ordered = append(current.Ordered, machine)
--- a/internal/cell/steward/steward.go
+++ b/internal/cell/steward/steward.go
@@ -31,9 +31,9 @@
 	ownerTimeout = 350 * time.Millisecond
 	// callTimeout bounds a call to the cloud or the store.
 	callTimeout = 1200 * time.Millisecond
-	// cordonDuration is how long a cordon lasts unless it is renewed. It is longer
+	// CordonDuration is how long a cordon lasts unless it is renewed. It is longer
 	// than an order can be in progress.
-	cordonDuration = 4 * time.Second
+	CordonDuration = 4 * time.Second
 	// forceAfter is how long maintenance waits for the short-lived work on its
 	// machine to end; after that the work is abandoned.
 	forceAfter = 7 * time.Second
@@ -127,12 +127,16 @@
 	knownSince map[int]time.Time
 	// savedAt is when the state was last saved.
 	savedAt time.Time
-	// isStateChanged is set while maintained differs from the stored state.
+	// isStateChanged is set while maintained differs from the stored state, or that names an
+	// endpoint whose order was refused.
 	isStateChanged bool
 	// lastOrdered is when each machine was last ordered, quietUntil the time before
 	// which it gets no orders.
 	lastOrdered map[string]time.Time
 	quietUntil  map[string]time.Time
+	// inheritedLeaving is state.Leaving of the previous holder, whose orders have ended by inheritedUntil.
+	inheritedLeaving map[string][]string
+	inheritedUntil   time.Time
 	// idleSince is when each machine was first seen without runs.
 	idleSince map[string]time.Time
 	// served holds the last endpoint of each machine that an owner knew, unservedSince since
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -428,8 +428,9 @@
 		Advise: d.platform.Advise, AwaitAdviceTurn: d.adviceTurns.await, QueueAt: d.queueAt, AdviceTerms: d.adviceTerms,
 		Evacuated: d.evacuations.centres, AreEvacuationsKnown: d.evacuations.areKnown,
 		IsForecasting: d.config.Settings.Forecast,
-		Log:           d.log.WithField("cell", cell),
-		Scope:         d.config.Scope.Tagged(map[string]string{"cell": cell}),
+		Leaving:       d.leaving(cell), LeavingDuration: steward.CordonDuration,
+		Log:   d.log.WithField("cell", cell),
+		Scope: d.config.Scope.Tagged(map[string]string{"cell": cell}),
 	})
 	d.mu.Lock()
 	// onLeaseLost stops the owners that were added before under the same lock.
--- a/internal/daemon/fleet/steward.go
+++ b/internal/daemon/fleet/steward.go
@@ -64,6 +64,15 @@
 	})
 }
 
+// leaving returns the function that reads which endpoints of a cell are to get no work after its takeover,
+// nil if nothing is ordered.
+func (d *Daemon) leaving(cell string) func(ctx context.Context) (endpoints []string, err error) {
+	if d.platform.Cloud == nil {
+		return nil
+	}
+	return func(ctx context.Context) ([]string, error) { return steward.Leaving(ctx, d.store, cell) }
+}
+
 // quietPeriod returns how long machines that the previous steward ordered get no orders.
 func (d *Daemon) quietPeriod() time.Duration {
 	d.mu.Lock()
