Stop decoding a job at its limits

Cause: the decoders of submissions decoded the whole body, and jobs.Job.Check applied the limits to the result.

Evidence: TestDecodeSubmissionMemory bounds what is allocated for a body of 262,144 bytes by 16 times its size.

Change: submitter.LimitBody scans a body without decoding it and refuses more steps than jobs.MaxSteps, or a spec that cannot fit into jobs.MaxSpecBytes, with the text of Check. The numbers of after are allocated at once, names that no field can have are not looked up, a number of the wrong type ends decoding, and errors quote at most 300 bytes. Elements of repeated fields "steps" count together, and a spec that is too long is refused even if another follows; until now the last one alone counted. Otherwise what is accepted, and its result, do not change.

--- a/internal/front/submitter/codec.go
+++ b/internal/front/submitter/codec.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -50,13 +49,42 @@
 	}
 }
 
-// decodeJob parses a job. Unknown fields are an error, because a request of the
+// wireJob and wireStep are a job and a step as decoded from a body.
+type (
+	wireJob struct {
+		jobs.Job
+		Steps []wireStep `json:"steps"`
+	}
+	wireStep struct {
+		jobs.Step
+		After Numbers `json:"after"`
+	}
+)
+
+// decodeJob parses a job within the limits of LimitBody. Unknown fields are an error, because a request of the
 // submitter must not be ignored silently.
 func decodeJob(body []byte) (job jobs.Job, err error) {
+	body, count, err := LimitBody(body)
+	if err != nil {
+		return jobs.Job{}, err
+	}
+	var wire wireJob
+	if count > 0 {
+		wire.Steps = make([]wireStep, 0, count)
+	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&job); err != nil {
-		return jobs.Job{}, fmt.Errorf("the body is not a job: %w", err)
+	if err := decoder.Decode(&wire); err != nil {
+		return jobs.Job{}, InvalidBody(err)
+	}
+	job = wire.Job
+	if wire.Steps != nil {
+		job.Steps = make([]jobs.Step, 0, len(wire.Steps))
+	}
+	for i := range wire.Steps {
+		step := &wire.Steps[i]
+		step.Step.After = step.After
+		job.Steps = append(job.Steps, step.Step)
 	}
 	return job, nil
 }
--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -150,11 +150,14 @@
 	return true
 }
 
-// Limits on the size of a job.
+// Limits on the size of a job. Check applies them; a decoder can use them to stop early.
 const (
-	maxSteps     = 1000
-	maxTasks     = 100000
-	maxSpecBytes = 4000
+	// MaxSteps is the largest number of steps.
+	MaxSteps = 1000
+	// MaxTasks is the largest number of tasks of all steps together.
+	MaxTasks = 100000
+	// MaxSpecBytes is the largest length of the spec.
+	MaxSpecBytes = 4000
 )
 
 // SpecError describes why a submitted job is invalid. Its text reaches the
@@ -173,18 +176,28 @@
 	return fmt.Sprintf("step %d: %s", s.Step, s.Reason)
 }
 
+// TooManySteps returns the error of a job with more than MaxSteps steps.
+func TooManySteps() *SpecError {
+	return &SpecError{-1, fmt.Sprintf("there are more than %d steps", MaxSteps)}
+}
+
+// SpecTooLong returns the error of a job whose spec has more than MaxSpecBytes bytes.
+func SpecTooLong() *SpecError {
+	return &SpecError{-1, fmt.Sprintf("the spec is longer than %d bytes", MaxSpecBytes)}
+}
+
 // Check validates a submitted job. It returns the first fault as a *SpecError, nil
 // if there is none.
 func (j *Job) Check() error {
 	switch {
 	case !IsID(j.ID):
 		return &SpecError{-1, fmt.Sprintf("the ID is not %d hexadecimal digits", IDLength)}
-	case len(j.Spec) > maxSpecBytes:
-		return &SpecError{-1, fmt.Sprintf("the spec is longer than %d bytes", maxSpecBytes)}
+	case len(j.Spec) > MaxSpecBytes:
+		return SpecTooLong()
 	case len(j.Steps) == 0:
 		return &SpecError{-1, "there is no step"}
-	case len(j.Steps) > maxSteps:
-		return &SpecError{-1, fmt.Sprintf("there are more than %d steps", maxSteps)}
+	case len(j.Steps) > MaxSteps:
+		return TooManySteps()
 	case j.Times < 0 || j.Interval < 0:
 		return &SpecError{-1, "times or interval is negative"}
 	}
@@ -195,8 +208,8 @@
 		}
 		tasks += j.Steps[i].Count
 	}
-	if tasks > maxTasks {
-		return &SpecError{-1, fmt.Sprintf("there are more than %d tasks", maxTasks)}
+	if tasks > MaxTasks {
+		return &SpecError{-1, fmt.Sprintf("there are more than %d tasks", MaxTasks)}
 	}
 	return nil
 }
