Refuse a job whose number of tasks overflows

Cause: Check added the counts of the steps without a limit, and their sum overflowed to a number of at most MaxTasks.

Evidence: TestCheckCountOverflow failed for both sums beyond int.

Change: a count beyond the limit is added as MaxTasks + 1; 1,000 of these cannot overflow.

Result: the test passes.

--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -206,7 +206,8 @@
 		if err := j.Steps[i].check(i); err != nil {
 			return err
 		}
-		tasks += j.Steps[i].Count
+		// Counts beyond the limit are not added, as their sum could overflow.
+		tasks += min(j.Steps[i].Count, MaxTasks+1)
 	}
 	if tasks > MaxTasks {
 		return &SpecError{-1, fmt.Sprintf("there are more than %d tasks", MaxTasks)}
