Begin the due occurrences of a timed job a few at a time

What callers could see: a job of some tens of bytes ends its owner, and each next one.

Cause: `times` has no limit, and all occurrences that are due begin in one planning pass, with all their tasks.

Change: while occurrences with 10,000 tasks have begun and not ended, no further one begins, unless a single one is larger. Those that are due begin as others end.

--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -199,6 +199,15 @@
 	return end.Add(inheritedGrantSlack)
 }
 
+// maxOpenTasks is how many tasks of a timed job's occurrences may have begun and not ended, unless a single occurrence has
+// more. Further occurrences that are due begin as others end.
+const maxOpenTasks = 10_000
+
+// mayBegin reports whether a further occurrence of a timed job may begin.
+func (j *job) mayBegin() bool {
+	return len(j.occurrences) == 0 || (len(j.occurrences)+1)*j.tasksPerOccurrence() <= maxOpenTasks
+}
+
 // beginDueOccurrences begins the occurrences of timed jobs that are due on the wall
 // clock.
 func (c *Cell) beginDueOccurrences(wall time.Time) {
@@ -206,7 +215,7 @@
 		if j.Times == 0 || j.isOver() {
 			continue
 		}
-		for j.nextOccurrence < j.Times {
+		for j.nextOccurrence < j.Times && j.mayBegin() {
 			due := j.First.Add(time.Duration(j.nextOccurrence) * j.Interval)
 			if wall.Before(due) {
 				break
--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -134,6 +134,14 @@
 // Occurrences returns the number of occurrences, 1 for a job that is not timed.
 func (j *Job) Occurrences() int { return max(j.Times, 1) }
 
+// tasksPerOccurrence returns the number of tasks of an occurrence.
+func (j *Job) tasksPerOccurrence() (count int) {
+	for i := range j.Steps {
+		count += j.Steps[i].Count
+	}
+	return count
+}
+
 // IDLength is the length of a job's ID in hexadecimal digits.
 const IDLength = 16
 
