Bound the tasks that the accepted jobs of a cell have

What callers could see: some ten jobs of a few bytes each end the owner of a cell.

Cause: a job may have 100,000 tasks, which take 35 MB (trial); long-running and timed jobs are accepted whatever the cell holds, and the tasks of ended jobs were kept for as long as their state.

Change: a job is not accepted (429 with Retry-After) while the cell holds tasks and would have more than 150,000 with it. Tasks of ended jobs are deleted once nothing of them runs.

Result: TestAcceptedJobsTakeAllMemory: of 30 jobs of 100,000 tasks one is accepted, before all; a job of any size is accepted in calm.

--- a/jobs/admit.go
+++ b/jobs/admit.go
@@ -20,6 +20,9 @@
 	// minRetry keeps rejected submitters from returning in the same burst.
 	minRetry = 500 * time.Millisecond
 	maxRetry = 5 * time.Second
+	// maxHeldTasks is how many tasks the jobs of a cell may have. A task takes some 350 bytes, and a single job
+	// may have MaxTasks.
+	maxHeldTasks = MaxTasks + MaxTasks/2
 )
 
 // Admit decides whether to accept a job, without adding it. Bursts may ask for
@@ -28,13 +31,13 @@
 // accepted, while its submitter can still act on that. Submitters of rejected jobs
 // return, and the objective counts from their first attempt: a job that is too late for
 // it is accepted only while it takes no room from others. Long-running and timed jobs are accepted
-// unless the limit of their client account can never hold one of their tasks, known jobs always.
+// unless the limit of their client account can never hold one of their tasks, or the cell holds too many; known jobs always.
 func (c *Cell) Admit(now time.Time, spec *Job) Verdict {
 	if c.jobs[spec.ID] != nil {
 		return Verdict{IsAccepted: true}
 	}
-	if !c.fitsAccount(spec) {
-		return Verdict{RetryAfter: maxRetry, Reason: "a task or gang is larger than the limit of the client account"}
+	if reason := c.whyNever(spec); reason != "" {
+		return Verdict{RetryAfter: maxRetry, Reason: reason}
 	}
 	if spec.IsLongRunning() || spec.Times > 0 {
 		return Verdict{IsAccepted: true}
@@ -69,6 +72,17 @@
 	return Verdict{RetryAfter: retryAfter, Reason: "the queue is too long to end in time"}
 }
 
+// whyNever returns why a job is not accepted whatever waits before it, empty if it may be.
+func (c *Cell) whyNever(spec *Job) (reason string) {
+	switch {
+	case !c.fitsAccount(spec):
+		return "a task or gang is larger than the limit of the client account"
+	case c.heldTasks > 0 && c.heldTasks+spec.tasksPerOccurrence() > maxHeldTasks:
+		return "the cell holds too many tasks"
+	}
+	return ""
+}
+
 // estimateSlack is the expected wait beyond a job's slack that is still accepted,
 // since the estimates of backlog and run times are off by as much.
 const estimateSlack = 300 * time.Millisecond
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -37,8 +37,10 @@
 // Cell holds the jobs, tasks and endpoints of one cell. It is not safe for
 // concurrent use.
 type Cell struct {
-	config    Config
-	jobs      map[string]*job
+	config Config
+	jobs   map[string]*job
+	// heldTasks is the number of tasks of occurrences that have begun and are kept.
+	heldTasks int
 	active    []*job
 	endpoints map[string]*Endpoint
 	// orphans counts the orphans on all endpoints by task.
@@ -376,10 +378,22 @@
 	slices.SortStableFunc(c.active, compare)
 }
 
-// Forget deletes jobs that ended more than Bounds.Retention ago and have no runs left.
+// Forget deletes the tasks of jobs that have ended and have no runs left, and such jobs themselves that ended more
+// than Bounds.Retention ago.
 func (c *Cell) Forget(now time.Time) {
+	hasRuns := make(map[*job]bool)
+	for _, e := range c.endpoints {
+		for _, r := range e.runs {
+			hasRuns[r.task.step.occurrence.job] = true
+		}
+	}
 	for id, j := range c.jobs {
-		if j.isOver() && now.Sub(j.ended) > c.config.Bounds.Retention && !j.hasRuns() {
+		if !j.isOver() || hasRuns[j] {
+			continue
+		}
+		c.heldTasks -= len(j.occurrences) * j.tasksPerOccurrence()
+		clear(j.occurrences)
+		if now.Sub(j.ended) > c.config.Bounds.Retention {
 			delete(c.jobs, id)
 		}
 	}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -241,6 +241,7 @@
 		o.steps = append(o.steps, s)
 	}
 	j.occurrences[number] = o
+	c.heldTasks += j.tasksPerOccurrence()
 	j.nextOccurrence = max(j.nextOccurrence, number+1)
 	o.updateReady()
 	return o
--- a/jobs/listing.go
+++ b/jobs/listing.go
@@ -256,6 +256,7 @@
 		j.occurrencesLeft--
 		if j.Times > 0 {
 			delete(j.occurrences, o.number)
+			c.heldTasks -= j.tasksPerOccurrence()
 		}
 		if j.occurrencesLeft == 0 {
 			c.finishJob(now, j, Completed)
