--- a/internal/proof/minion/system_test.go
+++ b/internal/proof/minion/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -31,6 +32,8 @@
 	// storeLatency is the time that each call to the store takes. Starts are sent when their records
 	// are stored, so they are under way for at least as long.
 	storeLatency = 8 * time.Millisecond
+	// entryMemory is the memory that an entry may use, in megabytes.
+	entryMemory = 284
 	// timeout ends a wait that would fail anyway.
 	timeout = 30 * time.Second
 )
@@ -48,7 +51,10 @@
 	// hasLinks puts links before the endpoints instead of forwarders, with this outage.
 	hasLinks bool
 	outage   outage
-	seed     uint64
+	// memory is the memory that each entry may use in megabytes, entryMemory if it is 0. descriptors is the
+	// number of descriptors, 0 for the usual one.
+	memory, descriptors int
+	seed                uint64
 }
 
 // system is a set of entries and endpoints that run as processes, and a store.
@@ -146,11 +152,16 @@
 		name: fmt.Sprintf("entry-%d", number+1), submitters: freeAddress(s.t), ready: freeAddress(s.t),
 		logPath: filepath.Join(folder, "log"),
 	}
-	settings, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"name": e.name, "centre": fmt.Sprintf("z%d", number+1), "submitters": e.submitters, "ready": e.ready,
 		"peer": freeAddress(s.t), "metrics": freeAddress(s.t), "store": s.address, "orders": "request",
-		"memory": 284, "power": 1, "stop": 6, "bounds": map[string]any{"hold": 10000, "lease": 3000, "kept": 120},
-	})
+		"memory": cmp.Or(s.config.memory, entryMemory), "power": 1, "stop": 6,
+		"bounds": map[string]any{"hold": 10000, "lease": 3000, "kept": 120},
+	}
+	if s.config.descriptors > 0 {
+		fields["descriptors"] = s.config.descriptors
+	}
+	settings, err := json.Marshal(fields)
 	if err != nil {
 		s.t.Fatal(err)
 	}
