--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -125,4 +125,6 @@
 	AccountHeldBack        = define(684, logrus.InfoLevel, "work of a client account above its share is held back")
 	RunTimesLearned        = define(686, logrus.InfoLevel, "accuracy of predicted run times")
 	MachineTimeUsed        = define(688, logrus.InfoLevel, "machine time in pools by cause")
+	ConnectionsClosed      = define(690, logrus.WarnLevel, "connections closed for want of room")
+	BodiesGivenUp          = define(691, logrus.WarnLevel, "bodies given up for want of memory")
 )
