Bound the memory of bodies that are received and decoded

What callers saw: clients with a valid key that sent many large bodies at once, whole, chunked or short of their end, ended an entry: it ran out of memory, its cells were lost and nobody was served.

Cause: a submission was read with io.ReadAll, whose buffer grows by copies, and decoded, bounded for one request and not for all of them together; a body that does not end was kept for ever.

Change: intake.Bodies receives bodies. It reserves memory as bytes arrive and gives up the body that has been arriving for longest if the memory is taken; what is larger than allowed is refused by its Content-Length; a body has the time that its caller waits, 10 s at most. A body that is given up or late is answered 503 with Retry-After, since it never runs. intake.Decoder lets two bodies be decoded at a time and reserves four times their size until they are answered. Two faults in one commit, as they are one path through submitter.Handler.

--- a/internal/daemon/fleet/listen.go
+++ b/internal/daemon/fleet/listen.go
@@ -13,6 +13,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/front/guard"
+	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
 	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
 )
 
@@ -33,8 +34,11 @@
 // open.
 func (d *Daemon) listen() (l *listeners, err error) {
 	l = &listeners{}
+	limits := d.config.Settings.intakeLimits()
 	handler := submitter.New(submitter.Config{
 		Backend: d.backend(), Codec: d.platform.Codec, Setup: d.setup.Load, Log: d.log, Scope: d.config.Scope,
+		Bodies:  intake.NewBodies(intake.BodiesConfig{Name: "submitter", Limits: limits, Log: d.log, Scope: d.config.Scope}),
+		Decoder: intake.NewDecoder(intake.DecoderConfig{Name: "submitter", Limits: limits, Scope: d.config.Scope}),
 	})
 	ready := httprouter.New()
 	ready.HandlerFunc(http.MethodGet, d.platform.ReadyPath, d.serveReady)
--- a/internal/daemon/fleet/settings.go
+++ b/internal/daemon/fleet/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gitlab.com/chicorypin/chicorypin/internal/base/fault"
+	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
 
@@ -41,6 +42,11 @@
 	// MemoryMegabytes is the memory limit of the process in megabytes of 2^20 bytes, 0
 	// for no limit.
 	MemoryMegabytes int64 `json:"memory,omitempty"`
+	// Descriptors is the maximum number of file descriptors of the process, 0 for the limit of the
+	// operating system.
+	Descriptors int `json:"descriptors,omitempty"`
+	// Connections is the maximum number of open connections of submitters, 0 for the default.
+	Connections int `json:"connections,omitempty"`
 	// Cores is the processor time of the instance in cores, 0 if unknown.
 	Cores float64 `json:"power,omitempty"`
 	// StopSeconds is the time that the process has between SIGTERM and its exit.
@@ -112,6 +118,15 @@
 	if s.Orders != ordersOnRequest {
 		list.Add("/orders", "%q is not served, only %q is", s.Orders, ordersOnRequest)
 	}
+	if s.MemoryMegabytes < 0 {
+		list.Add("/memory", "is negative")
+	}
+	if s.Descriptors < 0 {
+		list.Add("/descriptors", "is negative")
+	}
+	if s.Connections < 0 {
+		list.Add("/connections", "is negative")
+	}
 	if s.StopSeconds <= 0 {
 		list.Add("/stop", "is not positive")
 	}
@@ -130,6 +145,18 @@
 	preferredGrant = 5 * time.Second
 )
 
+// megabyte is the unit of Settings.MemoryMegabytes in bytes.
+const megabyte = 1 << 20
+
+// intakeLimits returns the limits for what submitters may hold of the process.
+func (s *Settings) intakeLimits() intake.Limits {
+	limits := intake.DefaultLimits(s.MemoryMegabytes*megabyte, s.Descriptors)
+	if s.Connections > 0 {
+		limits.Connections = s.Connections
+	}
+	return limits
+}
+
 // bounds returns the time limits of the cells.
 func (s *Settings) bounds() jobs.Bounds {
 	b := jobs.DefaultBounds()
--- a/internal/front/submitter/submitter.go
+++ b/internal/front/submitter/submitter.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +16,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/base/boot"
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
+	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
 	"gitlab.com/chicorypin/chicorypin/internal/model/setup"
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
@@ -42,6 +42,8 @@
 	// unavailableRetry is the Retry-After while a cell has no owner. A takeover takes
 	// at most the length of a lease, and mostly less.
 	unavailableRetry = time.Second
+	// overloadRetry is the Retry-After of a request that there was no room for.
+	overloadRetry = time.Second
 	// defaultMaxBody is the maximum size of a body in bytes if the configuration sets
 	// none.
 	defaultMaxBody = 1 << 20
@@ -86,8 +88,11 @@
 	Codec   Codec
 	// Setup returns the configuration in force, nil if none has been loaded.
 	Setup func() *setup.Setup
-	Log   *logrus.Entry
-	Scope tally.Scope
+	// Bodies receives the bodies of submissions, Decoder limits their decoding.
+	Bodies  *intake.Bodies
+	Decoder *intake.Decoder
+	Log     *logrus.Entry
+	Scope   tally.Scope
 }
 
 // Handler serves the requests of submitters. It implements http.Handler.
@@ -124,7 +129,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), max(wait-responseMargin, responseMargin))
 	defer cancel()
-	resp := h.respond(ctx, r)
+	resp := h.respond(ctx, w, r)
 	if resp.retry > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int((resp.retry+time.Second-1)/time.Second)))
 	}
@@ -153,7 +158,7 @@
 }
 
 // respond authenticates a request and dispatches it by its method and path.
-func (h *Handler) respond(ctx context.Context, r *http.Request) response {
+func (h *Handler) respond(ctx context.Context, w http.ResponseWriter, r *http.Request) response {
 	s := h.config.Setup()
 	if s == nil {
 		return h.refuse(http.StatusServiceUnavailable, "there is no configuration yet", unavailableRetry)
@@ -176,7 +181,7 @@
 	case !jobs.IsID(request.id):
 		return h.refuse(http.StatusNotFound, "the path names no job", 0)
 	case r.Method == http.MethodPost:
-		return h.submit(ctx, s, request, r)
+		return h.receive(ctx, w, r, s, request)
 	case r.Method == http.MethodGet:
 		return h.status(ctx, request)
 	case r.Method == http.MethodDelete:
@@ -185,22 +190,41 @@
 	return h.refuse(http.StatusMethodNotAllowed, "the method is not known", 0)
 }
 
-func (h *Handler) submit(ctx context.Context, s *setup.Setup, request queueRequest, r *http.Request) response {
+// receive receives and decodes the body of a submission, and submits the job.
+func (h *Handler) receive(ctx context.Context, w http.ResponseWriter, r *http.Request, s *setup.Setup, request queueRequest) response {
 	limit := s.MaxBodyBytes
 	if limit == 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	deadline, _ := ctx.Deadline()
+	body, releaseBody, err := h.config.Bodies.Read(w, r, limit, time.Until(deadline))
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		return h.refuse(http.StatusRequestEntityTooLarge, err.Error(), 0)
+	case errors.Is(err, intake.ErrGivenUp), errors.Is(err, intake.ErrTimeout):
+		return h.refuse(http.StatusServiceUnavailable, err.Error(), overloadRetry)
+	case err != nil:
 		return h.refuse(http.StatusBadRequest, "the body was not received whole", 0)
 	}
-	if int64(len(body)) > limit {
-		return h.refuse(http.StatusRequestEntityTooLarge, "the body is too large", 0)
-	}
-	job, err := h.config.Codec.Job(body)
-	if err != nil {
+	defer releaseBody()
+	var job jobs.Job
+	releaseJob, err := h.config.Decoder.Decode(ctx, int64(len(body)), func() (err error) {
+		job, err = h.config.Codec.Job(body)
+		return err
+	})
+	defer releaseJob()
+	releaseBody()
+	switch {
+	case errors.Is(err, intake.ErrBusy):
+		return h.refuse(http.StatusServiceUnavailable, err.Error(), overloadRetry)
+	case err != nil:
 		return h.refuse(http.StatusBadRequest, err.Error(), 0)
 	}
+	return h.submit(ctx, request, job)
+}
+
+// submit completes a job by what its queue sets, and submits it to the owner.
+func (h *Handler) submit(ctx context.Context, request queueRequest, job jobs.Job) response {
 	q := request.Queue
 	job.ID, job.Queue, job.Path, job.Account = request.id, q.Name, q.Path(), request.Account
 	job.Priority, job.Attempts, job.Stretch, job.Target = q.Priority, q.MaxAttempts, q.Stretch, q.Target
