Bound connections and the time for which a client may occupy one

What callers saw: clients that need no key held all descriptors of an entry, with bodies short of their last byte after a wrong key or for no queue; as long as they stayed nobody was served, and the entry had no descriptor for its own calls. Refused requests and answers that nobody reads kept their connection and goroutine without a time limit.

Cause: net/http bounds neither the number of connections nor the time for draining an unread body nor that for writing an answer, and accepted connections share the descriptors with all other calls.

Change: the listeners of submitters, readiness checks and metrics are intake.Servers.

--- a/cmd/chicorypind/fleet.go
+++ b/cmd/chicorypind/fleet.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -21,6 +23,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/base/event"
 	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
 	"gitlab.com/chicorypin/chicorypin/internal/daemon/fleet"
+	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
 	"gitlab.com/chicorypin/chicorypin/platform"
 )
 
@@ -70,9 +73,9 @@
 	router := httprouter.New()
 	router.Handler(http.MethodGet, "/metrics", reporter.HTTPHandler())
 	router.HandlerFunc(http.MethodGet, fleet.DumpPath, daemon.ServeDump)
-	server := &http.Server{Addr: settings.Metrics.String(), Handler: router, ReadHeaderTimeout: time.Second}
+	server := intake.New(intake.Config{Name: "metrics", Handler: router, Limits: intake.SmallLimits(), Log: log, Scope: scope})
 	go func() {
-		if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		if err := serveMetrics(server, settings.Metrics); !errors.Is(err, http.ErrServerClosed) {
 			event.OperationFailed.Log(log, logrus.Fields{"call": "metrics", "error": err.Error()})
 		}
 	}()
@@ -86,6 +89,15 @@
 	return daemon.Run(ctx)
 }
 
+// serveMetrics listens on an address and serves until the server is closed. Its error is never nil.
+func serveMetrics(server *intake.Server, address netip.AddrPort) error {
+	listener, err := intake.Listen(address.String())
+	if err != nil {
+		return err
+	}
+	return server.Serve(listener)
+}
+
 // heapGrowth returns the target of the garbage collector for an instance's memory, 0 if
 // that is unknown.
 func heapGrowth(memoryMegabytes int64) int {
--- a/internal/daemon/fleet/listen.go
+++ b/internal/daemon/fleet/listen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -17,39 +16,36 @@
 	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
 )
 
-const (
-	// headerTimeout bounds the reading of a request's header, idleTimeout the time
-	// for which a connection may stay unused.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 30 * time.Second
-	// closeTimeout bounds the wait for requests in progress when the entry stops.
-	closeTimeout = time.Second
-)
+// closeTimeout bounds the wait for requests in progress when the entry stops.
+const closeTimeout = time.Second
 
 // listeners holds the HTTP servers of an entry, for submitters and for readiness
 // checks.
-type listeners struct{ servers []*http.Server }
+type listeners struct{ servers []*intake.Server }
 
 // listen opens the listeners and starts to serve on them. After an error none is left
 // open.
 func (d *Daemon) listen() (l *listeners, err error) {
 	l = &listeners{}
-	limits := d.config.Settings.intakeLimits()
+	s := d.config.Settings
+	const name = "submitter"
+	limits := s.intakeLimits()
 	handler := submitter.New(submitter.Config{
 		Backend: d.backend(), Codec: d.platform.Codec, Setup: d.setup.Load, Log: d.log, Scope: d.config.Scope,
-		Bodies:  intake.NewBodies(intake.BodiesConfig{Name: "submitter", Limits: limits, Log: d.log, Scope: d.config.Scope}),
-		Decoder: intake.NewDecoder(intake.DecoderConfig{Name: "submitter", Limits: limits, Scope: d.config.Scope}),
+		Bodies:  intake.NewBodies(intake.BodiesConfig{Name: name, Limits: limits, Log: d.log, Scope: d.config.Scope}),
+		Decoder: intake.NewDecoder(intake.DecoderConfig{Name: name, Limits: limits, Scope: d.config.Scope}),
 	})
 	ready := httprouter.New()
 	ready.HandlerFunc(http.MethodGet, d.platform.ReadyPath, d.serveReady)
-	s := d.config.Settings
 	for _, sv := range []struct {
 		name    string
 		address netip.AddrPort
+		limits  intake.Limits
 		handler http.Handler
-	}{{"submitter", s.Submitters, d.closeWhenLeaving(handler)}, {"ready", s.Ready, ready}} {
+	}{{name, s.Submitters, limits, d.closeWhenLeaving(handler)}, {"ready", s.Ready, intake.SmallLimits(), ready}} {
 		guarded := guard.New(guard.Config{Name: sv.name, Log: d.log, Scope: d.config.Scope}, sv.handler)
-		if err := l.open(sv.address, guarded, d.log); err != nil {
+		server := intake.New(intake.Config{Name: sv.name, Handler: guarded, Limits: sv.limits, Log: d.log, Scope: d.config.Scope})
+		if err := l.open(sv.address, server, d.log); err != nil {
 			l.close(0)
 			return nil, err
 		}
@@ -58,12 +54,11 @@
 }
 
 // open listens on an address and serves requests in the background.
-func (l *listeners) open(address netip.AddrPort, handler http.Handler, log *logrus.Entry) error {
-	listener, err := net.Listen("tcp", address.String())
+func (l *listeners) open(address netip.AddrPort, server *intake.Server, log *logrus.Entry) error {
+	listener, err := intake.Listen(address.String())
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	l.servers = append(l.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
