Apply the configuration's limits of heads

What callers saw: heads of 1 MB, or without end, took the memory of an entry.

Cause: maxHeaderBytes was read and not applied, headerTimeoutMs and idleTimeoutMs were not read. Heads had 1 MB by net/http's default, and constants for their time.

Change: the configuration has the three limits; when it changes, they apply to new connections of submitters (intake.Server.SetHead). net/http allows 4 KB more than the limit, so a head at the limit passes.

--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -30,6 +30,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/cell/owner"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/roster"
 	"gitlab.com/chicorypin/chicorypin/internal/cell/steward"
+	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
 	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/call"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/relay"
@@ -112,6 +113,8 @@
 	homes       *homes.Homes
 	adviceTurns adviceTurns
 	setup       atomic.Pointer[setup.Setup]
+	// submitters is the server for submitters, nil until the daemon runs.
+	submitters  atomic.Pointer[intake.Server]
 	storeHealth storeHealth
 	// directory holds the endpoints that are registered in the store.
 	directory   *directory
--- a/internal/daemon/fleet/harness_test.go
+++ b/internal/daemon/fleet/harness_test.go
@@ -242,6 +242,10 @@
 // configWithoutBlue is the value of a configuration without the pool "blue" and its queue.
 const configWithoutBlue = "without blue"
 
+// configSmallHeads is the value of a configuration with limits of heads: 1,000 bytes, 100 ms for a head
+// and 200 ms for an unused connection.
+const configSmallHeads = "small heads"
+
 // manyQueues is the number of queues with configManyAdvised.
 const manyQueues = 8
 
@@ -304,6 +308,9 @@
 	if string(value) == configWithoutBlue {
 		s.Queues, s.Pools = s.Queues[:1], s.Pools[:1]
 	}
+	if string(value) == configSmallHeads {
+		s.MaxHeaderBytes, s.HeaderTimeout, s.IdleTimeout = 1000, 100*time.Millisecond, 200*time.Millisecond
+	}
 	s.BuildIndex()
 	return s, nil
 }
--- a/internal/daemon/fleet/listen.go
+++ b/internal/daemon/fleet/listen.go
@@ -14,6 +14,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/front/guard"
 	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
 	"gitlab.com/chicorypin/chicorypin/internal/front/submitter"
+	"gitlab.com/chicorypin/chicorypin/internal/model/setup"
 )
 
 // closeTimeout bounds the wait for requests in progress when the entry stops.
@@ -49,6 +50,9 @@
 			l.close(0)
 			return nil, err
 		}
+		if sv.name == name {
+			d.submitters.Store(server)
+		}
 	}
 	return l, nil
 }
@@ -68,6 +72,13 @@
 	return nil
 }
 
+// applyHeadLimits has new connections of submitters use a configuration's limits of heads.
+func (d *Daemon) applyHeadLimits(s *setup.Setup) {
+	if server := d.submitters.Load(); server != nil {
+		server.SetHead(s.MaxHeaderBytes, s.HeaderTimeout, s.IdleTimeout)
+	}
+}
+
 // close goes on serving for the linger time, then closes the listeners and waits up to
 // closeTimeout for requests in progress.
 func (l *listeners) close(linger time.Duration) {
--- a/internal/daemon/fleet/listen_test.go
+++ b/internal/daemon/fleet/listen_test.go
@@ -1,16 +1,65 @@
 package fleet
 
 import (
+	"bufio"
 	"errors"
+	"io"
+	"net"
+	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"gitlab.com/chicorypin/chicorypin/internal/base/fault"
 	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
 
+// statusOfHead sends a request with a head of about size bytes on a new connection to the first
+// entry, and returns the status of the response, 0 if there is none.
+func (s *system) statusOfHead(size int) int {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.entries[0].url, "http://"))
+	if err != nil {
+		return 0
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(conn, "GET /none/ HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", size)+"\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+// The limits of heads in the configuration were read and not applied.
+func TestLimitsOfHeads(t *testing.T) {
+	Convey("A configuration's limits of heads apply to new connections, and end with it", t, func() {
+		const large = 20_000
+		s := newSystem(t, 1)
+		s.configure("1")
+		So(s.statusOfHead(large), ShouldEqual, http.StatusNotFound)
+		s.configure(configSmallHeads)
+		isApplied := await.Until(5*time.Second, func() bool {
+			return s.statusOfHead(large) == http.StatusRequestHeaderFieldsTooLarge
+		})
+		So(isApplied, ShouldBeTrue)
+		So(s.statusOfHead(900), ShouldEqual, http.StatusNotFound)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(s.entries[0].url, "http://"))
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		So(conn.SetDeadline(time.Now().Add(4*time.Second)), ShouldBeNil)
+		_, err = conn.Read(make([]byte, 1))
+		So(err, ShouldEqual, io.EOF)
+		s.configure("2")
+		So(await.Until(5*time.Second, func() bool { return s.statusOfHead(large) == http.StatusNotFound }), ShouldBeTrue)
+	})
+}
+
 // validSettings returns settings without faults.
 func validSettings() Settings {
 	address := netip.MustParseAddrPort("127.0.0.1:1")
--- a/internal/daemon/fleet/watch.go
+++ b/internal/daemon/fleet/watch.go
@@ -123,6 +123,7 @@
 	}
 	d.setup.Store(next)
 	d.ledger.SetSetup(next)
+	d.applyHeadLimits(next)
 	event.SetupInForce.Log(d.log, logrus.Fields{
 		"version": next.Version, "revision": next.Revision, "queues": len(next.Queues), "accounts": len(next.Accounts),
 	})
--- a/internal/model/setup/setup.go
+++ b/internal/model/setup/setup.go
@@ -92,6 +92,9 @@
 	// MaxHeaderBytes is the maximum size of the request header in bytes, 0 if none is
 	// configured.
 	MaxHeaderBytes int
+	// HeaderTimeout is the time in which a request's header has to be received, IdleTimeout the
+	// time for which a connection may stay unused. They are 0 if none is configured.
+	HeaderTimeout, IdleTimeout time.Duration
 
 	queuesByHost map[string][]*Queue
 	queuesByName map[string]*Queue
