--- a/internal/front/submitter/limits_test.go
+++ b/internal/front/submitter/limits_test.go
@@ -13,12 +13,12 @@
 	"gitlab.com/chicorypin/chicorypin/jobs"
 )
 
-// maxBody is a usual limit for a body.
-const maxBody = 262144
+// largestBody is a usual limit for a body.
+const largestBody = 262144
 
-// repeated returns prefix, as many times unit as fit into maxBody, and suffix.
+// repeated returns prefix, as many times unit as fit into largestBody, and suffix.
 func repeated(prefix, unit, suffix string) string {
-	return prefix + strings.Repeat(unit, (maxBody-len(prefix)-len(suffix))/len(unit)) + suffix
+	return prefix + strings.Repeat(unit, (largestBody-len(prefix)-len(suffix))/len(unit)) + suffix
 }
 
 // allocatedBytes returns how many bytes f allocates, the least of several calls.
