Limit heads to 32 KB while no configuration sets a limit

64 KB on each of 1,366 connections is 87 MB, more than a quarter of 284 MB, and net/http's buffers grow by copies. By multiplication, not measured.

--- a/internal/front/intake/limits.go
+++ b/internal/front/intake/limits.go
@@ -78,7 +78,7 @@
 	connections := min(int64(descriptors)/descriptorShare, memory/connectionMemoryShare/connectionBytes)
 	return Limits{
 		Connections:    int(max(1, connections)),
-		MaxHeaderBytes: 64 << 10,
+		MaxHeaderBytes: 32 << 10,
 		HeaderTimeout:  5 * time.Second,
 		IdleTimeout:    30 * time.Second,
 		BodyMemory:     max(memory/bodyMemoryShare, minBodies*largestBody),
