--- a/internal/front/intake/body_test.go
+++ b/internal/front/intake/body_test.go
@@ -1,6 +1,9 @@
 package intake
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -150,3 +153,25 @@
 		So(s.stop(), ShouldBeNil)
 	})
 }
+
+// readerFunc is a body whose Read is a function.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+func TestBodyGivenUpAtItsEnd(t *testing.T) {
+	Convey("A body that is given up while its last byte is read is not returned", t, func() {
+		s := newTestServer(t, testLimits())
+		r := httptest.NewRequest(http.MethodPost, "/", readerFunc(func([]byte) (int, error) {
+			s.bodies.mu.Lock()
+			defer s.bodies.mu.Unlock()
+			s.bodies.giveUpLocked(s.bodies.arriving.Front().Value.(*arrival))
+			return 1, io.EOF
+		}))
+		body, release, err := s.bodies.Read(httptest.NewRecorder(), r, maxBody, time.Minute)
+		release()
+		So(err, ShouldEqual, ErrGivenUp)
+		So(body, ShouldBeNil)
+		So(s.stop(), ShouldBeNil)
+	})
+}
--- a/internal/front/intake/server_test.go
+++ b/internal/front/intake/server_test.go
@@ -123,6 +123,24 @@
 	}
 }
 
+func TestLinger(t *testing.T) {
+	Convey("A client that still sends a refused body is not reset before it has read the answer", t, func() {
+		limits := testLimits()
+		limits.BodyTime, limits.LingerTime = 50*time.Millisecond, waitTimeout
+		s := newTestServer(t, limits).start()
+		c := s.dial().postChunked("/").send("ff\r\n").bytes(1)
+		So(c.status(), ShouldEqual, 503)
+		for range 5 {
+			_, err := io.WriteString(c, "x")
+			So(err, ShouldBeNil)
+			time.Sleep(10 * time.Millisecond)
+		}
+		So(c.Close(), ShouldBeNil)
+		So(s.openIs(0), ShouldBeTrue)
+		So(s.stop(), ShouldBeNil)
+	})
+}
+
 func TestHead(t *testing.T) {
 	const small, slack = 1 << 10, 4 << 10
 	// head returns a request with a head of a size.
