Bound the open connections of peers

Cause: internal/mesh/inbound accepted connections without a bound.

At the bound a new connection is closed and ErrTooManyConnections reported, at most once a second; peers dial again. The mesh of calls has no log of its own: call.Config.ReportFailure is new and not set by internal/daemon/fleet yet.

--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -83,6 +83,11 @@
 	// Serve processes a request of a peer. It runs in a separate goroutine for each
 	// request; its context ends when the Mesh is closed.
 	Serve func(ctx context.Context, request *wire.Request) *wire.Response
+	// ReportFailure is called after each failed accept, and when connections of peers are
+	// closed at the bound, unless it is nil.
+	ReportFailure func(err error)
+	// Limits bounds what peers may hold.
+	Limits inbound.Limits
 }
 
 // Mesh makes calls to peers and serves calls from them. It is safe for concurrent use.
@@ -114,7 +119,9 @@
 // New starts listening for peers. Call Close to stop it.
 func New(config Config) (mesh *Mesh, err error) {
 	m := &Mesh{config: config, peers: make(map[netip.AddrPort]*peer)}
-	m.inbound, err = inbound.Listen(inbound.Config{Listen: config.Listen, RetryDelay: redialDelay, Serve: m.serveConn})
+	m.inbound, err = inbound.Listen(inbound.Config{
+		Listen: config.Listen, RetryDelay: redialDelay, ReportFailure: config.ReportFailure, Serve: m.serveConn, Limits: config.Limits,
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/mesh/inbound/inbound.go
+++ b/internal/mesh/inbound/inbound.go
@@ -3,6 +3,7 @@
 package inbound
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -20,11 +21,41 @@
 	// RetryDelay is the pause after a failed accept, for instance while all
 	// descriptors are in use.
 	RetryDelay time.Duration
-	// ReportFailure is called after each failed accept, unless it is nil.
+	// ReportFailure is called after each failed accept, and with ErrTooManyConnections
+	// when connections are closed at the bound, unless it is nil.
 	ReportFailure func(err error)
 	// Serve handles a connection. It runs in a separate goroutine for each connection
 	// and has to return soon after the connection is closed.
 	Serve func(conn net.Conn)
+	// Limits bounds what peers may hold.
+	Limits Limits
+}
+
+// Limits bounds what all peers together may hold. Zero fields have defaults.
+type Limits struct {
+	// MaxConnections is the maximum number of open connections. Further ones are closed;
+	// peers dial again.
+	MaxConnections int
+	// ReportInterval is the minimum time between two reports of ErrTooManyConnections.
+	ReportInterval time.Duration
+}
+
+// Defaults of Limits.
+const (
+	// DefaultMaxConnections leaves three sessions to each of some 300 entries.
+	DefaultMaxConnections = 1024
+	DefaultReportInterval = time.Second
+)
+
+// ErrTooManyConnections means that a new connection was closed because
+// Limits.MaxConnections are open.
+var ErrTooManyConnections = errors.New("too many connections of peers are open")
+
+// WithDefaults returns the limits with the defaults in place of zero fields.
+func (l Limits) WithDefaults() Limits {
+	l.MaxConnections = cmp.Or(l.MaxConnections, DefaultMaxConnections)
+	l.ReportInterval = cmp.Or(l.ReportInterval, DefaultReportInterval)
+	return l
 }
 
 // Listener accepts connections and holds the open ones. It is safe for concurrent use.
@@ -37,10 +68,13 @@
 
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
+	// reportedAt is when ErrTooManyConnections was last reported.
+	reportedAt time.Time
 }
 
 // Listen opens a port. Call Start to accept connections on it, and Close to stop.
 func Listen(config Config) (*Listener, error) {
+	config.Limits = config.Limits.WithDefaults()
 	listener, err := net.Listen("tcp", config.Listen.String())
 	if err != nil {
 		return nil, err
@@ -108,15 +142,28 @@
 	l.config.Serve(conn)
 }
 
-// add adds a connection to the open ones, unless the Listener is being closed.
+// add adds a connection to the open ones, unless the Listener is being closed or as many
+// as are allowed are open.
 func (l *Listener) add(conn net.Conn) (isAdded bool) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.ctx.Err() != nil {
+		l.mu.Unlock()
 		return false
 	}
-	l.open[conn] = struct{}{}
-	return true
+	isAdded = len(l.open) < l.config.Limits.MaxConnections
+	if isAdded {
+		l.open[conn] = struct{}{}
+	}
+	now := time.Now()
+	isReported := !isAdded && now.Sub(l.reportedAt) >= l.config.Limits.ReportInterval
+	if isReported {
+		l.reportedAt = now
+	}
+	l.mu.Unlock()
+	if isReported && l.config.ReportFailure != nil {
+		l.config.ReportFailure(ErrTooManyConnections)
+	}
+	return isAdded
 }
 
 func (l *Listener) remove(conn net.Conn) {
--- a/internal/mesh/inbound/inbound_test.go
+++ b/internal/mesh/inbound/inbound_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
 
 // waitTimeout bounds the waits of the tests. It is generous so that a busy machine does
@@ -33,10 +35,16 @@
 // newTestListener returns a listener on a free port that is closed at the end of the
 // test. It is not started. Its connections are served until they are closed.
 func newTestListener(t *testing.T, reportFailure func(err error)) (l *Listener, servedCount *atomic.Int32) {
+	t.Helper()
+	return newLimitedListener(t, Limits{}, reportFailure)
+}
+
+// newLimitedListener returns a listener as newTestListener does, with limits.
+func newLimitedListener(t *testing.T, limits Limits, reportFailure func(err error)) (l *Listener, servedCount *atomic.Int32) {
 	t.Helper()
 	servedCount = &atomic.Int32{}
 	l, err := Listen(Config{
-		Listen: netip.MustParseAddrPort("127.0.0.1:0"), RetryDelay: time.Millisecond, ReportFailure: reportFailure,
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), RetryDelay: time.Millisecond, ReportFailure: reportFailure, Limits: limits,
 		Serve: func(conn net.Conn) {
 			servedCount.Add(1)
 			_, _ = conn.Read(make([]byte, 1))
@@ -139,3 +147,37 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// Connections of peers were accepted until no descriptor was left.
+func TestConnectionsAreBounded(t *testing.T) {
+	Convey("Given as many open connections as are allowed", t, func() {
+		var reported atomic.Pointer[error]
+		var reportedCount atomic.Int32
+		limits := Limits{MaxConnections: 3, ReportInterval: time.Hour}
+		l, servedCount := newLimitedListener(t, limits, func(err error) {
+			reported.Store(&err)
+			reportedCount.Add(1)
+		})
+		l.Start()
+		var first net.Conn
+		for range limits.MaxConnections {
+			first = dialUntilServed(t, l, servedCount)
+		}
+		Convey("Further ones are closed and reported once in an interval", func() {
+			for range 4 {
+				So(isClosedByPeer(dial(t, l)), ShouldBeTrue)
+			}
+			So(servedCount.Load(), ShouldEqual, limits.MaxConnections)
+			So(reportedCount.Load(), ShouldEqual, 1)
+			So(*reported.Load(), ShouldEqual, ErrTooManyConnections)
+		})
+		Convey("Another one is served once one of them has been closed", func() {
+			_ = first.Close()
+			isServed := func() bool {
+				_ = dial(t, l)
+				return servedCount.Load() > int32(limits.MaxConnections)
+			}
+			So(await.Until(waitTimeout, isServed), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/mesh/peer/mesh.go
+++ b/internal/mesh/peer/mesh.go
@@ -57,6 +57,8 @@
 	// for long, since it delays the messages behind.
 	Receive func(from string, frame *wire.Frame)
 	Log     *logrus.Entry
+	// Limits bounds what peers may hold.
+	Limits inbound.Limits
 }
 
 // Mesh exchanges messages with all other entries. It is safe for concurrent use.
@@ -100,7 +102,7 @@
 func NewMesh(config Config) (mesh *Mesh, err error) {
 	m := &Mesh{config: config, links: make(map[netip.AddrPort]*link)}
 	m.inbound, err = inbound.Listen(inbound.Config{
-		Listen: config.Listen, RetryDelay: redialDelay, ReportFailure: m.reportAcceptFailure, Serve: m.serveConn,
+		Listen: config.Listen, RetryDelay: redialDelay, ReportFailure: m.reportAcceptFailure, Serve: m.serveConn, Limits: config.Limits,
 	})
 	if err != nil {
 		return nil, err
@@ -346,7 +348,8 @@
 	return err
 }
 
-// reportAcceptFailure logs a failed accept, for instance while all descriptors are in use.
+// reportAcceptFailure logs a failed accept, for instance while all descriptors are in use,
+// and that connections are closed at the bound.
 func (m *Mesh) reportAcceptFailure(err error) {
 	event.PeerUnreachable.Log(m.config.Log, logrus.Fields{"address": m.Address(), "error": err})
 }
