Close connections on which no peer has sent a valid message in time

With the bound on connections, who opens them and sends nothing keeps the entries out.

Cause: internal/mesh/call and internal/mesh/peer set a time for the first message of a stream, none for a session without a stream or for what follows a stream that was refused.

Evidence: TestSilentConnectionIsClosed, three of four rows of TestSessionWithoutRequestIsClosed and three of four of TestSessionWithoutHelloIsClosed failed on the code as it stood: the connection was still open when the test gave up (10 or 20 s).

Change: a connection is closed after Limits.IdentifyTimeout, 5 s by default, unless its peer has sent a whole request (call) or a Hello of this version (peer). Peers send theirs as soon as they have dialled.

--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -155,7 +155,7 @@
 }
 
 // serveConn serves the requests of a peer until its connection is closed.
-func (m *Mesh) serveConn(conn net.Conn) {
+func (m *Mesh) serveConn(conn *inbound.Conn) {
 	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil {
 		return
@@ -166,11 +166,12 @@
 		if err != nil {
 			return
 		}
-		m.wait.Go(func() { m.handleStream(stream) })
+		m.wait.Go(func() { m.handleStream(conn, stream) })
 	}
 }
 
-func (m *Mesh) handleStream(stream *yamux.Stream) {
+// handleStream serves the request on a stream of a connection.
+func (m *Mesh) handleStream(conn *inbound.Conn, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 	request := &wire.Request{}
@@ -179,6 +180,7 @@
 		// The caller has disconnected or timed out, or gets an error as the stream closes.
 		return
 	}
+	conn.Identified()
 	response := m.config.Serve(m.ctx, request)
 	// A failed write means that the caller has disconnected.
 	_, _ = protodelim.MarshalTo(stream, response)
--- a/internal/mesh/call/call_test.go
+++ b/internal/mesh/call/call_test.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -11,8 +12,11 @@
 
 	"github.com/hashicorp/yamux"
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/encoding/protodelim"
 
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/inbound"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
 
 // waitTimeout bounds the waits of the tests. It is generous so that a busy machine does
@@ -22,7 +26,15 @@
 // newTestMesh returns a mesh on a free port that is closed at the end of the test.
 func newTestMesh(t *testing.T, serve func(ctx context.Context, request *wire.Request) *wire.Response) (mesh *Mesh, address netip.AddrPort) {
 	t.Helper()
-	mesh, err := New(Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Serve: serve})
+	return newLimitedMesh(t, inbound.Limits{}, serve)
+}
+
+// newLimitedMesh returns a mesh as newTestMesh does, with limits.
+func newLimitedMesh(
+	t *testing.T, limits inbound.Limits, serve func(ctx context.Context, request *wire.Request) *wire.Response,
+) (mesh *Mesh, address netip.AddrPort) {
+	t.Helper()
+	mesh, err := New(Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Serve: serve, Limits: limits})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -238,3 +250,63 @@
 		So(returnsWithin(func() { _, _ = stream.Read(make([]byte, 1)) }), ShouldBeTrue)
 	})
 }
+
+// A session on which no request was sent was kept for good.
+func TestSessionWithoutRequestIsClosed(t *testing.T) {
+	const identifyTimeout = time.Second
+	cases := map[string]struct {
+		send     func(session *yamux.Session) error
+		isClosed bool
+	}{
+		"no bytes": {func(*yamux.Session) error { return nil }, true},
+		"a session without a stream": {func(session *yamux.Session) error {
+			_, err := session.Ping()
+			return err
+		}, true},
+		"a stream that is no request": {func(session *yamux.Session) error {
+			stream, err := session.OpenStream()
+			if err == nil {
+				_, err = stream.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+			}
+			return err
+		}, true},
+		"a request": {func(session *yamux.Session) error {
+			stream, err := session.OpenStream()
+			if err == nil {
+				_, err = protodelim.MarshalTo(stream, &wire.Request{Cell: "fast"})
+			}
+			if err == nil {
+				err = protodelim.UnmarshalFrom(bufio.NewReader(stream), &wire.Response{})
+			}
+			return err
+		}, false},
+	}
+	for name, c := range cases {
+		Convey("Case: "+name, t, func() {
+			_, address := newLimitedMesh(t, inbound.Limits{IdentifyTimeout: identifyTimeout}, serveByCell(nil))
+			session := newSession(t, address)
+			So(c.send(session), ShouldBeNil)
+			timeout := waitTimeout
+			if !c.isClosed {
+				timeout = 2 * identifyTimeout
+			}
+			isClosed := await.Until(timeout, session.IsClosed)
+			So(isClosed, ShouldEqual, c.isClosed)
+		})
+	}
+}
+
+// newSession returns a session with a mesh. It is closed at the end of the test.
+func newSession(t *testing.T, address netip.AddrPort) *yamux.Session {
+	t.Helper()
+	conn, err := net.Dial("tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = session.Close() })
+	return session
+}
--- a/internal/mesh/inbound/inbound.go
+++ b/internal/mesh/inbound/inbound.go
@@ -25,8 +25,9 @@
 	// when connections are closed at the bound, unless it is nil.
 	ReportFailure func(err error)
 	// Serve handles a connection. It runs in a separate goroutine for each connection
-	// and has to return soon after the connection is closed.
-	Serve func(conn net.Conn)
+	// and has to return soon after the connection is closed. It has to call Identified on
+	// the connection once the peer has sent a valid message.
+	Serve func(conn *Conn)
 	// Limits bounds what peers may hold.
 	Limits Limits
 }
@@ -36,6 +37,9 @@
 	// MaxConnections is the maximum number of open connections. Further ones are closed;
 	// peers dial again.
 	MaxConnections int
+	// IdentifyTimeout is how long a connection may be open before its peer has sent a valid
+	// message. Later it is closed.
+	IdentifyTimeout time.Duration
 	// ReportInterval is the minimum time between two reports of ErrTooManyConnections.
 	ReportInterval time.Duration
 }
@@ -43,8 +47,9 @@
 // Defaults of Limits.
 const (
 	// DefaultMaxConnections leaves three sessions to each of some 300 entries.
-	DefaultMaxConnections = 1024
-	DefaultReportInterval = time.Second
+	DefaultMaxConnections  = 1024
+	DefaultIdentifyTimeout = 5 * time.Second
+	DefaultReportInterval  = time.Second
 )
 
 // ErrTooManyConnections means that a new connection was closed because
@@ -54,10 +59,21 @@
 // WithDefaults returns the limits with the defaults in place of zero fields.
 func (l Limits) WithDefaults() Limits {
 	l.MaxConnections = cmp.Or(l.MaxConnections, DefaultMaxConnections)
+	l.IdentifyTimeout = cmp.Or(l.IdentifyTimeout, DefaultIdentifyTimeout)
 	l.ReportInterval = cmp.Or(l.ReportInterval, DefaultReportInterval)
 	return l
 }
 
+// Conn is a connection from a peer.
+type Conn struct {
+	net.Conn
+	deadline *time.Timer
+}
+
+// Identified lets the connection stay open, as its peer has sent a valid message. It is
+// safe for concurrent use.
+func (c *Conn) Identified() { c.deadline.Stop() }
+
 // Listener accepts connections and holds the open ones. It is safe for concurrent use.
 type Listener struct {
 	config   Config
@@ -139,7 +155,10 @@
 		return
 	}
 	defer l.remove(conn)
-	l.config.Serve(conn)
+	// An error of Close is ignored as in Disconnect.
+	deadline := time.AfterFunc(l.config.Limits.IdentifyTimeout, func() { _ = conn.Close() })
+	defer deadline.Stop()
+	l.config.Serve(&Conn{Conn: conn, deadline: deadline})
 }
 
 // add adds a connection to the open ones, unless the Listener is being closed or as many
--- a/internal/mesh/inbound/inbound_test.go
+++ b/internal/mesh/inbound/inbound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -45,7 +46,8 @@
 	servedCount = &atomic.Int32{}
 	l, err := Listen(Config{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), RetryDelay: time.Millisecond, ReportFailure: reportFailure, Limits: limits,
-		Serve: func(conn net.Conn) {
+		Serve: func(conn *Conn) {
+			conn.Identified()
 			servedCount.Add(1)
 			_, _ = conn.Read(make([]byte, 1))
 		},
@@ -181,3 +183,30 @@
 		})
 	})
 }
+
+// Connections on which nothing was sent were kept for good.
+func TestSilentConnectionIsClosed(t *testing.T) {
+	Convey("A connection whose peer is not identified in time is closed, another one stays open", t, func() {
+		const identifyTimeout = time.Second
+		conns := make(chan *Conn)
+		l, err := Listen(Config{
+			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Limits: Limits{IdentifyTimeout: identifyTimeout},
+			Serve: func(conn *Conn) {
+				conns <- conn
+				_, _ = io.Copy(conn, conn)
+			},
+		})
+		So(err, ShouldBeNil)
+		defer l.Close()
+		l.Start()
+		identified := dial(t, l)
+		(<-conns).Identified()
+		silent := dial(t, l)
+		<-conns
+		So(isClosedByPeer(silent), ShouldBeTrue)
+		_, err = identified.Write([]byte{1})
+		So(err, ShouldBeNil)
+		_, err = io.ReadFull(identified, make([]byte, 1))
+		So(err, ShouldBeNil)
+	})
+}
--- a/internal/mesh/peer/mesh.go
+++ b/internal/mesh/peer/mesh.go
@@ -355,7 +355,7 @@
 }
 
 // serveConn reads the streams of a connection from a peer until it is closed.
-func (m *Mesh) serveConn(conn net.Conn) {
+func (m *Mesh) serveConn(conn *inbound.Conn) {
 	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil || m.ctx.Err() != nil {
 		return
@@ -370,16 +370,16 @@
 		}
 		wait.Go(func() {
 			defer stream.Close()
-			if err := m.readStream(stream); err != nil && m.ctx.Err() == nil && session.NumStreams() > 0 {
+			if err := m.readStream(conn, stream); err != nil && m.ctx.Err() == nil && session.NumStreams() > 0 {
 				event.PeerRefused.Log(m.config.Log, logrus.Fields{"address": conn.RemoteAddr().String(), "error": err})
 			}
 		})
 	}
 }
 
-// readStream answers the handshake on a stream of a peer and passes its messages to
+// readStream answers the handshake on a stream of a peer's connection and passes its messages to
 // Receive. It returns nil when the peer closes the stream or disconnects.
-func (m *Mesh) readStream(stream net.Conn) error {
+func (m *Mesh) readStream(conn *inbound.Conn, stream net.Conn) error {
 	reader := bufio.NewReader(stream)
 	_ = stream.SetReadDeadline(time.Now().Add(dialTimeout))
 	frame, err := readFrame(reader)
@@ -390,6 +390,7 @@
 	if err != nil {
 		return err
 	}
+	conn.Identified()
 	if err = m.writeFrame(stream, m.helloFrame()); err != nil {
 		return err
 	}
--- a/internal/mesh/peer/mesh_test.go
+++ b/internal/mesh/peer/mesh_test.go
@@ -14,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/inbound"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
 	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
@@ -30,12 +31,18 @@
 }
 
 func newTestMesh(t *testing.T, name string) *testMesh {
+	t.Helper()
+	return newLimitedMesh(t, name, inbound.Limits{})
+}
+
+// newLimitedMesh returns a mesh as newTestMesh does, with limits.
+func newLimitedMesh(t *testing.T, name string, limits inbound.Limits) *testMesh {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	m := &testMesh{}
 	mesh, err := NewMesh(Config{
-		Entry: name, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Log: logrus.NewEntry(logger),
+		Entry: name, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Log: logrus.NewEntry(logger), Limits: limits,
 		Receive: func(_ string, frame *wire.Frame) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
@@ -173,3 +180,66 @@
 		})
 	}
 }
+
+// newSession returns a session with a mesh. It is closed at the end of the test.
+func newSession(t *testing.T, m *testMesh) *yamux.Session {
+	t.Helper()
+	conn, err := net.Dial("tcp", m.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = session.Close() })
+	return session
+}
+
+// greet opens a stream and exchanges Hello messages on it.
+func greet(m *testMesh, session *yamux.Session) (stream net.Conn, err error) {
+	stream, err = session.Open()
+	if err == nil {
+		_, err = m.handshake(stream)
+	}
+	return stream, err
+}
+
+// A session on which no peer said its name was kept for good.
+func TestSessionWithoutHelloIsClosed(t *testing.T) {
+	const identifyTimeout = time.Second
+	cases := map[string]struct {
+		send     func(m *testMesh, session *yamux.Session) error
+		isClosed bool
+	}{
+		"no bytes": {func(*testMesh, *yamux.Session) error { return nil }, true},
+		"a session without a stream": {func(_ *testMesh, session *yamux.Session) error {
+			_, err := session.Ping()
+			return err
+		}, true},
+		"a stream without a Hello": {func(_ *testMesh, session *yamux.Session) error {
+			stream, err := session.Open()
+			if err == nil {
+				_, err = protodelim.MarshalTo(stream, heartbeat(1))
+			}
+			return err
+		}, true},
+		"a Hello": {func(m *testMesh, session *yamux.Session) error {
+			_, err := greet(m, session)
+			return err
+		}, false},
+	}
+	for name, c := range cases {
+		Convey("Case: "+name, t, func() {
+			m := newLimitedMesh(t, "b", inbound.Limits{IdentifyTimeout: identifyTimeout})
+			session := newSession(t, m)
+			So(c.send(m, session), ShouldBeNil)
+			timeout := waitTimeout
+			if !c.isClosed {
+				timeout = 2 * identifyTimeout
+			}
+			isClosed := await.Until(timeout, session.IsClosed)
+			So(isClosed, ShouldEqual, c.isClosed)
+		})
+	}
+}
