Bound the bytes of messages of all peers together

Requests of up to 8 MB and frames of up to 4 MB were read and held, as many as peers sent at once, and their declared size was allocated before a byte of it had come. A frame that stopped short of its end was held for good.

Cause: a bound for one message, none for all of them; no time for a frame once it had begun.

Change: a message of more than 4 KB takes its size from Limits.MaxMessageMemory, 32 MB by default (four of the largest), until it has been processed. It waits for its turn, then for its bytes, for Limits.MessageTimeout, 5 s by default, each. A request without a turn is answered as Unavailable: it is not processed. A peer session whose frame fails is closed as a whole: before, its sender went on writing to a stream that nobody read. The time in which a request has to arrive whole (2 s) is now the one in which it has to begin.

Not bounded by this: what yamux buffers of a stream that waits for its turn (256 KB), and the number of streams of a session of calls.

--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -53,7 +53,7 @@
 	// silenceLimit is how long nothing may be received from a peer that owes responses
 	// until new calls to it fail at once.
 	silenceLimit = 400 * time.Millisecond
-	// requestTimeout is how long a peer may take to send a request on an open stream.
+	// requestTimeout is how long a peer may take to begin a request on an open stream.
 	// Peers open a stream only when they have a request to send.
 	requestTimeout = 2 * time.Second
 )
@@ -94,6 +94,7 @@
 type Mesh struct {
 	config  Config
 	inbound *inbound.Listener
+	memory  *inbound.Memory
 	wait    background.Group
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -118,7 +119,7 @@
 
 // New starts listening for peers. Call Close to stop it.
 func New(config Config) (mesh *Mesh, err error) {
-	m := &Mesh{config: config, peers: make(map[netip.AddrPort]*peer)}
+	m := &Mesh{config: config, memory: inbound.NewMemory(config.Limits), peers: make(map[netip.AddrPort]*peer)}
 	m.inbound, err = inbound.Listen(inbound.Config{
 		Listen: config.Listen, RetryDelay: redialDelay, ReportFailure: config.ReportFailure, Serve: m.serveConn, Limits: config.Limits,
 	})
@@ -175,11 +176,16 @@
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 	request := &wire.Request{}
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessageSize}
-	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, readBufferSize), request); err != nil {
+	release, err := m.memory.NewReader(stream, readBufferSize).Read(m.ctx, maxMessageSize, request)
+	if errors.Is(err, inbound.ErrNoMemory) {
+		_, _ = protodelim.MarshalTo(stream, &wire.Response{Outcome: Unavailable})
+		return
+	}
+	if err != nil {
 		// The caller has disconnected or timed out, or gets an error as the stream closes.
 		return
 	}
+	defer release()
 	conn.Identified()
 	response := m.config.Serve(m.ctx, request)
 	// A failed write means that the caller has disconnected.
--- a/internal/mesh/call/call_test.go
+++ b/internal/mesh/call/call_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"errors"
 	"net"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"github.com/hashicorp/yamux"
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/inbound"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
@@ -310,3 +312,74 @@
 	t.Cleanup(func() { _ = session.Close() })
 	return session
 }
+
+// Messages of 8 MB were read and held without a bound on their sum.
+func TestMemoryOfRequestsIsBounded(t *testing.T) {
+	const (
+		size       = 150 << 10
+		callCount  = 5
+		heldAtOnce = 2
+	)
+	limits := inbound.Limits{MaxMessageMemory: heldAtOnce*size + size/2, MessageTimeout: 2 * time.Second}
+	large := func(cell string) *wire.Request {
+		return &wire.Request{Cell: cell, Body: &wire.Request_Submit{Submit: &wire.Submit{Job: make([]byte, size)}}}
+	}
+	Convey("Of many large requests, as many as fit are served at once, the others are refused, and small ones are served", t, func() {
+		released := make(chan struct{})
+		_, address := newLimitedMesh(t, limits, serveByCell(released))
+		outcomes := make(chan uint32, callCount)
+		for range callCount {
+			go func() {
+				caller, _ := newTestMesh(t, nil)
+				ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+				defer cancel()
+				response, err := caller.Call(ctx, address, large("slow"))
+				if err != nil {
+					outcomes <- Indeterminate
+					return
+				}
+				outcomes <- response.GetOutcome()
+			}()
+		}
+		for range callCount - heldAtOnce {
+			So(receive(outcomes), ShouldEqual, Unavailable)
+		}
+		caller, _ := newTestMesh(t, nil)
+		err := callWithTimeout(caller, address, "fast", waitTimeout)
+		So(err, ShouldBeNil)
+		close(released)
+		for range heldAtOnce {
+			So(receive(outcomes), ShouldEqual, Done)
+		}
+	})
+	Convey("Requests that stop short of their end hold memory for a time only", t, func() {
+		_, address := newLimitedMesh(t, limits, serveByCell(nil))
+		session := newSession(t, address)
+		data, err := proto.Marshal(large("fast"))
+		So(err, ShouldBeNil)
+		for range heldAtOnce {
+			stream, err := session.OpenStream()
+			So(err, ShouldBeNil)
+			_, err = stream.Write(append(binary.AppendUvarint(nil, uint64(len(data))), data[:len(data)-1]...))
+			So(err, ShouldBeNil)
+		}
+		caller, _ := newTestMesh(t, nil)
+		isServed := func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+			defer cancel()
+			response, err := caller.Call(ctx, address, large("fast"))
+			return err == nil && response.GetOutcome() == Done
+		}
+		So(await.Until(waitTimeout, isServed), ShouldBeTrue)
+	})
+}
+
+// receive returns the next outcome, or Refused if there is none within waitTimeout.
+func receive(outcomes <-chan uint32) uint32 {
+	select {
+	case outcome := <-outcomes:
+		return outcome
+	case <-time.After(waitTimeout):
+		return Refused
+	}
+}
--- a/internal/mesh/inbound/inbound.go
+++ b/internal/mesh/inbound/inbound.go
@@ -40,6 +40,12 @@
 	// IdentifyTimeout is how long a connection may be open before its peer has sent a valid
 	// message. Later it is closed.
 	IdentifyTimeout time.Duration
+	// MaxMessageMemory bounds the memory for messages, in bytes. It counts a message from
+	// its size on, until it has been processed. It is at least the size of the largest one.
+	MaxMessageMemory int64
+	// MessageTimeout is how long a message may wait for memory, and then for its remaining
+	// bytes.
+	MessageTimeout time.Duration
 	// ReportInterval is the minimum time between two reports of ErrTooManyConnections.
 	ReportInterval time.Duration
 }
@@ -49,7 +55,10 @@
 	// DefaultMaxConnections leaves three sessions to each of some 300 entries.
 	DefaultMaxConnections  = 1024
 	DefaultIdentifyTimeout = 5 * time.Second
-	DefaultReportInterval  = time.Second
+	// DefaultMaxMessageMemory is four times the largest message.
+	DefaultMaxMessageMemory = 32 << 20
+	DefaultMessageTimeout   = 5 * time.Second
+	DefaultReportInterval   = time.Second
 )
 
 // ErrTooManyConnections means that a new connection was closed because
@@ -60,6 +69,8 @@
 func (l Limits) WithDefaults() Limits {
 	l.MaxConnections = cmp.Or(l.MaxConnections, DefaultMaxConnections)
 	l.IdentifyTimeout = cmp.Or(l.IdentifyTimeout, DefaultIdentifyTimeout)
+	l.MaxMessageMemory = cmp.Or(l.MaxMessageMemory, DefaultMaxMessageMemory)
+	l.MessageTimeout = cmp.Or(l.MessageTimeout, DefaultMessageTimeout)
 	l.ReportInterval = cmp.Or(l.ReportInterval, DefaultReportInterval)
 	return l
 }
--- a/internal/mesh/peer/mesh.go
+++ b/internal/mesh/peer/mesh.go
@@ -36,8 +36,10 @@
 	// sendQueueLength is the number of short messages queued for a slow peer before
 	// new ones are dropped.
 	sendQueueLength = 64
-	dialTimeout     = 2 * time.Second
-	redialDelay     = 500 * time.Millisecond
+	// readBufferSize is in bytes.
+	readBufferSize = 4 << 10
+	dialTimeout    = 2 * time.Second
+	redialDelay    = 500 * time.Millisecond
 	// writeTimeout ends a session whose peer does not read.
 	writeTimeout = 5 * time.Second
 )
@@ -65,6 +67,7 @@
 type Mesh struct {
 	config  Config
 	inbound *inbound.Listener
+	memory  *inbound.Memory
 	wait    background.Group
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -100,7 +103,7 @@
 // NewMesh starts listening for peers. Call SetAddresses to connect to others, and
 // Close to stop.
 func NewMesh(config Config) (mesh *Mesh, err error) {
-	m := &Mesh{config: config, links: make(map[netip.AddrPort]*link)}
+	m := &Mesh{config: config, memory: inbound.NewMemory(config.Limits), links: make(map[netip.AddrPort]*link)}
 	m.inbound, err = inbound.Listen(inbound.Config{
 		Listen: config.Listen, RetryDelay: redialDelay, ReportFailure: m.reportAcceptFailure, Serve: m.serveConn, Limits: config.Limits,
 	})
@@ -370,23 +373,31 @@
 		}
 		wait.Go(func() {
 			defer stream.Close()
-			if err := m.readStream(conn, stream); err != nil && m.ctx.Err() == nil && session.NumStreams() > 0 {
+			err := m.readStream(conn, stream)
+			if err == nil {
+				return
+			}
+			if m.ctx.Err() == nil && session.NumStreams() > 0 {
 				event.PeerRefused.Log(m.config.Log, logrus.Fields{"address": conn.RemoteAddr().String(), "error": err})
 			}
+			// The peer dials again instead of sending to a stream that is not read.
+			_ = session.Close()
 		})
 	}
 }
 
-// readStream answers the handshake on a stream of a peer's connection and passes its messages to
-// Receive. It returns nil when the peer closes the stream or disconnects.
+// readStream answers the handshake on a stream of a peer's connection and passes its
+// messages to Receive. It returns nil when the peer closes the stream or disconnects.
 func (m *Mesh) readStream(conn *inbound.Conn, stream net.Conn) error {
-	reader := bufio.NewReader(stream)
+	reader := m.memory.NewReader(stream, readBufferSize)
 	_ = stream.SetReadDeadline(time.Now().Add(dialTimeout))
-	frame, err := readFrame(reader)
+	hello := &wire.Frame{}
+	release, err := reader.Read(m.ctx, maxMessageSize, hello)
 	if err != nil {
 		return err
 	}
-	entry, err := checkHello(frame)
+	release()
+	entry, err := checkHello(hello)
 	if err != nil {
 		return err
 	}
@@ -394,9 +405,9 @@
 	if err = m.writeFrame(stream, m.helloFrame()); err != nil {
 		return err
 	}
-	_ = stream.SetReadDeadline(time.Time{})
 	for {
-		frame, err = readFrame(reader)
+		frame := &wire.Frame{}
+		release, err = reader.Read(m.ctx, maxMessageSize, frame)
 		if isDisconnect(err) {
 			return nil
 		}
@@ -404,6 +415,7 @@
 			return err
 		}
 		m.config.Receive(entry, frame)
+		release()
 	}
 }
 
--- a/internal/mesh/peer/mesh_test.go
+++ b/internal/mesh/peer/mesh_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"encoding/binary"
 	"io"
 	"net"
 	"net/netip"
@@ -243,3 +244,48 @@
 		})
 	}
 }
+
+// Documents of 4 MB were read without a bound on their sum, and had no time to arrive.
+func TestMemoryOfMessagesIsBounded(t *testing.T) {
+	const size = 150 << 10
+	limits := inbound.Limits{MaxMessageMemory: size + size/2, MessageTimeout: time.Second}
+	writePartly := func(m *testMesh, session *yamux.Session) error {
+		stream, err := greet(m, session)
+		if err == nil {
+			_, err = stream.Write(append(binary.AppendUvarint(nil, size), 1))
+		}
+		return err
+	}
+	Convey("The session of a message that stops short of its end is closed, and other messages arrive", t, func() {
+		b := newLimitedMesh(t, "b", limits)
+		session := newSession(t, b)
+		So(writePartly(b, session), ShouldBeNil)
+		So(await.Until(waitTimeout, session.IsClosed), ShouldBeTrue)
+		a := newTestMesh(t, "a")
+		a.SetAddresses([]netip.AddrPort{b.Address()})
+		So(await.Until(waitTimeout, func() bool {
+			a.Send("b", snapshot(size))
+			return b.receivedCount() > 0
+		}), ShouldBeTrue)
+	})
+	Convey("While as many bytes as are allowed are held, the sessions of other large messages are closed", t, func() {
+		b := newLimitedMesh(t, "b", limits)
+		var sessions []*yamux.Session
+		release := sync.OnceFunc(b.mu.Unlock)
+		b.mu.Lock()
+		defer release()
+		for range 3 {
+			session := newSession(t, b)
+			stream, err := greet(b, session)
+			So(err, ShouldBeNil)
+			_, err = protodelim.MarshalTo(stream, snapshot(size))
+			So(err, ShouldBeNil)
+			sessions = append(sessions, session)
+		}
+		So(await.Until(waitTimeout, func() bool {
+			return len(slices.DeleteFunc(slices.Clone(sessions), (*yamux.Session).IsClosed)) == 1
+		}), ShouldBeTrue)
+		release()
+		So(await.Until(waitTimeout, func() bool { return b.receivedCount() == 1 }), ShouldBeTrue)
+	})
+}
