--- a/internal/mesh/peer/errors.go
+++ b/internal/mesh/peer/errors.go
@@ -8,6 +8,9 @@
 	"github.com/hashicorp/yamux"
 )
 
+// errTooManyStreams means that a session had more streams than peers open.
+var errTooManyStreams = errors.New("too many streams on a session")
+
 // VersionError means that a peer uses another version of the protocol.
 type VersionError struct {
 	Version uint32
--- a/internal/mesh/peer/mesh.go
+++ b/internal/mesh/peer/mesh.go
@@ -36,6 +36,10 @@
 	// sendQueueLength is the number of short messages queued for a slow peer before
 	// new ones are dropped.
 	sendQueueLength = 64
+	// maxHelloSize bounds a Hello, in bytes.
+	maxHelloSize = 4 << 10
+	// maxStreams is the number of streams that a peer opens on a session.
+	maxStreams = 2
 	// readBufferSize is in bytes.
 	readBufferSize = 4 << 10
 	dialTimeout    = 2 * time.Second
@@ -366,7 +370,7 @@
 	defer session.Close()
 	var wait background.Group
 	defer wait.Wait()
-	for {
+	for range maxStreams {
 		stream, err := session.Accept()
 		if err != nil {
 			return
@@ -384,6 +388,10 @@
 			_ = session.Close()
 		})
 	}
+	if _, err = session.Accept(); err == nil {
+		event.PeerRefused.Log(m.config.Log, logrus.Fields{"address": conn.RemoteAddr().String(), "error": errTooManyStreams})
+		_ = session.Close()
+	}
 }
 
 // readStream answers the handshake on a stream of a peer's connection and passes its
@@ -392,7 +400,7 @@
 	reader := m.memory.NewReader(stream, readBufferSize)
 	_ = stream.SetReadDeadline(time.Now().Add(dialTimeout))
 	hello := &wire.Frame{}
-	release, err := reader.Read(m.ctx, maxMessageSize, hello)
+	release, err := reader.Read(m.ctx, maxHelloSize, hello)
 	if err != nil {
 		return err
 	}
--- a/internal/mesh/peer/mesh_test.go
+++ b/internal/mesh/peer/mesh_test.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"bufio"
 	"encoding/binary"
 	"io"
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -289,3 +291,32 @@
 		So(await.Until(waitTimeout, func() bool { return b.receivedCount() == 1 }), ShouldBeTrue)
 	})
 }
+
+// A session could open any number of streams, each with a buffer of 256 KB.
+func TestStreamsOfASessionAreBounded(t *testing.T) {
+	Convey("A session with more streams than peers open is closed", t, func() {
+		b := newTestMesh(t, "b")
+		session := newSession(t, b)
+		for range 2 {
+			_, err := greet(b, session)
+			So(err, ShouldBeNil)
+		}
+		_, err := session.Open()
+		So(err, ShouldBeNil)
+		So(await.Until(waitTimeout, session.IsClosed), ShouldBeTrue)
+	})
+}
+
+// The first message of a stream, which only names the peer, could have 4 MB.
+func TestHelloIsBounded(t *testing.T) {
+	Convey("A Hello that is larger than any peer sends is refused", t, func() {
+		b := newTestMesh(t, "b")
+		stream, err := newSession(t, b).Open()
+		So(err, ShouldBeNil)
+		hello := &wire.Hello{Version: Version, Entry: strings.Repeat("x", 1<<20)}
+		go func() { _, _ = protodelim.MarshalTo(stream, &wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}) }()
+		_ = stream.SetReadDeadline(time.Now().Add(waitTimeout))
+		_, err = readFrame(bufio.NewReader(stream))
+		So(err, ShouldNotBeNil)
+	})
+}
