Reserve memory for callers' bodies as they arrive, from a share of the machine's memory

What callers could see: 503 "too many bodies are held" for as long as a few clients of the request product declare large bodies and send nothing: four declared 64 MB are enough.

Cause: internal/front/caller reserved the declared length, or the largest that the service takes, of 256 MB, whatever memory the process has.

Evidence: TestDeclaredBodiesKeepNobodyOut failed on the code as it stood: 503 instead of the answer. TestBodiesStayWithinTheirMemory failed with the new limit not yet used.

Change: bodies are received by intake.Bodies: memory is reserved as bytes arrive, from an eighth of the memory. If it is taken, the body that has been arriving for longest is refused, with the text and the outcome as before. The settings memory and descriptors are new, optional and checked; without them, the machine's memory and the process's limit count.

Result: both tests pass, with -race too (1 run). TestLongRunAfterABody, a run that is longer than the time for the body, passed before and passes now.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -139,6 +139,7 @@
 		Teams:      e.teams,
 		Roster:     e.roster,
 		Client:     e.minions,
+		Limits:     e.settings.limits(),
 		Clock:      e.config.Clock,
 		Log:        e.log,
 		Scope:      e.config.Scope.SubScope("caller"),
--- a/internal/daemon/entry/settings.go
+++ b/internal/daemon/entry/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gitlab.com/chicorypin/chicorypin/internal/base/fault"
+	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
 )
 
@@ -55,10 +56,21 @@
 	Linger document.Duration `json:"linger,omitempty"`
 	// Stop bounds how long a leaving entry takes to shut down, Linger included.
 	Stop document.Duration `json:"stop,omitempty"`
+	// MemoryMegabytes is the memory limit of the process in megabytes of 2^20 bytes, 0 for
+	// the memory of the machine.
+	MemoryMegabytes int64 `json:"memory,omitempty"`
+	// Descriptors is the maximum number of file descriptors of the process, 0 for the limit
+	// that it was started with.
+	Descriptors int `json:"descriptors,omitempty"`
 	// Level is the minimum severity of log events.
 	Level string `json:"level,omitempty"`
 }
 
+// limits returns the limits for the clients of a listener.
+func (s *Settings) limits() intake.Limits {
+	return intake.DefaultLimits(s.MemoryMegabytes<<20, s.Descriptors)
+}
+
 // ReadSettings reads and checks a settings file. If the content is invalid, the
 // error wraps a *fault.ValidationError with every fault found.
 func ReadSettings(path string) (settings Settings, err error) {
--- a/internal/front/caller/harness_test.go
+++ b/internal/front/caller/harness_test.go
@@ -19,6 +19,7 @@
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/minion"
 	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
+	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
 	"gitlab.com/chicorypin/chicorypin/units"
 )
@@ -155,6 +156,9 @@
 	service document.Service
 	limit   uint32
 	slots   uint32
+	// limits and bodyTimeout are those of Config.
+	limits      intake.Limits
+	bodyTimeout time.Duration
 }
 
 func newFixture(tb testing.TB, options fixtureOptions, minions ...*fakeMinion) *fixture {
@@ -166,6 +170,9 @@
 	if options.slots == 0 {
 		options.slots = 8
 	}
+	if options.bodyTimeout == 0 {
+		options.bodyTimeout = 200 * time.Millisecond
+	}
 	parsed := document.Document{
 		Pools:    []document.Pool{{Name: "rota"}},
 		Services: []document.Service{options.service, {Name: "public", Pool: "rota", AnonymousTeam: "gate"}},
@@ -190,7 +197,8 @@
 		Log:        log,
 		Scope:      tally.NoopScope,
 
-		BodyTimeout: 200 * time.Millisecond,
+		Limits:      options.limits,
+		BodyTimeout: options.bodyTimeout,
 	}
 	var roster []*minion.Minion
 	for i, m := range minions {
--- a/internal/front/caller/listener.go
+++ b/internal/front/caller/listener.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,18 +16,16 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sync/semaphore"
 
 	"gitlab.com/chicorypin/chicorypin/internal/back/minion"
 	"gitlab.com/chicorypin/chicorypin/internal/base/background"
 	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
+	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
 	"gitlab.com/chicorypin/chicorypin/units"
 )
 
 const (
-	// maxBodyMemory bounds the memory for the bodies of all open requests, in bytes.
-	maxBodyMemory = 256 << 20
 	// DefaultBodyTimeout is the default of Config.BodyTimeout.
 	DefaultBodyTimeout = 10 * time.Second
 	// MaxHeaderBytes is the maximum size of a request header, in bytes.
@@ -53,6 +50,9 @@
 	Teams  *units.Ledger
 	Roster *minion.Roster
 	Client *minion.Client
+	// Limits bounds what callers may hold; the default is that of a process with the memory
+	// of the machine. BodyTimeout takes the place of BodyTime.
+	Limits intake.Limits
 	// BodyTimeout is the time limit for a caller to send its body; 0 means
 	// DefaultBodyTimeout.
 	BodyTimeout time.Duration
@@ -66,7 +66,7 @@
 	config       Config
 	dispatcher   *Dispatcher
 	budget       retryBudget
-	bodyMemory   *semaphore.Weighted
+	bodies       *intake.Bodies
 	attemptCount atomic.Uint64
 	openRequests atomic.Int64
 	// received counts the requests for a service.
@@ -84,12 +84,18 @@
 	if config.BodyTimeout == 0 {
 		config.BodyTimeout = DefaultBodyTimeout
 	}
+	if config.Limits == (intake.Limits{}) {
+		config.Limits = intake.DefaultLimits(0, 0)
+	}
+	config.Limits.BodyTime = config.BodyTimeout
 	return &Listener{
 		config:     config,
 		dispatcher: dispatcher,
-		bodyMemory: semaphore.NewWeighted(maxBodyMemory),
-		answered:   config.Scope.Counter("answered"),
-		retried:    config.Scope.Counter("retried"),
+		bodies: intake.NewBodies(intake.BodiesConfig{
+			Name: "caller", Limits: config.Limits, Log: config.Log, Scope: config.Scope,
+		}),
+		answered: config.Scope.Counter("answered"),
+		retried:  config.Scope.Counter("retried"),
 	}
 }
 
@@ -221,41 +227,26 @@
 	return strings.TrimSpace(key)
 }
 
-// readBody reads the complete body of a request. It reserves memory for the body from
-// the limit for all bodies; unless there is a refusal, release must be called to
-// return it.
+// readBody reads the complete body of a request into the memory for all bodies. Unless
+// there is a refusal, release must be called once the body is no longer used.
 func (l *Listener) readBody(w http.ResponseWriter, r *http.Request, service *document.Service) (body []byte, release func(), refusal *RefusalError) {
-	if r.ContentLength > service.MaxBody {
-		return nil, nil, newNotRun(413, "the body is larger than the service takes", 0)
-	}
-	if r.ContentLength == 0 {
-		return nil, func() {}, nil
-	}
-	size := r.ContentLength
-	if size < 0 {
-		size = service.MaxBody
-	}
-	if !l.bodyMemory.TryAcquire(size) {
-		return nil, nil, newNotRun(503, "too many bodies are held", retryAfterShort)
-	}
-	release = func() { l.bodyMemory.Release(size) }
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(l.config.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, service.MaxBody))
+	body, release, err := l.bodies.Read(w, r, service.MaxBody, l.config.BodyTimeout)
 	if err != nil {
-		release()
 		return nil, nil, bodyRefusal(err)
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, release, nil
 }
 
 // bodyRefusal returns the refusal for an error while reading a body.
 func bodyRefusal(err error) *RefusalError {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
 		return newNotRun(413, "the body is larger than the service takes", 0)
+	case errors.Is(err, intake.ErrGivenUp):
+		return newNotRun(503, "too many bodies are held", retryAfterShort)
+	default:
+		return newNotRun(408, "the body did not arrive whole in time", 0)
 	}
-	return newNotRun(408, "the body did not arrive whole in time", 0)
 }
 
 // serve runs a request and sends the response of the minion, or a refusal.
