Bound connections, unread bodies and answers of callers and operators

Cause: the listeners of internal/daemon/entry accepted connections without a bound, net/http read the unread bodies of refused requests without a time limit, answers had no write deadline, and failed accepts were raw lines on standard error.

Evidence, on the code as it stood: TestConnectionsAreBounded and TestUnreadBodiesHoldNoConnection (caller and operator each): all connections still open after 20 s; TestFailedAcceptIsAnEvent: no event; TestAnswersAreTakenInTime: the handler of an answer that is not taken had not returned after 20 s.

Change: both listeners are served by intake.Server. Its time for an answer would cut one that a client takes slowly but steadily, or whose minion ends it late; the other two rows of TestAnswersAreTakenInTime failed so with intake.Server alone. The deadline, 10 s, is therefore renewed for each 32 KB and for the end of an answer. The operators' listener has 128 connections at most. TestPanicInAHandlerIsLogged called the server's handler, which intake.Server does not show; it now sends a request to the listener and checks the event, and that the connection is aborted.

Connections have small receive buffers now, which also bound how fast a body from far away arrives.

--- a/internal/daemon/entry/control_test.go
+++ b/internal/daemon/entry/control_test.go
@@ -78,23 +78,7 @@
 // It is not running.
 func newScaledEntry(tb testing.TB, s scale) *Entry {
 	tb.Helper()
-	local := netip.MustParseAddrPort("127.0.0.1:0")
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	e, err := New(Config{
-		Settings: Settings{
-			Name: "entry-0", Centre: "centre-0", Caller: local, Operator: local, Peer: local,
-			Platform: []netip.AddrPort{local}, List: local, TTL: document.Duration(DefaultTTL),
-		},
-		Clock:           timer.New(),
-		Log:             logrus.NewEntry(logger),
-		Scope:           tally.NoopScope,
-		OperatorHandler: func(*Entry) http.Handler { return http.NotFoundHandler() },
-	})
-	if err != nil {
-		tb.Fatal(err)
-	}
-	tb.Cleanup(e.close)
+	e := newLimitedEntry(tb, 0)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	config, err := document.NewConfig(0, nil, s.document())
@@ -117,6 +101,31 @@
 	return e
 }
 
+// newLimitedEntry returns an entry without documents and with a number of descriptors, 0
+// for the limit of the process. It is not running.
+func newLimitedEntry(tb testing.TB, descriptors int) *Entry {
+	tb.Helper()
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	e, err := New(Config{
+		Settings: Settings{
+			Name: "entry-0", Centre: "centre-0", Caller: local, Operator: local, Peer: local,
+			Platform: []netip.AddrPort{local}, List: local, TTL: document.Duration(DefaultTTL),
+			Descriptors: descriptors,
+		},
+		Clock:           timer.New(),
+		Log:             logrus.NewEntry(logger),
+		Scope:           tally.NoopScope,
+		OperatorHandler: func(*Entry) http.Handler { return http.NotFoundHandler() },
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(e.close)
+	return e
+}
+
 func encode(tb testing.TB, body any) []byte {
 	tb.Helper()
 	data, err := json.Marshal(body)
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -25,6 +25,7 @@
 	"gitlab.com/chicorypin/chicorypin/internal/base/timer"
 	"gitlab.com/chicorypin/chicorypin/internal/front/caller"
 	"gitlab.com/chicorypin/chicorypin/internal/front/guard"
+	"gitlab.com/chicorypin/chicorypin/internal/front/intake"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/peer"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
 	"gitlab.com/chicorypin/chicorypin/internal/model/document"
@@ -39,6 +40,13 @@
 	// may start work. After a longer gap the process is treated as having been
 	// paused.
 	pauseLimit = 2 * time.Second
+	// idleTimeout is how long the connection of a client may stay unused.
+	idleTimeout = time.Minute
+	// answerTimeout is how long a client may take for each part of an answer.
+	answerTimeout = 10 * time.Second
+	// maxOperatorConnections is the maximum number of connections of operators, probes and
+	// readers of metrics.
+	maxOperatorConnections = 128
 )
 
 // Periods of the loops. memberPeriod is how often the member document is
@@ -84,8 +92,8 @@
 	mover      *mover.Mover
 	listener   *caller.Listener
 
-	callerServer   *http.Server
-	operatorServer *http.Server
+	callerServer   *intake.Server
+	operatorServer *intake.Server
 	// sockets are the callers' and the operators' listening sockets, in this
 	// order.
 	sockets    []net.Listener
@@ -146,18 +154,19 @@
 	}
 	e.dispatcher = caller.NewDispatcher(callerConfig)
 	e.listener = caller.NewListener(callerConfig, e.dispatcher)
-	e.callerServer = e.newServer("caller", e.listener)
-	e.operatorServer = e.newServer("operator", e.config.OperatorHandler(e))
+	e.callerServer = e.newServer("caller", callerConfig.Limits, e.listener)
+	operatorLimits := e.settings.limits()
+	operatorLimits.Connections = min(operatorLimits.Connections, maxOperatorConnections)
+	e.operatorServer = e.newServer("operator", operatorLimits, e.config.OperatorHandler(e))
 }
 
 // newServer returns a server for the listener of the given name.
-func (e *Entry) newServer(name string, handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           guard.New(guard.Config{Name: name, Log: e.log, Scope: e.config.Scope}, handler),
-		ReadHeaderTimeout: caller.HeaderTimeout,
-		MaxHeaderBytes:    caller.MaxHeaderBytes,
-		IdleTimeout:       time.Minute,
-	}
+func (e *Entry) newServer(name string, limits intake.Limits, handler http.Handler) *intake.Server {
+	limits.MaxHeaderBytes, limits.HeaderTimeout, limits.IdleTimeout = caller.MaxHeaderBytes, caller.HeaderTimeout, idleTimeout
+	guarded := guard.New(guard.Config{Name: name, Log: e.log, Scope: e.config.Scope}, handler)
+	return intake.New(intake.Config{
+		Name: name, Handler: renewDeadlines(limits.AnswerTime, guarded), Limits: limits, Log: e.log, Scope: e.config.Scope,
+	})
 }
 
 func (e *Entry) listen() (err error) {
@@ -168,7 +177,7 @@
 		return err
 	}
 	for _, address := range []netip.AddrPort{e.settings.Caller, e.settings.Operator} {
-		socket, err := net.Listen("tcp", address.String())
+		socket, err := intake.Listen(address.String())
 		if err != nil {
 			e.close()
 			return err
@@ -225,7 +234,7 @@
 	e.goroutines.Go(func() { e.config.Clock.Every(ctx, period, pass) })
 }
 
-func (e *Entry) serveHTTP(server *http.Server, socket net.Listener) {
+func (e *Entry) serveHTTP(server *intake.Server, socket net.Listener) {
 	if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
 		e.log.WithError(err).Error("HTTP server stopped unexpectedly")
 	}
--- a/internal/daemon/entry/panic_test.go
+++ b/internal/daemon/entry/panic_test.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
-	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -39,13 +39,12 @@
 func TestPanicInAHandlerIsLogged(t *testing.T) {
 	Convey("A panic while a request of a caller is served is an event, and the connection is aborted", t, func() {
 		e := newScaledEntry(t, scale{entries: 1, teams: 1, pools: 1, instances: 1})
-		var lines bytes.Buffer
+		var lines lockedBuffer
 		e.log.Logger.SetOutput(&lines)
 		e.index.Store(nil)
-		serve := func() {
-			e.callerServer.Handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/service-0/x", nil))
-		}
-		So(serve, ShouldPanicWith, http.ErrAbortHandler)
+		serveListeners(t, e)
+		_, err := http.Get("http://" + e.CallerAddress().String() + "/service-0/x")
+		So(errors.Is(err, io.EOF), ShouldBeTrue)
 		So(lines.String(), ShouldContainSubstring, "event=106")
 		So(lines.String(), ShouldContainSubstring, "nil pointer dereference")
 	})
--- a/internal/daemon/entry/settings.go
+++ b/internal/daemon/entry/settings.go
@@ -68,7 +68,9 @@
 
 // limits returns the limits for the clients of a listener.
 func (s *Settings) limits() intake.Limits {
-	return intake.DefaultLimits(s.MemoryMegabytes<<20, s.Descriptors)
+	limits := intake.DefaultLimits(s.MemoryMegabytes<<20, s.Descriptors)
+	limits.AnswerTime = answerTimeout
+	return limits
 }
 
 // ReadSettings reads and checks a settings file. If the content is invalid, the
