Bound the sign-in form of the console

Cause: the bound of all forms of the console is that of a document.

Evidence: TestSignInFormIsBounded on the code as it stood: a form of 100 KB was parsed and signed in.

Change: a sign-in form has at most 4 KB, else it is answered 413.

--- a/internal/front/operator/console.go
+++ b/internal/front/operator/console.go
@@ -101,7 +101,15 @@
 	_ = templates.ExecuteTemplate(w, name, data)
 }
 
+// maxLoginBytes is the maximum size of a sign-in form. Anyone may send one.
+const maxLoginBytes = 4 << 10
+
 func (c *console) login(w http.ResponseWriter, r *http.Request) {
+	r.Body = http.MaxBytesReader(w, r.Body, maxLoginBytes)
+	if r.ParseForm() != nil {
+		render(w, "login.html", http.StatusRequestEntityTooLarge, page{Message: "The form is too large or did not arrive whole.", IsError: true})
+		return
+	}
 	if !c.listener.isOperator(r.PostFormValue("key")) {
 		render(w, "login.html", http.StatusUnauthorized, page{Message: "This key is not an operator's.", IsError: true})
 		return
--- a/internal/front/operator/console_test.go
+++ b/internal/front/operator/console_test.go
@@ -214,3 +214,14 @@
 		}
 	})
 }
+
+// The sign-in form, which needs no key, could have as many bytes as the largest document.
+func TestSignInFormIsBounded(t *testing.T) {
+	Convey("A sign-in form that is larger than a key is refused without being parsed", t, func() {
+		b, _ := newBrowser(t)
+		b.post("/console/login", url.Values{"key": {operatorKey}, "pad": {strings.Repeat("x", 100<<10)}})
+		So(b.status, ShouldEqual, http.StatusRequestEntityTooLarge)
+		b.get("/console")
+		So(b.status, ShouldEqual, http.StatusUnauthorized)
+	})
+}
