Bound the requests of peers that wait for memory, and read those that are refused

What callers could see: a request that the owner of its cell has refused for want of memory taken for one that may have been processed; and the end of the owner's process: what it has received of waiting messages stays in the buffers of their streams, 256 KB each, without a bound on their sum. Both by reading, since messages wait for memory.

Evidence: TestWaitingMessagesAreBounded: a message waited although as many bytes as are allowed did already. TestRefusedRequestIsRead: a refused request of twice the window of its stream ended as indeterminate, as its caller had no room to send the rest.

Change: as many bytes as the memory for messages holds may wait, further messages are refused at once. A refused message is read and dropped before the answer.

--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -178,7 +178,7 @@
 	request := &wire.Request{}
 	release, err := m.memory.NewReader(stream, readBufferSize).Read(m.ctx, maxMessageSize, request)
 	if errors.Is(err, inbound.ErrNoMemory) {
-		_, _ = protodelim.MarshalTo(stream, &wire.Response{Outcome: Unavailable})
+		_, _ = protodelim.MarshalTo(stream, &wire.Response{Outcome: Unavailable, Reason: inbound.ErrNoMemory.Error()})
 		return
 	}
 	if err != nil {
--- a/internal/mesh/call/call_test.go
+++ b/internal/mesh/call/call_test.go
@@ -321,9 +321,7 @@
 		heldAtOnce = 2
 	)
 	limits := inbound.Limits{MaxMessageMemory: heldAtOnce*size + size/2, MessageTimeout: 2 * time.Second}
-	large := func(cell string) *wire.Request {
-		return &wire.Request{Cell: cell, Body: &wire.Request_Submit{Submit: &wire.Submit{Job: make([]byte, size)}}}
-	}
+	large := func(cell string) *wire.Request { return largeRequest(cell, size) }
 	Convey("Of many large requests, as many as fit are served at once, the others are refused, and small ones are served", t, func() {
 		released := make(chan struct{})
 		_, address := newLimitedMesh(t, limits, serveByCell(released))
@@ -383,3 +381,36 @@
 		return Refused
 	}
 }
+
+// A refused request that was larger than the window of its stream blocked its caller, which
+// took it for one that may have been processed.
+func TestRefusedRequestIsRead(t *testing.T) {
+	Convey("The caller of a large request that gets no memory learns that it was not processed", t, func() {
+		const size = 2 * streamWindowSize
+		released := make(chan struct{})
+		limits := inbound.Limits{MaxMessageMemory: size + size/2, MessageTimeout: time.Second}
+		_, address := newLimitedMesh(t, limits, serveByCell(released))
+		outcomes := make(chan uint32, 2)
+		for range cap(outcomes) {
+			go func() {
+				caller, _ := newTestMesh(t, nil)
+				ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+				defer cancel()
+				response, err := caller.Call(ctx, address, largeRequest("slow", size))
+				if err != nil {
+					outcomes <- Indeterminate
+					return
+				}
+				outcomes <- response.GetOutcome()
+			}()
+		}
+		So(receive(outcomes), ShouldEqual, Unavailable)
+		close(released)
+		So(receive(outcomes), ShouldEqual, Done)
+	})
+}
+
+// largeRequest returns a request of more than size bytes.
+func largeRequest(cell string, size int) *wire.Request {
+	return &wire.Request{Cell: cell, Body: &wire.Request_Submit{Submit: &wire.Submit{Job: make([]byte, size)}}}
+}
--- a/internal/mesh/inbound/inbound.go
+++ b/internal/mesh/inbound/inbound.go
@@ -41,7 +41,8 @@
 	// message. Later it is closed.
 	IdentifyTimeout time.Duration
 	// MaxMessageMemory bounds the memory for messages, in bytes. It counts a message from
-	// its size on, until it has been processed. It is at least the size of the largest one.
+	// its size on, until it has been processed. As many bytes again may wait for it. It is
+	// at least the size of the largest message.
 	MaxMessageMemory int64
 	// MessageTimeout is how long a message may wait for memory, and then for its remaining
 	// bytes.
--- a/internal/mesh/inbound/message.go
+++ b/internal/mesh/inbound/message.go
@@ -25,13 +25,17 @@
 // Memory bounds the memory for the messages of all peers. It is safe for concurrent use.
 type Memory struct {
 	limits Limits
-	free   *semaphore.Weighted
+	// free is the memory for messages, waiting the sum of the sizes of those that may wait
+	// for it: the streams of these hold what has been received of them.
+	free, waiting *semaphore.Weighted
 }
 
 // NewMemory returns a Memory without messages.
 func NewMemory(limits Limits) *Memory {
 	limits = limits.WithDefaults()
-	return &Memory{limits: limits, free: semaphore.NewWeighted(limits.MaxMessageMemory)}
+	return &Memory{
+		limits: limits, free: semaphore.NewWeighted(limits.MaxMessageMemory), waiting: semaphore.NewWeighted(limits.MaxMessageMemory),
+	}
 }
 
 // Reader reads the messages of a stream, each preceded by its size as a varint.
@@ -53,7 +57,8 @@
 //
 // Unless there is an error, release must be called once the message is no longer used.
 // The error is io.EOF if the stream ended before a message, and wraps ErrNoMemory if
-// there was no memory in time.
+// there was no memory in time, or too many messages wait for it; the message is skipped
+// then.
 func (r *Reader) Read(ctx context.Context, maxSize int, message proto.Message) (release func(), err error) {
 	if _, err = r.buffer.Peek(1); err != nil {
 		return nil, err
@@ -67,10 +72,12 @@
 		return nil, fmt.Errorf("a message of %d bytes, more than %d", size, maxSize)
 	}
 	release, err = r.memory.reserve(ctx, int64(size))
+	r.limitTime()
 	if err != nil {
+		// A peer that has not sent all of a message does not read what it is told instead.
+		_, _ = io.CopyN(io.Discard, r.buffer, int64(size))
 		return nil, err
 	}
-	r.limitTime()
 	data := make([]byte, size)
 	if _, err = io.ReadFull(r.buffer, data); err == nil {
 		err = proto.Unmarshal(data, message)
@@ -83,17 +90,26 @@
 	return release, nil
 }
 
-// reserve waits for the memory of a message.
+// reserve waits for the memory of a message. It returns ErrNoMemory at once if too many
+// others wait.
 func (m *Memory) reserve(ctx context.Context, size int64) (release func(), err error) {
 	if size <= freeMessageSize {
 		return func() {}, nil
 	}
+	release = func() { m.free.Release(size) }
+	if m.free.TryAcquire(size) {
+		return release, nil
+	}
+	if !m.waiting.TryAcquire(size) {
+		return nil, ErrNoMemory
+	}
+	defer m.waiting.Release(size)
 	ctx, cancel := context.WithTimeout(ctx, m.limits.MessageTimeout)
 	defer cancel()
 	if err = m.free.Acquire(ctx, size); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoMemory, err)
 	}
-	return func() { m.free.Release(size) }, nil
+	return release, nil
 }
 
 // limitTime sets the read deadline for what is read next of a message.
