--- a/internal/mesh/call/call.go
+++ b/internal/mesh/call/call.go
@@ -53,7 +53,7 @@
 	// silenceLimit is how long nothing may be received from a peer that owes responses
 	// until new calls to it fail at once.
 	silenceLimit = 400 * time.Millisecond
-	// requestTimeout is how long a peer may take to send a request on an open stream.
+	// requestTimeout is how long a peer may take to begin a request on an open stream.
 	// Peers open a stream only when they have a request to send.
 	requestTimeout = 2 * time.Second
 )
@@ -83,12 +83,18 @@
 	// Serve processes a request of a peer. It runs in a separate goroutine for each
 	// request; its context ends when the Mesh is closed.
 	Serve func(ctx context.Context, request *wire.Request) *wire.Response
+	// ReportFailure is called after each failed accept, and when connections of peers are
+	// closed at the bound, unless it is nil.
+	ReportFailure func(err error)
+	// Limits bounds what peers may hold.
+	Limits inbound.Limits
 }
 
 // Mesh makes calls to peers and serves calls from them. It is safe for concurrent use.
 type Mesh struct {
 	config  Config
 	inbound *inbound.Listener
+	memory  *inbound.Memory
 	wait    background.Group
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -113,8 +119,10 @@
 
 // New starts listening for peers. Call Close to stop it.
 func New(config Config) (mesh *Mesh, err error) {
-	m := &Mesh{config: config, peers: make(map[netip.AddrPort]*peer)}
-	m.inbound, err = inbound.Listen(inbound.Config{Listen: config.Listen, RetryDelay: redialDelay, Serve: m.serveConn})
+	m := &Mesh{config: config, memory: inbound.NewMemory(config.Limits), peers: make(map[netip.AddrPort]*peer)}
+	m.inbound, err = inbound.Listen(inbound.Config{
+		Listen: config.Listen, RetryDelay: redialDelay, ReportFailure: config.ReportFailure, Serve: m.serveConn, Limits: config.Limits,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -148,7 +156,7 @@
 }
 
 // serveConn serves the requests of a peer until its connection is closed.
-func (m *Mesh) serveConn(conn net.Conn) {
+func (m *Mesh) serveConn(conn *inbound.Conn) {
 	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil {
 		return
@@ -159,19 +167,26 @@
 		if err != nil {
 			return
 		}
-		m.wait.Go(func() { m.handleStream(stream) })
+		m.wait.Go(func() { m.handleStream(conn, stream) })
 	}
 }
 
-func (m *Mesh) handleStream(stream *yamux.Stream) {
+// handleStream serves the request on a stream of a connection.
+func (m *Mesh) handleStream(conn *inbound.Conn, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 	request := &wire.Request{}
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessageSize}
-	if err := options.UnmarshalFrom(bufio.NewReaderSize(stream, readBufferSize), request); err != nil {
+	release, err := m.memory.NewReader(stream, readBufferSize).Read(m.ctx, maxMessageSize, request)
+	if errors.Is(err, inbound.ErrNoMemory) {
+		_, _ = protodelim.MarshalTo(stream, &wire.Response{Outcome: Unavailable, Reason: inbound.ErrNoMemory.Error()})
+		return
+	}
+	if err != nil {
 		// The caller has disconnected or timed out, or gets an error as the stream closes.
 		return
 	}
+	defer release()
+	conn.Identified()
 	response := m.config.Serve(m.ctx, request)
 	// A failed write means that the caller has disconnected.
 	_, _ = protodelim.MarshalTo(stream, response)
--- a/internal/mesh/call/call_test.go
+++ b/internal/mesh/call/call_test.go
@@ -1,7 +1,9 @@
 package call
 
 import (
+	"bufio"
 	"context"
+	"encoding/binary"
 	"errors"
 	"net"
 	"net/netip"
@@ -11,8 +13,12 @@
 
 	"github.com/hashicorp/yamux"
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
+	"gitlab.com/chicorypin/chicorypin/internal/mesh/inbound"
 	"gitlab.com/chicorypin/chicorypin/internal/mesh/wire"
+	"gitlab.com/chicorypin/chicorypin/internal/standin/await"
 )
 
 // waitTimeout bounds the waits of the tests. It is generous so that a busy machine does
@@ -22,7 +28,15 @@
 // newTestMesh returns a mesh on a free port that is closed at the end of the test.
 func newTestMesh(t *testing.T, serve func(ctx context.Context, request *wire.Request) *wire.Response) (mesh *Mesh, address netip.AddrPort) {
 	t.Helper()
-	mesh, err := New(Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Serve: serve})
+	return newLimitedMesh(t, inbound.Limits{}, serve)
+}
+
+// newLimitedMesh returns a mesh as newTestMesh does, with limits.
+func newLimitedMesh(
+	t *testing.T, limits inbound.Limits, serve func(ctx context.Context, request *wire.Request) *wire.Response,
+) (mesh *Mesh, address netip.AddrPort) {
+	t.Helper()
+	mesh, err := New(Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Serve: serve, Limits: limits})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -238,3 +252,165 @@
 		So(returnsWithin(func() { _, _ = stream.Read(make([]byte, 1)) }), ShouldBeTrue)
 	})
 }
+
+// A session on which no request was sent was kept for good.
+func TestSessionWithoutRequestIsClosed(t *testing.T) {
+	const identifyTimeout = time.Second
+	cases := map[string]struct {
+		send     func(session *yamux.Session) error
+		isClosed bool
+	}{
+		"no bytes": {func(*yamux.Session) error { return nil }, true},
+		"a session without a stream": {func(session *yamux.Session) error {
+			_, err := session.Ping()
+			return err
+		}, true},
+		"a stream that is no request": {func(session *yamux.Session) error {
+			stream, err := session.OpenStream()
+			if err == nil {
+				_, err = stream.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+			}
+			return err
+		}, true},
+		"a request": {func(session *yamux.Session) error {
+			stream, err := session.OpenStream()
+			if err == nil {
+				_, err = protodelim.MarshalTo(stream, &wire.Request{Cell: "fast"})
+			}
+			if err == nil {
+				err = protodelim.UnmarshalFrom(bufio.NewReader(stream), &wire.Response{})
+			}
+			return err
+		}, false},
+	}
+	for name, c := range cases {
+		Convey("Case: "+name, t, func() {
+			_, address := newLimitedMesh(t, inbound.Limits{IdentifyTimeout: identifyTimeout}, serveByCell(nil))
+			session := newSession(t, address)
+			So(c.send(session), ShouldBeNil)
+			timeout := waitTimeout
+			if !c.isClosed {
+				timeout = 2 * identifyTimeout
+			}
+			isClosed := await.Until(timeout, session.IsClosed)
+			So(isClosed, ShouldEqual, c.isClosed)
+		})
+	}
+}
+
+// newSession returns a session with a mesh. It is closed at the end of the test.
+func newSession(t *testing.T, address netip.AddrPort) *yamux.Session {
+	t.Helper()
+	conn, err := net.Dial("tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = session.Close() })
+	return session
+}
+
+// Messages of 8 MB were read and held without a bound on their sum.
+func TestMemoryOfRequestsIsBounded(t *testing.T) {
+	const (
+		size       = 150 << 10
+		callCount  = 5
+		heldAtOnce = 2
+	)
+	limits := inbound.Limits{MaxMessageMemory: heldAtOnce*size + size/2, MessageTimeout: 2 * time.Second}
+	large := func(cell string) *wire.Request { return largeRequest(cell, size) }
+	Convey("Of many large requests, as many as fit are served at once, the others are refused, and small ones are served", t, func() {
+		released := make(chan struct{})
+		_, address := newLimitedMesh(t, limits, serveByCell(released))
+		outcomes := make(chan uint32, callCount)
+		for range callCount {
+			go func() {
+				caller, _ := newTestMesh(t, nil)
+				ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+				defer cancel()
+				response, err := caller.Call(ctx, address, large("slow"))
+				if err != nil {
+					outcomes <- Indeterminate
+					return
+				}
+				outcomes <- response.GetOutcome()
+			}()
+		}
+		for range callCount - heldAtOnce {
+			So(receive(outcomes), ShouldEqual, Unavailable)
+		}
+		caller, _ := newTestMesh(t, nil)
+		err := callWithTimeout(caller, address, "fast", waitTimeout)
+		So(err, ShouldBeNil)
+		close(released)
+		for range heldAtOnce {
+			So(receive(outcomes), ShouldEqual, Done)
+		}
+	})
+	Convey("Requests that stop short of their end hold memory for a time only", t, func() {
+		_, address := newLimitedMesh(t, limits, serveByCell(nil))
+		session := newSession(t, address)
+		data, err := proto.Marshal(large("fast"))
+		So(err, ShouldBeNil)
+		for range heldAtOnce {
+			stream, err := session.OpenStream()
+			So(err, ShouldBeNil)
+			_, err = stream.Write(append(binary.AppendUvarint(nil, uint64(len(data))), data[:len(data)-1]...))
+			So(err, ShouldBeNil)
+		}
+		caller, _ := newTestMesh(t, nil)
+		isServed := func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+			defer cancel()
+			response, err := caller.Call(ctx, address, large("fast"))
+			return err == nil && response.GetOutcome() == Done
+		}
+		So(await.Until(waitTimeout, isServed), ShouldBeTrue)
+	})
+}
+
+// receive returns the next outcome, or Refused if there is none within waitTimeout.
+func receive(outcomes <-chan uint32) uint32 {
+	select {
+	case outcome := <-outcomes:
+		return outcome
+	case <-time.After(waitTimeout):
+		return Refused
+	}
+}
+
+// A refused request that was larger than the window of its stream blocked its caller, which
+// took it for one that may have been processed.
+func TestRefusedRequestIsRead(t *testing.T) {
+	Convey("The caller of a large request that gets no memory learns that it was not processed", t, func() {
+		const size = 2 * streamWindowSize
+		released := make(chan struct{})
+		limits := inbound.Limits{MaxMessageMemory: size + size/2, MessageTimeout: time.Second}
+		_, address := newLimitedMesh(t, limits, serveByCell(released))
+		outcomes := make(chan uint32, 2)
+		for range cap(outcomes) {
+			go func() {
+				caller, _ := newTestMesh(t, nil)
+				ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+				defer cancel()
+				response, err := caller.Call(ctx, address, largeRequest("slow", size))
+				if err != nil {
+					outcomes <- Indeterminate
+					return
+				}
+				outcomes <- response.GetOutcome()
+			}()
+		}
+		So(receive(outcomes), ShouldEqual, Unavailable)
+		close(released)
+		So(receive(outcomes), ShouldEqual, Done)
+	})
+}
+
+// largeRequest returns a request of more than size bytes.
+func largeRequest(cell string, size int) *wire.Request {
+	return &wire.Request{Cell: cell, Body: &wire.Request_Submit{Submit: &wire.Submit{Job: make([]byte, size)}}}
+}
--- a/internal/mesh/peer/mesh.go
+++ b/internal/mesh/peer/mesh.go
@@ -36,8 +36,14 @@
 	// sendQueueLength is the number of short messages queued for a slow peer before
 	// new ones are dropped.
 	sendQueueLength = 64
-	dialTimeout     = 2 * time.Second
-	redialDelay     = 500 * time.Millisecond
+	// maxHelloSize bounds a Hello, in bytes.
+	maxHelloSize = 4 << 10
+	// maxStreams is the number of streams that a peer opens on a session.
+	maxStreams = 2
+	// readBufferSize is in bytes.
+	readBufferSize = 4 << 10
+	dialTimeout    = 2 * time.Second
+	redialDelay    = 500 * time.Millisecond
 	// writeTimeout ends a session whose peer does not read.
 	writeTimeout = 5 * time.Second
 )
@@ -57,12 +63,15 @@
 	// for long, since it delays the messages behind.
 	Receive func(from string, frame *wire.Frame)
 	Log     *logrus.Entry
+	// Limits bounds what peers may hold.
+	Limits inbound.Limits
 }
 
 // Mesh exchanges messages with all other entries. It is safe for concurrent use.
 type Mesh struct {
 	config  Config
 	inbound *inbound.Listener
+	memory  *inbound.Memory
 	wait    background.Group
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -98,9 +107,9 @@
 // NewMesh starts listening for peers. Call SetAddresses to connect to others, and
 // Close to stop.
 func NewMesh(config Config) (mesh *Mesh, err error) {
-	m := &Mesh{config: config, links: make(map[netip.AddrPort]*link)}
+	m := &Mesh{config: config, memory: inbound.NewMemory(config.Limits), links: make(map[netip.AddrPort]*link)}
 	m.inbound, err = inbound.Listen(inbound.Config{
-		Listen: config.Listen, RetryDelay: redialDelay, ReportFailure: m.reportAcceptFailure, Serve: m.serveConn,
+		Listen: config.Listen, RetryDelay: redialDelay, ReportFailure: m.reportAcceptFailure, Serve: m.serveConn, Limits: config.Limits,
 	})
 	if err != nil {
 		return nil, err
@@ -346,13 +355,14 @@
 	return err
 }
 
-// reportAcceptFailure logs a failed accept, for instance while all descriptors are in use.
+// reportAcceptFailure logs a failed accept, for instance while all descriptors are in use,
+// and that connections are closed at the bound.
 func (m *Mesh) reportAcceptFailure(err error) {
 	event.PeerUnreachable.Log(m.config.Log, logrus.Fields{"address": m.Address(), "error": err})
 }
 
 // serveConn reads the streams of a connection from a peer until it is closed.
-func (m *Mesh) serveConn(conn net.Conn) {
+func (m *Mesh) serveConn(conn *inbound.Conn) {
 	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil || m.ctx.Err() != nil {
 		return
@@ -360,39 +370,52 @@
 	defer session.Close()
 	var wait background.Group
 	defer wait.Wait()
-	for {
+	for range maxStreams {
 		stream, err := session.Accept()
 		if err != nil {
 			return
 		}
 		wait.Go(func() {
 			defer stream.Close()
-			if err := m.readStream(stream); err != nil && m.ctx.Err() == nil && session.NumStreams() > 0 {
+			err := m.readStream(conn, stream)
+			if err == nil {
+				return
+			}
+			if m.ctx.Err() == nil && session.NumStreams() > 0 {
 				event.PeerRefused.Log(m.config.Log, logrus.Fields{"address": conn.RemoteAddr().String(), "error": err})
 			}
+			// The peer dials again instead of sending to a stream that is not read.
+			_ = session.Close()
 		})
 	}
+	if _, err = session.Accept(); err == nil {
+		event.PeerRefused.Log(m.config.Log, logrus.Fields{"address": conn.RemoteAddr().String(), "error": errTooManyStreams})
+		_ = session.Close()
+	}
 }
 
-// readStream answers the handshake on a stream of a peer and passes its messages to
-// Receive. It returns nil when the peer closes the stream or disconnects.
-func (m *Mesh) readStream(stream net.Conn) error {
-	reader := bufio.NewReader(stream)
+// readStream answers the handshake on a stream of a peer's connection and passes its
+// messages to Receive. It returns nil when the peer closes the stream or disconnects.
+func (m *Mesh) readStream(conn *inbound.Conn, stream net.Conn) error {
+	reader := m.memory.NewReader(stream, readBufferSize)
 	_ = stream.SetReadDeadline(time.Now().Add(dialTimeout))
-	frame, err := readFrame(reader)
+	hello := &wire.Frame{}
+	release, err := reader.Read(m.ctx, maxHelloSize, hello)
 	if err != nil {
 		return err
 	}
-	entry, err := checkHello(frame)
+	release()
+	entry, err := checkHello(hello)
 	if err != nil {
 		return err
 	}
+	conn.Identified()
 	if err = m.writeFrame(stream, m.helloFrame()); err != nil {
 		return err
 	}
-	_ = stream.SetReadDeadline(time.Time{})
 	for {
-		frame, err = readFrame(reader)
+		frame := &wire.Frame{}
+		release, err = reader.Read(m.ctx, maxMessageSize, frame)
 		if isDisconnect(err) {
 			return nil
 		}
@@ -400,6 +423,7 @@
 			return err
 		}
 		m.config.Receive(entry, frame)
+		release()
 	}
 }
 
