Report connections of peers that are closed at the bound

What operators could not see: an entry for jobs that closes connections of peers, since the report of the calls between entries was not set.

--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -148,7 +148,9 @@
 	}
 	s := config.Settings
 	d.self = roster.Member{Name: s.Name, Centre: s.Centre, Peer: s.Peer, Cores: s.Cores, Incarnation: uuid.NewString()}
-	d.mesh, err = call.New(call.Config{Listen: s.Peer, Serve: d.serve})
+	d.mesh, err = call.New(call.Config{Listen: s.Peer, Serve: d.serve, ReportFailure: func(err error) {
+		event.OperationFailed.Log(d.log, logrus.Fields{"call": "accept peer", "error": err.Error()})
+	}})
 	if err != nil {
 		return nil, err
 	}
