--- a/internal/front/submitter/submitter_test.go
+++ b/internal/front/submitter/submitter_test.go
@@ -24,9 +24,9 @@
 
 const (
 	waitTimeout = 20 * time.Second
-	// maxBody is the maximum size of a body in the configuration, in bytes.
-	maxBody = 32 << 10
-	job     = `{"spec":"s","steps":[{"n":1,"each":{"cpu":500,"mem":10}}]}`
+	// bodyLimit is the maximum size of a body in the configuration, in bytes.
+	bodyLimit = 32 << 10
+	job       = `{"spec":"s","steps":[{"n":1,"each":{"cpu":500,"mem":10}}]}`
 )
 
 // testServer serves a Handler. Its backend accepts all jobs.
@@ -43,7 +43,7 @@
 	logger.SetOutput(io.Discard)
 	log := logrus.NewEntry(logger)
 	config := &setup.Setup{
-		MaxBodyBytes: maxBody,
+		MaxBodyBytes: bodyLimit,
 		Queues:       []setup.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 1, Stretch: 2, Target: time.Second}},
 		Accounts:     map[string]setup.Account{"team": {Name: "team", Weight: 1}},
 		Keys:         map[setup.Digest]string{sha256.Sum256([]byte("secret")): "team"},
@@ -106,7 +106,7 @@
 }
 
 func TestBodyOfSubmission(t *testing.T) {
-	padded := job + strings.Repeat(" ", maxBody-len(job))
+	padded := job + strings.Repeat(" ", bodyLimit-len(job))
 	cases := map[string]struct {
 		request   request
 		status    int
@@ -116,10 +116,10 @@
 	}{
 		"a job is accepted":                                 {request{key: "secret", body: job}, 200, "", false, 1},
 		"a job of the largest size is accepted":             {request{key: "secret", body: padded}, 200, "", false, 1},
-		"a body that is too large is refused before it":     {request{key: "secret", length: maxBody + 1}, 413, "", true, 0},
-		"a wrong key is refused before the body":            {request{key: "wrong", length: maxBody}, 401, "", true, 0},
-		"a body that takes longer than the wait never runs": {request{key: "secret", wait: "100ms", body: padded[1:], length: maxBody}, 503, "1", true, 0},
-		"a body that is broken off is refused":              {request{key: "secret", body: job, length: maxBody, isBrokenOff: true}, 400, "", true, 0},
+		"a body that is too large is refused before it":     {request{key: "secret", length: bodyLimit + 1}, 413, "", true, 0},
+		"a wrong key is refused before the body":            {request{key: "wrong", length: bodyLimit}, 401, "", true, 0},
+		"a body that takes longer than the wait never runs": {request{key: "secret", wait: "100ms", body: padded[1:], length: bodyLimit}, 503, "1", true, 0},
+		"a body that is broken off is refused":              {request{key: "secret", body: job, length: bodyLimit, isBrokenOff: true}, 400, "", true, 0},
 		"a body that is no job is refused":                  {request{key: "secret", body: "{"}, 400, "", false, 0},
 	}
 	for name, c := range cases {
