Count the steps of jobs, and tasks that begin later, among those that a cell holds

What callers could see: timed jobs whose occurrences come due together, or jobs of many steps that are not due or have ended, take the memory of the owner.

Cause: the bound looked at the tasks held when a job is accepted. Tasks of occurrences that began later did not count, nor did steps, which ended jobs kept for all of their retention.

Change: occurrences begin only while the cell does not hold too many tasks; steps count when a job is accepted; steps and tasks of ended jobs are deleted once no grant can keep a run of them at work.

--- a/jobs/admit.go
+++ b/jobs/admit.go
@@ -20,8 +20,8 @@
 	// minRetry keeps rejected submitters from returning in the same burst.
 	minRetry = 500 * time.Millisecond
 	maxRetry = 5 * time.Second
-	// maxHeldTasks is how many tasks the jobs of a cell may have. A task takes some 350 bytes, and a single job
-	// may have MaxTasks.
+	// maxHeldTasks is how many tasks and steps the jobs of a cell may have. Each takes some 200 to 450 bytes, and a
+	// single job may have MaxTasks.
 	maxHeldTasks = MaxTasks + MaxTasks/2
 )
 
@@ -77,7 +77,7 @@
 	switch {
 	case !c.fitsAccount(spec):
 		return "a task or gang is larger than the limit of the client account"
-	case c.heldTasks > 0 && c.heldTasks+spec.tasksPerOccurrence() > maxHeldTasks:
+	case c.heldTasks+c.heldSteps > 0 && c.heldTasks+c.heldSteps+spec.tasksPerOccurrence()+len(spec.Steps) > maxHeldTasks:
 		return "the cell holds too many tasks"
 	}
 	return ""
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -39,10 +39,11 @@
 type Cell struct {
 	config Config
 	jobs   map[string]*job
-	// heldTasks is the number of tasks of occurrences that have begun and are kept.
-	heldTasks int
-	active    []*job
-	endpoints map[string]*Endpoint
+	// heldTasks is the number of tasks of occurrences that have begun and are kept, heldSteps that of the steps of jobs
+	// that are kept.
+	heldTasks, heldSteps int
+	active               []*job
+	endpoints            map[string]*Endpoint
 	// orphans counts the orphans on all endpoints by task.
 	orphans map[string]int
 	// used is the total size of each client account's runs, including those whose
@@ -378,8 +379,8 @@
 	slices.SortStableFunc(c.active, compare)
 }
 
-// Forget deletes the tasks of jobs that have ended and have no runs left, and such jobs themselves that ended more
-// than Bounds.Retention ago.
+// Forget deletes the steps and tasks of jobs that have ended and have no runs left, once no grant can keep an unknown run at work, and such jobs
+// themselves that ended more than Bounds.Retention ago.
 func (c *Cell) Forget(now time.Time) {
 	hasRuns := make(map[*job]bool)
 	for _, e := range c.endpoints {
@@ -388,11 +389,13 @@
 		}
 	}
 	for id, j := range c.jobs {
-		if !j.isOver() || hasRuns[j] {
+		if !j.isOver() || hasRuns[j] || now.Sub(j.ended) <= c.config.Bounds.longestGrant() {
 			continue
 		}
 		c.heldTasks -= len(j.occurrences) * j.tasksPerOccurrence()
+		c.heldSteps -= len(j.Steps)
 		clear(j.occurrences)
+		j.Steps = nil
 		if now.Sub(j.ended) > c.config.Bounds.Retention {
 			delete(c.jobs, id)
 		}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -208,6 +208,7 @@
 		arrived:         c.arrivals.firstAttempt(now, spec.ID),
 		isBeyondRate:    c.arrivals.attempts[spec.ID].isBeyondRate,
 	}
+	c.heldSteps += len(spec.Steps)
 	c.jobs[spec.ID] = j
 	c.active = append(c.active, j)
 	j.due = j.arrived.Add(c.objective(j))
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -200,12 +200,16 @@
 }
 
 // maxOpenTasks is how many tasks of a timed job's occurrences may have begun and not ended, unless a single occurrence has
-// more. Further occurrences that are due begin as others end.
+// more. Further occurrences that are due begin as others end, and while the cell does not hold too many tasks.
 const maxOpenTasks = 10_000
 
 // mayBegin reports whether a further occurrence of a timed job may begin.
-func (j *job) mayBegin() bool {
-	return len(j.occurrences) == 0 || (len(j.occurrences)+1)*j.tasksPerOccurrence() <= maxOpenTasks
+func (c *Cell) mayBegin(j *job) bool {
+	tasks := j.tasksPerOccurrence()
+	if c.heldTasks > 0 && c.heldTasks+tasks > maxHeldTasks {
+		return false
+	}
+	return len(j.occurrences) == 0 || (len(j.occurrences)+1)*tasks <= maxOpenTasks
 }
 
 // beginDueOccurrences begins the occurrences of timed jobs that are due on the wall
@@ -215,7 +219,7 @@
 		if j.Times == 0 || j.isOver() {
 			continue
 		}
-		for j.nextOccurrence < j.Times && j.mayBegin() {
+		for j.nextOccurrence < j.Times && c.mayBegin(j) {
 			due := j.First.Add(time.Duration(j.nextOccurrence) * j.Interval)
 			if wall.Before(due) {
 				break
