Share the reads of the homes of queues among the requests that wait

What callers could see: GET or DELETE of unknown jobs in a flood end the session of an entry, and with it its cells.

Cause: each such request reads the homes from the store, over the six connections on which the lease is renewed, too.

Change: calls that wait share a read that begins after each of them, so that one is under way at a time.

--- a/internal/cell/homes/homes.go
+++ b/internal/cell/homes/homes.go
@@ -82,6 +82,10 @@
 	// revision is that of the last state of the document that was seen, base the one that a
 	// condition names: 0 while there is no document.
 	revision, base int64
+	// isReading reports that a shared read is in progress; nextRead is the one that begins after it, nil if no
+	// call waits for it.
+	isReading bool
+	nextRead  *sharedRead
 }
 
 // New returns a view that knows no rows yet.
@@ -123,9 +127,51 @@
 	return nil
 }
 
-// Refresh reads the document from the store.
-func (h *Homes) Refresh(ctx context.Context) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// Refresh reads the document from the store. All calls that wait share a read, which begins after each
+// of them: requests about jobs that nobody knows must not take the store's connections.
+func (h *Homes) Refresh(ctx context.Context) error {
+	h.mu.Lock()
+	if h.nextRead == nil {
+		h.nextRead = &sharedRead{done: make(chan struct{})}
+	}
+	r := h.nextRead
+	if !h.isReading {
+		h.isReading = true
+		go h.readShared()
+	}
+	h.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// sharedRead is a read for all calls of Refresh that wait for it. err is set when done is closed.
+type sharedRead struct {
+	done chan struct{}
+	err  error
+}
+
+// readShared reads the document for the calls that wait, until there are none.
+func (h *Homes) readShared() {
+	for {
+		h.mu.Lock()
+		r := h.nextRead
+		h.nextRead, h.isReading = nil, r != nil
+		h.mu.Unlock()
+		if r == nil {
+			return
+		}
+		r.err = h.read()
+		close(r.done)
+	}
+}
+
+// read reads the document from the store.
+func (h *Homes) read() error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	item, err := h.client.Get(ctx, Key)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
