--- a/internal/front/submitter/submitter.go
+++ b/internal/front/submitter/submitter.go
@@ -36,6 +36,8 @@
 const (
 	// defaultTimeout applies to submitters that do not state how long they wait.
 	defaultTimeout = 3 * time.Second
+	// maxWait is the longest time for which a request is worked on, whatever its submitter states.
+	maxWait = 30 * time.Second
 	// responseMargin is subtracted from the time that a submitter waits, so that the
 	// response arrives in time.
 	responseMargin = 60 * time.Millisecond
@@ -127,6 +129,7 @@
 	if wait <= 0 {
 		wait = defaultTimeout
 	}
+	wait = min(wait, maxWait)
 	ctx, cancel := context.WithTimeout(r.Context(), max(wait-responseMargin, responseMargin))
 	defer cancel()
 	resp := h.respond(ctx, w, r)
