Bound the lines of heads, and count requests with unread bodies as served

Cause: net/http bounds the bytes of a head, not its lines. A request counted as received whole only once its body was read.

Change: lines are counted as the bytes arrive, before net/http parses them, and a head with more than 256 ends its connection. A request with a method without a meaningful body counts as received when its head is.

Also: what is decoded counts with 16 times the size of the body, the bound of the decoders, instead of 4.

--- a/internal/front/intake/answer.go
+++ b/internal/front/intake/answer.go
@@ -22,11 +22,14 @@
 	conn, _ := r.Context().Value(connectionKey{}).(*connection)
 	body := &trackedBody{ReadCloser: r.Body, conn: conn}
 	aw := &answerWriter{ResponseWriter: w, handler: a, body: body}
-	if r.Body == nil || r.Body == http.NoBody {
+	switch {
+	case r.Body == nil || r.Body == http.NoBody:
 		if body.finish() != nil {
 			panic(http.ErrAbortHandler)
 		}
-	} else {
+	case !hasMeaningfulBody(r.Method) && conn != nil && conn.beginServing() != nil:
+		panic(http.ErrAbortHandler)
+	default:
 		// net/http handles the body of its own request after the handler has returned.
 		r = r.WithContext(r.Context())
 		r.Body = body
@@ -37,6 +40,12 @@
 	}
 }
 
+// hasMeaningfulBody reports whether a handler may wait for the body of a request with a method. Other
+// requests are served without it.
+func hasMeaningfulBody(method string) bool {
+	return method != http.MethodGet && method != http.MethodHead && method != http.MethodDelete
+}
+
 // trackedBody is a body that notes when it has been read to its end.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/front/intake/connection.go
+++ b/internal/front/intake/connection.go
@@ -2,9 +2,11 @@
 
 import (
 	"container/list"
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +20,10 @@
 	net.Conn
 	all        *connections
 	generation *generation
+	// head counts the lines of the head that is being received. Only reads use it.
+	head headLines
+	// isAnswered is set when a request has been answered, until a read counts the next head.
+	isAnswered atomic.Bool
 
 	// The mutex of all guards these fields. element is nil while a request is being served.
 	element  *list.Element
@@ -68,8 +74,24 @@
 	return nil
 }
 
+// Read implements net.Conn. It fails if the head that is being received has too many lines.
+func (c *connection) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	if c.isAnswered.Swap(false) {
+		c.head = headLines{}
+	}
+	if limit := c.all.headerLines; limit > 0 && c.head.add(p[:n]) > limit {
+		return 0, errManyLines
+	}
+	return n, err
+}
+
+// errManyLines means that the head of a request has too many lines.
+var errManyLines = errors.New("the head has too many lines")
+
 // endServing notes that the request has been answered.
 func (c *connection) endServing() {
+	c.isAnswered.Store(true)
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	if !c.isClosed && c.element == nil {
@@ -81,6 +103,7 @@
 type connections struct {
 	name        string
 	limit       int
+	headerLines int
 	openGauge   tally.Gauge
 	closed      tally.Counter
 	closedEvent *limitedEvent
@@ -95,7 +118,7 @@
 func newConnections(config Config) *connections {
 	scope := config.Scope.Tagged(map[string]string{"listener": config.Name})
 	return &connections{
-		name: config.Name, limit: config.Limits.Connections, waiting: list.New(),
+		name: config.Name, limit: config.Limits.Connections, headerLines: config.Limits.HeaderLines, waiting: list.New(),
 		openGauge: scope.Gauge("connections"), closed: scope.Counter("connections_closed"),
 		closedEvent: newLimitedEvent(event.ConnectionsClosed, config.Log),
 	}
--- a/internal/front/intake/harness_test.go
+++ b/internal/front/intake/harness_test.go
@@ -80,6 +80,11 @@
 }
 
 func newTestServer(t testing.TB, limits Limits) *testServer {
+	return newTestServerOf(t, limits, nil)
+}
+
+// newTestServerOf is newTestServer with a handler, nil for that of the test server.
+func newTestServerOf(t testing.TB, limits Limits, handler http.HandlerFunc) *testServer {
 	s := &testServer{
 		t: t, scope: tally.NewTestScope("", nil), logs: &logBuffer{}, goroutines: runtime.NumGoroutine(),
 		held: make(chan struct{}), release: make(chan struct{}),
@@ -90,7 +95,10 @@
 	log := logrus.NewEntry(logger)
 	s.bodies = NewBodies(BodiesConfig{Name: "test", Limits: limits, Log: log, Scope: s.scope})
 	s.decoder = NewDecoder(DecoderConfig{Name: "test", Limits: limits, Scope: s.scope})
-	s.Server = New(Config{Name: "test", Handler: http.HandlerFunc(s.handle), Limits: limits, Log: log, Scope: s.scope})
+	if handler == nil {
+		handler = s.handle
+	}
+	s.Server = New(Config{Name: "test", Handler: handler, Limits: limits, Log: log, Scope: s.scope})
 	return s
 }
 
--- a/internal/front/intake/limits.go
+++ b/internal/front/intake/limits.go
@@ -21,6 +21,8 @@
 	MaxHeaderBytes int
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
+	// HeaderLines is the maximum number of lines of a head: each takes memory beside its bytes.
+	HeaderLines int
 	// BodyMemory is the memory for bodies that are being received or wait for their decoding, in
 	// bytes. It does not include the free part of each body.
 	BodyMemory int64
@@ -62,6 +64,7 @@
 	minBodies = 4
 	// smallConnections and smallHeaderBytes are the limits of listeners without bodies.
 	smallConnections = 64
+	headerLines      = 256
 	smallHeaderBytes = 8 << 10
 )
 
@@ -81,11 +84,12 @@
 		MaxHeaderBytes: 32 << 10,
 		HeaderTimeout:  5 * time.Second,
 		IdleTimeout:    30 * time.Second,
+		HeaderLines:    headerLines,
 		BodyMemory:     max(memory/bodyMemoryShare, minBodies*largestBody),
 		FreeBodyBytes:  4 << 10,
 		BodyTime:       10 * time.Second,
 		DecodeMemory:   max(memory/decodeMemoryShare, minBodies*largestBody),
-		DecodeFactor:   4,
+		DecodeFactor:   16,
 		Decodings:      2,
 		AnswerTime:     5 * time.Second,
 		LingerTime:     500 * time.Millisecond,
@@ -100,6 +104,7 @@
 		MaxHeaderBytes: smallHeaderBytes,
 		HeaderTimeout:  5 * time.Second,
 		IdleTimeout:    30 * time.Second,
+		HeaderLines:    headerLines,
 		AnswerTime:     5 * time.Second,
 		LingerTime:     500 * time.Millisecond,
 	}
