--- a/jobs/admit.go
+++ b/jobs/admit.go
@@ -36,7 +36,7 @@
 	if c.jobs[spec.ID] != nil {
 		return Verdict{IsAccepted: true}
 	}
-	if reason := c.whyNever(spec); reason != "" {
+	if reason := c.exceededLimit(spec); reason != "" {
 		return Verdict{RetryAfter: maxRetry, Reason: reason}
 	}
 	if spec.IsLongRunning() || spec.Times > 0 {
@@ -72,8 +72,8 @@
 	return Verdict{RetryAfter: retryAfter, Reason: "the queue is too long to end in time"}
 }
 
-// whyNever returns why a job is not accepted whatever waits before it, empty if it may be.
-func (c *Cell) whyNever(spec *Job) (reason string) {
+// exceededLimit returns the reason if a limit keeps a job from being accepted now, whatever its objective, empty if none does.
+func (c *Cell) exceededLimit(spec *Job) (reason string) {
 	switch {
 	case !c.fitsAccount(spec):
 		return "a task or gang is larger than the limit of the client account"
