--- a/review/world3/cases.go
+++ b/review/world3/cases.go
@@ -4,181 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 )
 
 func noLabels(int) []string { return nil }
 
-// playWave: an order of upkeep gets no answer and is carried out seconds later, and the steward that sent it is
-// killed. The next one must not have more machines down than the wave allows.
-func playWave(w *world) {
-	const number, most = 1, 4
-	minions := w.addMinions(16, noLabels)
-	w.configure(3)
-	wv := &wave{Wave: number, WithinS: 40, Cap: most}
-	for _, n := range minions {
-		wv.Machines = append(wv.Machines, n.machine)
-	}
-	w.cloud.waves[number] = wv
-	var mu sync.Mutex
-	var broken []string
-	begun := 0
-	w.cloud.onUpkeep = func(id string, down int) {
-		mu.Lock()
-		defer mu.Unlock()
-		begun++
-		if down >= most {
-			broken = append(broken, fmt.Sprintf("the upkeep of %s begins while %d machines of its wave are down, %d may be", id, down, most))
-		}
-	}
-	victim := make(chan string, 1)
-	seen := 0
-	var firstAt time.Time
-	if w.hasTrouble {
-		w.cloud.late = func(holder, _ string, number int) time.Duration {
-			if number == 0 {
-				return 0
-			}
-			if seen++; seen == 1 {
-				firstAt = time.Now()
-				victim <- holder
-			}
-			// Each second order of upkeep within a second.
-			if seen%2 == 1 || time.Since(firstAt) > time.Second {
-				return 0
-			}
-			return lateOrder
-		}
-	}
-	w.startDaemons(3)
-	time.Sleep(4 * time.Second)
-	w.store.set("op/wave/1", wv)
-	w.record.row("wave requested", "cap", most, "machines", len(wv.Machines))
-	if w.hasTrouble {
-		select {
-		case name := <-victim:
-			time.Sleep(100 * time.Millisecond)
-			for _, d := range w.daemons {
-				if d.name == name {
-					d.kill()
-					time.Sleep(darkTime)
-					d.start()
-				}
-			}
-		case <-time.After(20 * time.Second):
-			w.fail("no order of upkeep came")
-		}
-	}
-	w.within(40*time.Second, func() bool {
-		mu.Lock()
-		defer mu.Unlock()
-		return begun == len(wv.Machines)
-	})
-	mu.Lock()
-	defer mu.Unlock()
-	if begun == 0 {
-		w.fail("no upkeep began")
-	}
-	w.judge("LIMIT", broken)
-}
-
-const (
-	// lateOrder is how long after its arrival an order without an answer is carried out: 2 to 12 s by the pages.
-	lateOrder = 4 * time.Second
-	// darkTime is how long a killed daemon stays away: 3.5 s at most in the site file.
-	darkTime = 3500 * time.Millisecond
-)
-
-// playGang: a minion crashes under members of gangs, and later another one. All members of a gang must start again
-// from the same checkpoint.
-func playGang(w *world) {
-	const gangs, members = 6, 3
-	w.addMinions(8, noLabels)
-	w.configure(3)
-	var mu sync.Mutex
-	// values holds the checkpoints of the starts by job, run and task.
-	values := make(map[string]map[int]map[string]string)
-	restarts := 0
-	w.onStart = func(_ *minion, o order) {
-		mu.Lock()
-		defer mu.Unlock()
-		id, _, _ := taskName(o.Task)
-		if values[id] == nil {
-			values[id] = make(map[int]map[string]string)
-		}
-		if values[id][o.RunID] == nil {
-			values[id][o.RunID] = make(map[string]string)
-		}
-		values[id][o.RunID][o.Task] = o.LastCheckpoint
-		restarts = max(restarts, o.RunID-1)
-	}
-	w.startDaemons(3)
-	time.Sleep(3 * time.Second)
-	var ids []string
-	for i := range gangs {
-		ids = append(ids, fmt.Sprintf("5c0e7a21d94b36f%d", i))
-		w.submit(w.daemons[i%3], ids[i], &jobSpec{Spec: "gang", Steps: []stepSpec{
-			{Count: members, CPU: 1000, MemMb: 100, EstRuntimeMs: 15000, Gang: true, Checkpoint: true, AntiAffinity: 1},
-		}})
-		time.Sleep(140 * time.Millisecond)
-	}
-	time.Sleep(4 * time.Second)
-	if w.hasTrouble {
-		for range 2 {
-			victim := w.busiestMinion()
-			w.record.row("minion crashes", "minion", victim.id)
-			victim.crash()
-			time.Sleep(crashTime)
-			w.fleet.start(*victim)
-			w.record.row("minion is back", "minion", victim.id)
-			time.Sleep(4 * time.Second)
-		}
-	}
-	isOpen := func(id string) bool { return w.state(w.daemons[0], id) != "completed" }
-	w.within(35*time.Second, func() bool {
-		time.Sleep(time.Second)
-		return !slices.ContainsFunc(ids, isOpen)
-	})
-	var broken []string
-	for _, id := range ids {
-		mu.Lock()
-		byRun := values[id]
-		mu.Unlock()
-		for run := 1; run <= len(byRun); run++ {
-			distinct := make(map[string]bool)
-			for _, value := range byRun[run] {
-				distinct[value] = true
-			}
-			if len(distinct) > 1 {
-				broken = append(broken, fmt.Sprintf("the members of run %d of the gang of job %s are started with different checkpoints: %v", run, id, byRun[run]))
-				break
-			}
-		}
-		w.record.row("job", "id", id, "starts of the gang", len(byRun), "completed", !isOpen(id))
-	}
-	if w.hasTrouble && restarts == 0 {
-		w.fail("no gang was started again")
-	}
-	w.judge("UNASKED", broken)
-}
-
-// crashTime is how long a crashed minion is down: 4.5 s at most in the site file.
-const crashTime = 3 * time.Second
-
-// busiestMinion returns the minion with the most runs.
-func (w *world) busiestMinion() (busiest *minion) {
-	w.fleet.mu.Lock()
-	defer w.fleet.mu.Unlock()
-	for _, n := range w.fleet.minions {
-		if busiest == nil || len(n.runs) > len(busiest.runs) || len(n.runs) == len(busiest.runs) && n.id < busiest.id {
-			busiest = n
-		}
-	}
-	return busiest
-}
-
 // playPending: the only minion that may run a queue's jobs refuses all starts for a time. The queue must say that the
 // jobs wait.
 func playPending(w *world) {
@@ -203,7 +34,7 @@
 	w.onStart = func(_ *minion, o order) {
 		mu.Lock()
 		defer mu.Unlock()
-		job, _, _ := taskName(o.Task)
+		job, _ := taskName(o.Task)
 		begun[job] = true
 	}
 	if w.hasTrouble {
@@ -295,3 +126,134 @@
 	}
 	w.judge("LOST", broken)
 }
+
+// playTwice: a start gets no answer and is carried out seconds later, when its minion has started again under its ID.
+// The task has been done elsewhere meanwhile, and must not start again.
+func playTwice(w *world) {
+	const id, other = "5c0e7a21d94b36f8", "5c0e7a21d94b36f9"
+	w.addMinions(8, noLabels)
+	w.configure(3)
+	var broken []string
+	w.onStart = func(n *minion, o order) {
+		if at, isDone := w.fleet.done[o.Task]; isDone {
+			broken = append(broken, fmt.Sprintf("%s run %d starts on %s %.1f s after the end of a run that was done had been taken note of",
+				o.Task, o.RunID, n.id, time.Since(at).Seconds()))
+		}
+	}
+	victim := make(chan *minion, 1)
+	if w.hasTrouble {
+		isFirst := true
+		w.late = func(n *minion, path string, o order) time.Duration {
+			if job, _ := taskName(o.Task); path != "/api/run-start" || job != id || !isFirst {
+				return 0
+			}
+			isFirst = false
+			victim <- n
+			return lateStart
+		}
+	}
+	w.startDaemons(3)
+	time.Sleep(2 * time.Second)
+	w.submit(w.daemons[0], id, &jobSpec{Spec: "once", Steps: []stepSpec{{Count: 1, CPU: 1000, MemMb: 100, EstRuntimeMs: 800}}})
+	// Another job, so that the minion is asked for its runs when the first one ends.
+	time.Sleep(500 * time.Millisecond)
+	w.submit(w.daemons[0], other, &jobSpec{Spec: "other", Steps: []stepSpec{{Count: 1, CPU: 1000, MemMb: 100, EstRuntimeMs: 2500}}})
+	if w.hasTrouble {
+		n := <-victim
+		w.record.row("start gets no answer", "minion", n.id)
+		time.Sleep(3800 * time.Millisecond)
+		w.record.row("minion crashes", "minion", n.id)
+		n.crash()
+		// Its entry is removed after three heartbeat intervals of silence.
+		time.AfterFunc(3*heartbeat-time.Second, func() { w.store.set("servers/"+n.id, nil) })
+		time.Sleep(downTime)
+		next := *n
+		next.registerAfter = heartbeat / 2
+		w.fleet.start(next)
+		w.record.row("minion is back", "minion", n.id)
+	}
+	time.Sleep(6 * time.Second)
+	w.state(w.daemons[0], id)
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if len(w.fleet.done) == 0 {
+		w.fail("the task was not done")
+	}
+	w.judge("TWICE", broken)
+}
+
+const (
+	// lateStart is how long after its arrival a start without an answer is carried out: 2 to 12 s by the pages.
+	lateStart = 9300 * time.Millisecond
+	// downTime is how long the crashed minion is down: 4.5 s at most in the site file.
+	downTime = 4500 * time.Millisecond
+)
+
+// playStray: the minion of a task that lasts is dark for some seconds, comes back, and is lost for good soon after. The
+// task must be at work elsewhere in time.
+func playStray(w *world) {
+	const id = "5c0e7a21d94b36f8"
+	minions := w.addMinions(8, func(i int) []string {
+		if i < 2 {
+			return []string{"fast"}
+		}
+		return nil
+	})
+	w.configure(3)
+	w.startDaemons(3)
+	time.Sleep(3 * time.Second)
+	w.submit(w.daemons[0], id, &jobSpec{Spec: "lasts", Steps: []stepSpec{
+		{Count: 1, CPU: 1000, MemMb: 100, EstRuntimeMs: 1000, Requires: "fast", LongRunning: true, Image: "app"},
+	}})
+	runsOn := func() string {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		for _, n := range w.fleet.minions {
+			if n.runs[id+".0.0.0"] != nil {
+				return n.id
+			}
+		}
+		return ""
+	}
+	if !w.within(10*time.Second, func() bool { return runsOn() != "" }) {
+		w.fail("the job does not run")
+	}
+	time.Sleep(3 * time.Second)
+	if w.hasTrouble {
+		n := minions[0]
+		if runsOn() != n.id {
+			n = minions[1]
+		}
+		w.record.row("minion is dark", "minion", n.id)
+		n.goDark()
+		time.Sleep(darkTime)
+		n = n.restart()
+		w.record.row("minion is back", "minion", n.id)
+		time.Sleep(backTime)
+		w.record.row("minion is lost for good", "minion", n.id, "task is on", runsOn())
+		n.crash()
+		time.AfterFunc(3*heartbeat, func() { w.store.set("servers/"+n.id, nil) })
+	}
+	lostAt := time.Now()
+	var broken []string
+	gap := time.Duration(0)
+	for since := time.Now(); time.Since(lostAt) < 16*time.Second; time.Sleep(20 * time.Millisecond) {
+		if runsOn() != "" {
+			since = time.Now()
+		}
+		gap = max(gap, time.Since(since))
+	}
+	w.record.row("longest time without a run", "seconds", gap.Seconds())
+	if gap >= 9*time.Second {
+		broken = append(broken, fmt.Sprintf("the task that lasts has not run for %.1f s, with room for it on a minion that is up", gap.Seconds()))
+	}
+	w.state(w.daemons[0], id)
+	w.judge("LOST", broken)
+}
+
+const (
+	// darkTime is how long the minion is dark: 4.5 s at most in the site file.
+	darkTime = 4 * time.Second
+	// backTime is how long it is up before it is lost for good.
+	backTime = 600 * time.Millisecond
+)
--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -1,4 +1,4 @@
-// Command world3 plays the scripts of review/11 to review/15: it starts the daemons of the deploy file as
+// Command world3 plays the scripts of review/11 to review/14: it starts the daemons of the deploy file as
 // processes, with a store, a cloud, minions and clients of its own that follow the pages.
 package main
 
@@ -14,10 +14,10 @@
 const timeLimit = 110 * time.Second
 
 var cases = map[string]func(w *world){
-	"wave":    playWave,
-	"gang":    playGang,
 	"pending": playPending,
 	"flap":    playFlap,
+	"stray":   playStray,
+	"twice":   playTwice,
 }
 
 func main() {
--- a/review/world3/minion.go
+++ b/review/world3/minion.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"sort"
@@ -14,12 +13,13 @@
 
 // Times of the minions, within the bounds of PROTOCOL.md and of the site sheets.
 const (
-	heartbeat       = 1500 * time.Millisecond
-	maxHold         = 10 * time.Second
-	stopTime        = 100 * time.Millisecond
-	checkpointEvery = time.Second
-	gangTimeout     = 3 * time.Second
-	maxEnds         = 500
+	heartbeat = 1500 * time.Millisecond
+	maxHold   = 10 * time.Second
+	stopTime  = 100 * time.Millisecond
+	maxEnds   = 500
+	// cpu and memMb are the size of a minion.
+	cpu   = 16000
+	memMb = 64000
 )
 
 // fleet holds the minions and the jobs that the clients have sent, by which the minions know how
@@ -30,6 +30,8 @@
 	jobs  map[string]*jobSpec
 	// minions are those that are up, by ID.
 	minions map[string]*minion
+	// done holds when the end of a run that was done was taken note of, by task.
+	done map[string]time.Time
 }
 
 // jobSpec is a job as its client sends it.
@@ -39,18 +41,13 @@
 }
 
 type stepSpec struct {
-	Count          int    `json:"count"`
-	CPU            int    `json:"cpu"`
-	MemMb          int    `json:"memMb"`
-	EstRuntimeMs   int    `json:"estRuntimeMs"`
-	After          []int  `json:"after,omitempty"`
-	Checkpoint     bool   `json:"checkpoint,omitempty"`
-	Gang           bool   `json:"gang,omitempty"`
-	Requires       string `json:"requires,omitempty"`
-	AntiAffinity   int    `json:"antiAffinity,omitempty"`
-	LongRunning    bool   `json:"longRunning,omitempty"`
-	Image          string `json:"image,omitempty"`
-	MaxUnavailable int    `json:"maxUnavailable,omitempty"`
+	Count        int    `json:"count"`
+	CPU          int    `json:"cpu"`
+	MemMb        int    `json:"memMb"`
+	EstRuntimeMs int    `json:"estRuntimeMs"`
+	Requires     string `json:"requires,omitempty"`
+	LongRunning  bool   `json:"longRunning,omitempty"`
+	Image        string `json:"image,omitempty"`
 }
 
 // minion is one incarnation of a minion.
@@ -63,13 +60,16 @@
 	labels  []string
 	cpu     int
 	address string
+	// registerAfter is how long after its start the minion first writes its entry.
+	registerAfter time.Duration
 
 	server *http.Server
 	stop   chan struct{}
 	born   time.Time
 
-	// The mutex of the fleet guards the fields from here on.
+	// The mutex of the fleet guards the fields from here on. A dark minion answers nothing.
 	isUp      bool
+	isDark    bool
 	isGrey    bool
 	fence     int64
 	holdUntil int64
@@ -85,14 +85,7 @@
 	task    string
 	number  int
 	startAt time.Time
-	// startedFrom is the checkpoint that the start carried, from the progress that it stands for in milliseconds.
-	startedFrom string
-	from        int64
-	// worked is the work of this run in milliseconds, since workedAt.
-	worked   int64
-	workedAt time.Time
-	saved    string
-	stopAt   time.Time
+	stopAt  time.Time
 }
 
 type taskEnd struct {
@@ -100,21 +93,19 @@
 	task   string
 	run    int
 	how    string
-	saved  string
 }
 
 // taskName splits the name of a task.
-func taskName(task string) (job string, step, index int) {
+func taskName(task string) (job string, step int) {
 	parts := strings.Split(task, ".")
 	if len(parts) == 4 {
 		step, _ = strconv.Atoi(parts[2])
-		index, _ = strconv.Atoi(parts[3])
 	}
-	return parts[0], step, index
+	return parts[0], step
 }
 
 func (f *fleet) stepOf(task string) *stepSpec {
-	job, step, _ := taskName(task)
+	job, step := taskName(task)
 	if j := f.jobs[job]; j != nil && step < len(j.Steps) {
 		return &j.Steps[step]
 	}
@@ -125,7 +116,7 @@
 func (f *fleet) start(m minion) *minion {
 	n := &minion{
 		fleet: f, id: m.id, machine: m.machine, pool: m.pool, zone: m.zone, labels: m.labels, cpu: m.cpu, address: m.address,
-		stop: make(chan struct{}), born: time.Now(), isUp: true, runs: make(map[string]*taskRun), highest: make(map[string]int),
+		registerAfter: m.registerAfter, stop: make(chan struct{}), born: time.Now(), isUp: true, runs: make(map[string]*taskRun), highest: make(map[string]int),
 		changed: make(chan struct{}),
 	}
 	listener, err := net.Listen("tcp", n.address)
@@ -144,9 +135,24 @@
 
 // crash ends a minion without notice: it is not at its address any more, and its runs are gone.
 func (n *minion) crash() {
+	n.lose(false)
+	_ = n.server.Close()
+}
+
+// goDark ends a minion whose machine loses power: its runs are gone, and nothing at its address answers until
+// restart is called.
+func (n *minion) goDark() { n.lose(true) }
+
+// restart brings a dark minion up again, under its ID and at its address.
+func (n *minion) restart() *minion {
+	_ = n.server.Close()
+	return n.fleet.start(*n)
+}
+
+func (n *minion) lose(isDark bool) {
 	f := n.fleet
 	f.mu.Lock()
-	n.isUp = false
+	n.isUp, n.isDark = false, isDark
 	for _, r := range n.runs {
 		f.world.record.row("gone", "minion", n.id, "task", r.task, "run", r.number)
 	}
@@ -154,20 +160,13 @@
 	delete(f.minions, n.id)
 	f.mu.Unlock()
 	close(n.stop)
-	_ = n.server.Close()
-}
-
-// leave ends a minion that the platform takes down: its entry is removed too.
-func (n *minion) leave() {
-	n.crash()
-	n.fleet.world.store.set("servers/"+n.id, nil)
 }
 
 // run registers the minion and lets its runs work.
 func (n *minion) run() {
 	work := time.NewTicker(10 * time.Millisecond)
 	defer work.Stop()
-	next := time.Now()
+	next := time.Now().Add(n.registerAfter)
 	for {
 		if !time.Now().Before(next) {
 			next = time.Now().Add(heartbeat)
@@ -187,7 +186,7 @@
 	n.seq++
 	entry := map[string]any{
 		"service": n.pool, "address": n.address, "zone": n.zone, "version": "v1", "slots": 8, "state": "ready",
-		"seq": n.seq, "capacity": map[string]int{"cpu": n.cpu, "memMb": 64000, "gpus": 0}, "labels": n.labels,
+		"seq": n.seq, "capacity": map[string]int{"cpu": n.cpu, "memMb": memMb, "gpus": 0}, "labels": n.labels,
 		"machine": n.machine, "born": n.born.UnixMilli(), "clockMs": n.clock(), "coldRemainingMs": 0,
 	}
 	isUp := n.isUp
@@ -199,33 +198,6 @@
 
 func (n *minion) clock() int64 { return time.Since(n.born).Milliseconds() }
 
-// members returns the runs of a gang's run, by index of the task.
-func (f *fleet) members(task string, number int) map[int]*taskRun {
-	job, step, _ := taskName(task)
-	found := make(map[int]*taskRun)
-	for _, n := range f.minions {
-		for _, r := range n.runs {
-			j, s, index := taskName(r.task)
-			if j == job && s == step && r.number == number {
-				found[index] = r
-			}
-		}
-	}
-	return found
-}
-
-// isGangWhole reports whether all members of a gang's run are present. Members that were started from different
-// checkpoints do not work together: all must carry the same value.
-func (f *fleet) isGangWhole(run *taskRun, count int) bool {
-	members := f.members(run.task, run.number)
-	for _, r := range members {
-		if r.startedFrom != run.startedFrom {
-			return false
-		}
-	}
-	return len(members) == count
-}
-
 // work advances the runs and ends those that are due.
 func (n *minion) work() {
 	f := n.fleet
@@ -237,64 +209,19 @@
 	now := time.Now()
 	for _, r := range n.sorted() {
 		s := f.stepOf(r.task)
-		isWhole := true
-		if s != nil && s.Gang {
-			isWhole = f.isGangWhole(r, s.Count)
-		}
 		switch {
 		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
-			r.save(s, r.from+r.worked)
 			n.end(r, "stopped")
-			continue
 		case n.clock() >= n.holdUntil:
 			n.end(r, "lapsed")
-			continue
-		case s == nil:
-			continue
-		case s.Gang && !isWhole && r.worked > 0:
-			n.end(r, "broken")
-			continue
-		case s.Gang && !isWhole && now.Sub(r.startAt) >= gangTimeout:
-			n.end(r, "alone")
-			continue
-		}
-		if !r.workedAt.IsZero() && isWhole {
-			every := checkpointEvery.Milliseconds()
-			before := (r.from + r.worked) / every
-			r.worked = now.Sub(r.workedAt).Milliseconds()
-			if count := (r.from + r.worked) / every; count > before {
-				r.save(s, count*every)
-			}
-		} else if isWhole {
-			r.workedAt = now
-		}
-		if !s.LongRunning && r.from+r.worked >= int64(s.EstRuntimeMs) {
+		case s != nil && !s.LongRunning && r.progress(now) >= int64(s.EstRuntimeMs):
 			n.end(r, "done")
-			if s.Gang {
-				f.endGang(r)
-			}
 		}
 	}
 }
 
-// endGang ends the other members of a gang that is done.
-func (f *fleet) endGang(done *taskRun) {
-	job, step, _ := taskName(done.task)
-	for _, n := range f.minions {
-		for _, r := range n.sorted() {
-			if j, s, _ := taskName(r.task); j == job && s == step && r.number == done.number {
-				n.end(r, "done")
-			}
-		}
-	}
-}
-
-// save makes a checkpoint of a progress in milliseconds. Members of a gang with the same progress have the same value.
-func (r *taskRun) save(s *stepSpec, progress int64) {
-	if s != nil && s.Checkpoint {
-		r.saved = fmt.Sprintf("%08x%s", progress, r.task[4:12])
-	}
-}
+// progress returns for how long the run has been at work, in milliseconds.
+func (r *taskRun) progress(now time.Time) int64 { return now.Sub(r.startAt).Milliseconds() }
 
 func (n *minion) sorted() []*taskRun {
 	list := make([]*taskRun, 0, len(n.runs))
@@ -309,21 +236,20 @@
 	delete(n.runs, r.task)
 	n.highest[r.task] = max(n.highest[r.task], r.number)
 	n.lastEnd++
-	n.ends = append(n.ends, taskEnd{n.lastEnd, r.task, r.number, how, r.saved})
-	n.fleet.world.record.row("ended", "minion", n.id, "task", r.task, "run", r.number, "how", how, "saved", r.saved)
+	n.ends = append(n.ends, taskEnd{n.lastEnd, r.task, r.number, how})
+	n.fleet.world.record.row("ended", "minion", n.id, "task", r.task, "run", r.number, "how", how)
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
 type order struct {
-	Task           string `json:"task"`
-	RunID          int    `json:"runId"`
-	Spec           string `json:"spec"`
-	UntilMs        int64  `json:"untilMs"`
-	FencingToken   int64  `json:"fencingToken"`
-	LastCheckpoint string `json:"lastCheckpoint"`
-	LastSeen       int64  `json:"lastSeen"`
-	WaitMs         int64  `json:"waitMs"`
+	Task         string `json:"task"`
+	RunID        int    `json:"runId"`
+	Spec         string `json:"spec"`
+	UntilMs      int64  `json:"untilMs"`
+	FencingToken int64  `json:"fencingToken"`
+	LastSeen     int64  `json:"lastSeen"`
+	WaitMs       int64  `json:"waitMs"`
 }
 
 // ServeHTTP serves the calls of PROTOCOL.md, "Running tasks".
@@ -344,7 +270,16 @@
 	n.fleet.mu.Lock()
 	if !n.isUp {
 		n.fleet.mu.Unlock()
-		panic(http.ErrAbortHandler)
+		n.abort(r)
+	}
+	if late := n.fleet.world.late; late != nil {
+		if delay := late(n, r.URL.Path, o); delay > 0 {
+			n.fleet.mu.Unlock()
+			time.AfterFunc(delay, func() { n.fleet.carryOut(n.id, r.URL.Path, o) })
+			// No answer: the caller gives up.
+			<-r.Context().Done()
+			return
+		}
 	}
 	if o.FencingToken < n.fence {
 		n.fleet.mu.Unlock()
@@ -376,6 +311,26 @@
 	}
 }
 
+// abort ends a call to a minion that is gone: at once, or once the caller gives up if the minion is dark.
+func (n *minion) abort(r *http.Request) {
+	if n.isDark {
+		<-r.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// carryOut carries a start out that got no answer. The minion may have started again under its ID since.
+func (f *fleet) carryOut(id, path string, o order) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.minions[id]
+	if n == nil || o.FencingToken < n.fence || path != "/api/run-start" {
+		return
+	}
+	status, reason := n.startRun(o)
+	f.world.record.row("late start", "minion", id, "clock", n.clock(), "task", o.Task, "run", o.RunID, "status", status, "reason", reason)
+}
+
 func (n *minion) reply(w http.ResponseWriter, status int, reason string) {
 	body := map[string]any{"clockMs": n.clock(), "born": n.born.UnixMilli()}
 	if reason != "" {
@@ -403,12 +358,8 @@
 		return http.StatusConflict, "late"
 	}
 	n.extend(o.UntilMs)
-	run := &taskRun{task: o.Task, number: o.RunID, startAt: time.Now(), saved: o.LastCheckpoint, startedFrom: o.LastCheckpoint}
-	if len(o.LastCheckpoint) == 16 {
-		run.from, _ = strconv.ParseInt(o.LastCheckpoint[:8], 16, 64)
-	}
-	n.runs[o.Task] = run
-	rec.row("started", "minion", n.id, "task", o.Task, "run", o.RunID, "checkpoint", o.LastCheckpoint, "fence", o.FencingToken)
+	n.runs[o.Task] = &taskRun{task: o.Task, number: o.RunID, startAt: time.Now()}
+	rec.row("started", "minion", n.id, "task", o.Task, "run", o.RunID, "fence", o.FencingToken)
 	if hook := n.fleet.world.onStart; hook != nil {
 		hook(n, o)
 	}
@@ -427,6 +378,10 @@
 		n.extend(o.UntilMs)
 	}
 	for len(n.ends) > 0 && n.ends[0].number <= o.LastSeen {
+		f.world.record.row("end noted", "minion", n.id, "task", n.ends[0].task, "run", n.ends[0].run, "how", n.ends[0].how)
+		if n.ends[0].how == "done" {
+			f.done[n.ends[0].task] = time.Now()
+		}
 		n.ends = n.ends[1:]
 	}
 	deadline := time.After(time.Duration(min(o.WaitMs, 2000)) * time.Millisecond)
@@ -442,16 +397,20 @@
 		}
 		f.mu.Lock()
 	}
+	if !n.isUp {
+		f.mu.Unlock()
+		n.abort(r)
+	}
 	running, ended := []any{}, []any{}
 	for _, run := range n.sorted() {
 		percent := 100
 		if s := f.stepOf(run.task); s != nil && !s.LongRunning && s.EstRuntimeMs > 0 {
-			percent = int(100 * (run.from + run.worked) / int64(s.EstRuntimeMs))
+			percent = min(int(100*run.progress(time.Now())/int64(s.EstRuntimeMs)), 99)
 		}
-		running = append(running, []any{run.task, run.number, run.saved, percent, 100})
+		running = append(running, []any{run.task, run.number, "", percent, 100})
 	}
 	for _, e := range n.ends[:min(len(n.ends), maxEnds)] {
-		ended = append(ended, []any{e.number, e.task, e.run, e.how, e.saved})
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
 	}
 	body := map[string]any{"clockMs": n.clock(), "born": n.born.UnixMilli(), "running": running, "ended": ended}
 	f.mu.Unlock()
--- a/review/world3/world.go
+++ b/review/world3/world.go
@@ -26,7 +26,10 @@
 	daemons    []*daemon
 	hasTrouble bool
 	onStart    func(n *minion, o order)
-	listeners  []net.Listener
+	// late decides how long after its arrival an order to a minion is carried out without an answer, 0 for at once
+	// and answered. It is called with the mutex of the fleet held.
+	late      func(n *minion, path string, o order) time.Duration
+	listeners []net.Listener
 }
 
 // record writes the rows of record.txt.
@@ -70,8 +73,8 @@
 	}
 	w := &world{root: root, dir: dir, record: &record{file: file, begin: time.Now()}, store: newStore(), hasTrouble: os.Getenv("TROUBLE") != "0"}
 	w.record.row("begins", "trouble", w.hasTrouble)
-	w.fleet = &fleet{world: w, jobs: make(map[string]*jobSpec), minions: make(map[string]*minion)}
-	w.cloud = newCloud(w)
+	w.fleet = &fleet{world: w, jobs: make(map[string]*jobSpec), minions: make(map[string]*minion), done: make(map[string]time.Time)}
+	w.cloud = newCloud()
 	return w
 }
 
@@ -287,9 +290,9 @@
 	for i := range count {
 		n := w.fleet.start(minion{
 			id: fmt.Sprintf("i-%04d", i+1), machine: fmt.Sprintf("m-%04d", i+1), pool: "svc", zone: []string{"zone-a", "zone-b", "zone-c"}[i%3],
-			labels: append([]string{fmt.Sprintf("r1-%d", i/4+1)}, labels(i)...), cpu: 16000, address: "127.0.0.1:0",
+			labels: append([]string{fmt.Sprintf("r1-%d", i/4+1)}, labels(i)...), cpu: cpu, address: "127.0.0.1:0",
 		})
-		w.cloud.add(n.machine, n)
+		w.cloud.add(n)
 		list = append(list, n)
 	}
 	return list
