--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 here=$(pwd)
 root=$(cd ../.. && pwd) || exit 2
-exec "$root/target/review-world3" pending "$root" "$here/record.txt"
+exec "$root/target/review-world3" quota "$root" "$here/record.txt"
