--- a/review/world3/cases.go
+++ b/review/world3/cases.go
@@ -43,7 +43,7 @@
 	}
 	greyAt := time.Now()
 	for i := range count {
-		w.submit(w.daemons[i%3], fmt.Sprintf("5c0e7a21d94b36f%d", i), &jobSpec{Spec: "labelled", Steps: []stepSpec{
+		w.submit(w.daemons[i%3], fmt.Sprintf("5c0e7a21d94b3%02xf", i), &jobSpec{Spec: "labelled", Steps: []stepSpec{
 			{Count: 1, CPU: 1000, MemMb: 100, EstRuntimeMs: 800, Requires: "fast"},
 		}})
 	}
@@ -75,7 +75,7 @@
 
 // playFlap: the only minion that may run a job that lasts goes down and up by turns. The job must go on afterwards.
 func playFlap(w *world) {
-	const id = "5c0e7a21d94b36f8"
+	const id = "5c0e7a21d94b36fa"
 	minions := w.addMinions(10, func(i int) []string {
 		if i == 0 {
 			return []string{"fast"}
@@ -131,7 +131,7 @@
 // playTwice: a start gets no answer and is carried out seconds later, when its minion has started again under its ID.
 // The task has been done elsewhere meanwhile, and must not start again.
 func playTwice(w *world) {
-	const id, other = "5c0e7a21d94b36f8", "5c0e7a21d94b36f9"
+	const id, other = "5c0e7a21d94b36fa", "5c0e7a21d94b36fb"
 	w.addMinions(8, noLabels)
 	w.configure(1, nil)
 	var broken []string
@@ -193,7 +193,7 @@
 // playStray: the minion of a task that lasts is dark for some seconds, comes back, and is lost for good soon after. The
 // task must be at work elsewhere in time.
 func playStray(w *world) {
-	const id = "5c0e7a21d94b36f8"
+	const id = "5c0e7a21d94b36fa"
 	minions := w.addMinions(8, func(i int) []string {
 		if i < 2 {
 			return []string{"fast"}
@@ -292,7 +292,7 @@
 			limit = map[string]int{"cpu": largestCPU * 24 / 10, "memMb": largestMem * 19 / 10, "gpus": 0}
 			w.configure(services, limit)
 		}
-		id := fmt.Sprintf("%016x", 0x5c0e7a2100000000+i)
+		id := fmt.Sprintf("%015xf", 0x5c0e7a210000000+i)
 		w.queues[id] = rng.Intn(services)
 		job := &jobSpec{Spec: "quota"}
 		for range 1 + rng.Intn(2) {
