--- a/review/world3/main.go
+++ b/review/world3/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -22,6 +23,7 @@
 }
 
 func main() {
+	runtime.LockOSThread()
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: world3 CASE ROOT RECORD")
 		os.Exit(2)
--- a/review/world3/minion.go
+++ b/review/world3/minion.go
@@ -32,6 +32,8 @@
 	minions map[string]*minion
 	// done holds when the end of a run that was done was taken note of, by task.
 	done map[string]time.Time
+	// hasEnded tells which tasks have a run that ended done, taken note of or not.
+	hasEnded map[string]bool
 }
 
 // jobSpec is a job as its client sends it.
@@ -235,6 +237,7 @@
 func (n *minion) end(r *taskRun, how string) {
 	delete(n.runs, r.task)
 	n.highest[r.task] = max(n.highest[r.task], r.number)
+	n.fleet.hasEnded[r.task] = n.fleet.hasEnded[r.task] || how == "done"
 	n.lastEnd++
 	n.ends = append(n.ends, taskEnd{n.lastEnd, r.task, r.number, how})
 	n.fleet.world.record.row("ended", "minion", n.id, "task", r.task, "run", r.number, "how", how)
--- a/review/world3/world.go
+++ b/review/world3/world.go
@@ -76,7 +76,7 @@
 	}
 	w := &world{root: root, dir: dir, record: &record{file: file, begin: time.Now()}, store: newStore(), queues: make(map[string]int), hasTrouble: os.Getenv("TROUBLE") != "0"}
 	w.record.row("begins", "trouble", w.hasTrouble)
-	w.fleet = &fleet{world: w, jobs: make(map[string]*jobSpec), minions: make(map[string]*minion), done: make(map[string]time.Time)}
+	w.fleet = &fleet{world: w, jobs: make(map[string]*jobSpec), minions: make(map[string]*minion), done: make(map[string]time.Time), hasEnded: make(map[string]bool)}
 	w.cloud = newCloud(w.fleet)
 	return w
 }
@@ -176,6 +176,8 @@
 	}
 	d.command = exec.Command(filepath.Join(d.world.root, "target", "chicorypind"))
 	d.command.Env = []string{"CHICORYPIN_CONFIG=" + d.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	// The daemon ends with this process, also if that is killed. main keeps the thread that starts it.
+	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	d.command.Dir, d.command.Stdout, d.command.Stderr = d.world.root, logs, logs
 	if os.Getenv("LOGS") != "" {
 		file, err := os.OpenFile(filepath.Join(os.Getenv("LOGS"), d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -196,6 +198,9 @@
 
 // kill ends the process with SIGKILL and waits for its end.
 func (d *daemon) kill() {
+	if d.done == nil {
+		return // It was never started.
+	}
 	_ = d.command.Process.Signal(syscall.SIGKILL)
 	<-d.done
 	d.world.record.row("daemon killed", "name", d.name)
