Log starts that may be carried out late and the restarts that they meet

The logs could not tell whether the incarnation that took the start had been polled before, whether its endpoint was known to the cell at that time, or whether a stop had reached it. Now event 645 has `open`, for how long the start of a lost run may still be carried out, 643 the number of such starts at the removal of an endpoint, and 648 the clock of the first listing after a restart that they may meet.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -99,6 +99,7 @@
 	RunLost                = define(645, logrus.InfoLevel, "run counts as lost")
 	AdviceFailed           = define(646, logrus.WarnLevel, "call for advice failed")
 	AdviceUnused           = define(647, logrus.WarnLevel, "tickets of a step expired unused")
+	OpenStartsMeetRestart  = define(648, logrus.InfoLevel, "endpoint that may carry out late starts has restarted")
 	LimitsRedistributed    = define(650, logrus.InfoLevel, "limits of client accounts redistributed among the cells")
 	LimitClaimPassedOver   = define(651, logrus.WarnLevel, "claim of a cell to a part of a limit passed over")
 	QueueMoved             = define(652, logrus.InfoLevel, "queue has a home, or another one")
--- a/internal/cell/owner/order.go
+++ b/internal/cell/owner/order.go
@@ -205,6 +205,16 @@
 			"clock": l.ListedClock, "ordered": l.OrderedFor.Milliseconds(), "accepted": l.AcceptedFor.Milliseconds(),
 			"stopped": l.StoppedFor.Milliseconds(), "connected": l.ConnectedFor.Milliseconds(),
 			"listed": l.ListedFor.Milliseconds(), "silent": l.SilentFor.Milliseconds(), "lost": count, "epoch": int64(o.epoch),
+			"open": l.OpenFor.Milliseconds(),
+		})
+	}
+}
+
+// logReincarnations logs the restarts of endpoints that may still carry out starts of lost runs.
+func (o *Owner) logReincarnations() {
+	for _, r := range o.cell.TakeReincarnations() {
+		event.OpenStartsMeetRestart.Log(o.config.Log, logrus.Fields{
+			"endpoint": r.Endpoint, "born": r.Born, "clock": r.Clock, "starts": r.OpenStarts, "epoch": int64(o.epoch),
 		})
 	}
 }
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -296,6 +296,7 @@
 	o.reportEvacuatedRuns(now)
 	o.logCrashes()
 	o.logLosses()
+	o.logReincarnations()
 	o.reportAccuracy(now)
 	o.sendStops(now)
 	o.sendPaces(now)
--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -81,7 +81,7 @@
 		}
 		for id, p := range o.pollers {
 			if _, isKnown := o.cell.NextPoll(now, id); !isKnown {
-				event.EndpointRemoved.Log(o.config.Log, logrus.Fields{"endpoint": id})
+				event.EndpointRemoved.Log(o.config.Log, logrus.Fields{"endpoint": id, "starts": o.cell.OpenStarts(now, id)})
 				o.stopPoller(p)
 				delete(o.pollers, id)
 			}
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -99,7 +99,9 @@
 	lossCount int
 	// lateStarts are the starts that may still be carried out although their runs count as lost.
 	lateStarts []lateStart
-	crashRate  crashRate
+	// reincarnations collects what TakeReincarnations returns.
+	reincarnations []Reincarnation
+	crashRate      crashRate
 	// adviceModels holds the models of the queues with advice, by name. No advice is requested
 	// before adviceRetryAt.
 	adviceModels  map[string]*adviceModel
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -260,6 +260,7 @@
 func (c *Cell) handleRestart(now time.Time, e *Endpoint, l Listing) {
 	born := l.Born
 	c.recordCrash(now, e, Restarted)
+	c.recordReincarnation(now, l)
 	hasSeenGrant := c.recordGrantsOfBefore(now, e, l)
 	e.hasCrashed, e.isCrashUnexplained, e.isRefusing = false, false, false
 	if e.pastBorn == nil {
--- a/jobs/latestart.go
+++ b/jobs/latestart.go
@@ -21,14 +21,57 @@
 
 // recordLateStart records the start of a run that counts as lost if it may still be carried out.
 func (c *Cell) recordLateStart(r *run) {
-	if r.phase != unconfirmed || !r.acceptedAt.IsZero() {
+	until := r.openStart()
+	if until.IsZero() {
 		return
 	}
 	c.lateStarts = append(c.lateStarts, lateStart{
-		endpoint: r.endpoint.ID, task: r.task.name, run: r.number, until: r.orderedAt.Add(maxStartDelay), stoppedBorn: r.endpoint.born,
+		endpoint: r.endpoint.ID, task: r.task.name, run: r.number, until: until, stoppedBorn: r.endpoint.born,
 	})
 }
 
+// openStart returns the time until which the start of a run that counts as lost may be carried out, zero if it can't be.
+func (r *run) openStart() (until time.Time) {
+	if r.phase != unconfirmed || !r.acceptedAt.IsZero() {
+		return time.Time{}
+	}
+	return r.orderedAt.Add(maxStartDelay)
+}
+
+// OpenStarts returns the number of starts that an endpoint may still carry out although their runs count as lost.
+func (c *Cell) OpenStarts(now time.Time, endpoint string) (count int) {
+	for _, s := range c.lateStarts {
+		if s.endpoint == endpoint && !now.After(s.until) {
+			count++
+		}
+	}
+	return count
+}
+
+// Reincarnation reports the first listing of another incarnation of an endpoint that may still carry out starts.
+type Reincarnation struct {
+	Endpoint string
+	Born     int64
+	// Clock is the clock of the incarnation in that listing, in milliseconds. It refused none of the starts before.
+	Clock int64
+	// OpenStarts is the number of these starts.
+	OpenStarts int
+}
+
+// TakeReincarnations returns the reincarnations since the last call.
+func (c *Cell) TakeReincarnations() []Reincarnation {
+	reincarnations := c.reincarnations
+	c.reincarnations = nil
+	return reincarnations
+}
+
+// recordReincarnation records the restart of an endpoint that a listing shows, if it may still carry out starts.
+func (c *Cell) recordReincarnation(now time.Time, l Listing) {
+	if count := c.OpenStarts(now, l.Endpoint); count > 0 {
+		c.reincarnations = append(c.reincarnations, Reincarnation{Endpoint: l.Endpoint, Born: l.Born, Clock: l.Clock, OpenStarts: count})
+	}
+}
+
 // lateStops returns the stops of late starts to order now, a few at a time.
 func (c *Cell) lateStops(now time.Time) (stops []Stop) {
 	c.lateStarts = slices.DeleteFunc(c.lateStarts, func(s lateStart) bool { return now.After(s.until) })
--- a/jobs/loss.go
+++ b/jobs/loss.go
@@ -37,6 +37,8 @@
 	// that carried the start was opened, the last listing was asked for and the endpoint
 	// answered last; -1 if that has not happened or is unknown.
 	OrderedFor, AcceptedFor, StoppedFor, ConnectedFor, ListedFor, SilentFor time.Duration
+	// OpenFor is how long the start may still be carried out, 0 if it can't be.
+	OpenFor time.Duration
 }
 
 // loss is what a task keeps of the last of its runs that counted as lost.
@@ -78,8 +80,12 @@
 		}
 		return now.Sub(at)
 	}
+	openFor := time.Duration(0)
+	if until := r.openStart(); !until.IsZero() {
+		openFor = max(until.Sub(now), 0)
+	}
 	return Loss{
-		Task: r.task.name, Run: r.number, Endpoint: e.ID, Rule: rule, State: r.describe(),
+		OpenFor: openFor, Task: r.task.name, Run: r.number, Endpoint: e.ID, Rule: rule, State: r.describe(),
 		Born: r.orderedBorn, PresentBorn: e.born, RegisteredBorn: e.registeredBorn,
 		ListedClock: e.listedClock,
 		OrderedFor:  since(r.orderedAt), AcceptedFor: since(r.acceptedAt), StoppedFor: since(r.stoppedAt),
