Log the claims to a part of a limit that were met for nothing

The logs could not tell whether cells lack a part of the limit or do not use it. Now event 653 names each claim that was met and with which nothing was started in the two passes for which a cell may keep it, and 605 tells a task whose size is kept free for another one from one that the limit keeps back.

--- a/internal/base/event/catalogue.go
+++ b/internal/base/event/catalogue.go
@@ -103,6 +103,7 @@
 	LimitsRedistributed    = define(650, logrus.InfoLevel, "limits of client accounts redistributed among the cells")
 	LimitClaimPassedOver   = define(651, logrus.WarnLevel, "claim of a cell to a part of a limit passed over")
 	QueueMoved             = define(652, logrus.InfoLevel, "queue has a home, or another one")
+	LimitClaimUnused       = define(653, logrus.InfoLevel, "claim of a cell to a part of a limit met, and nothing started with it")
 	WaveReceived           = define(660, logrus.InfoLevel, "maintenance wave received")
 	WaveCompleted          = define(661, logrus.InfoLevel, "maintenance wave completed")
 	MaintenanceBegan       = define(662, logrus.InfoLevel, "machine sent to maintenance")
--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -99,11 +99,11 @@
 	// document has this revision.
 	unanswered allocations
 	// pass counts the calls of Balance. patience holds how long cells have given way to
-	// each claim, granted the pass in which a cell of this entry got more, both by client
-	// account and cell.
+	// each claim, granted what a cell of this entry has got last, both by client account and
+	// cell.
 	pass     int
 	patience map[accountCell]patience
-	granted  map[accountCell]int
+	granted  map[accountCell]grant
 	// bounds holds what cells of this entry may use while they give way to claims.
 	bounds map[accountCell]jobs.Size
 }
@@ -117,7 +117,7 @@
 	l := &Ledger{
 		client: client, log: log, stored: make(allocations), loadedEpochs: make(map[string]int64),
 		accounts: make(map[string]setup.Account), outdated: make(map[string]bool),
-		patience: make(map[accountCell]patience), granted: make(map[accountCell]int), bounds: make(map[accountCell]jobs.Size),
+		patience: make(map[accountCell]patience), granted: make(map[accountCell]grant), bounds: make(map[accountCell]jobs.Size),
 	}
 	l.effective.Store(&map[string]map[string]jobs.Size{})
 	return l
@@ -255,6 +255,7 @@
 	defer l.balancing.Unlock()
 	cells = l.readNeeds(ctx, cells)
 	l.watchClaims()
+	l.reportUnused(cells)
 	owned := make(map[string]int64, len(cells))
 	for _, cell := range cells {
 		owned[cell.Name] = cell.Condition.Revision
@@ -358,7 +359,7 @@
 	maps.DeleteFunc(l.loadedEpochs, func(name string, epoch int64) bool { return owned[name] != epoch })
 	isLost := func(key accountCell) bool { return l.loadedEpochs[key.cell] == 0 }
 	maps.DeleteFunc(l.bounds, func(key accountCell, _ jobs.Size) bool { return isLost(key) })
-	maps.DeleteFunc(l.granted, func(key accountCell, _ int) bool { return isLost(key) })
+	maps.DeleteFunc(l.granted, func(key accountCell, _ grant) bool { return isLost(key) })
 	if len(l.loadedEpochs) < before {
 		l.publish()
 	}
@@ -479,7 +480,7 @@
 		var bound jobs.Size
 		next, bound = c.resolve(position{
 			ceiling: ceiling, current: current, revision: l.revision, need: need, floor: maxSize(need.Used, pending),
-			isGranted: isGranted && l.pass-granted < grantPasses,
+			isGranted: isGranted && l.pass-granted.pass < grantPasses,
 		}, next.Size)
 		if bound != ceilingOf(jobs.Size{}) {
 			l.bounds[key] = bound
@@ -582,8 +583,11 @@
 func (l *Ledger) recordGranted(cells []Cell, next allocations) {
 	for name := range l.accounts {
 		for _, cell := range cells {
-			if !next[name][cell.Name].Fits(l.stored[name][cell.Name].Size) {
-				l.granted[accountCell{name, cell.Name}] = l.pass
+			before, now := l.stored[name][cell.Name], next[name][cell.Name]
+			if !now.Fits(before.Size) {
+				l.granted[accountCell{name, cell.Name}] = grant{
+					pass: l.pass, started: cell.needs[name].Started, isClaimed: before.Claim != nil && before.Claim.Size.Fits(now.Size),
+				}
 			}
 		}
 	}
--- a/jobs/blocked.go
+++ b/jobs/blocked.go
@@ -75,11 +75,14 @@
 	if s.Gang {
 		b.GangSize = len(s.tasks)
 	}
-	isOverLimit := !c.mayUseLimit(s, s.Each.Times(int64(b.GangSize)))
+	size := s.Each.Times(int64(b.GangSize))
+	isOverLimit, isKeptFree := !c.isWithinLimit(j, size), !c.mayUseLimit(s, size)
 	for _, e := range c.endpoints {
 		switch {
 		case isOverLimit:
 			b.Endpoints["limit of the client account"]++
+		case isKeptFree:
+			b.Endpoints["limit of the client account is kept free for another task"]++
 		case now.Before(t.notBefore):
 			b.Endpoints["refused a moment ago"]++
 		case c.isOrphaned(t):
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -57,6 +57,8 @@
 	finished []*job
 	ends     []RunEnd
 	applied  []endMark
+	// placed is the number of runs that were placed for each client account.
+	placed map[string]int64
 	// wanted is the size of the tasks that each client account could not start
 	// in the last planning pass because of its limit.
 	wanted map[string]Size
@@ -137,6 +139,7 @@
 		endpoints:  make(map[string]*Endpoint),
 		orphans:    make(map[string]int),
 		used:       make(map[string]Size),
+		placed:     make(map[string]int64),
 		wanted:     make(map[string]Size),
 		units:      make(map[string][]Size),
 		limitHolds: make(map[string]*limitHold),
@@ -439,6 +442,8 @@
 	// Units are the sizes of tasks, and of whole gangs, that its limit alone keeps from
 	// starting: each once, in scheduling order, maxNeedUnits at most.
 	Units []Size
+	// Started is the number of runs that this owner has placed for the account.
+	Started int64 `json:",omitempty"`
 }
 
 // maxNeedUnits is the largest number of sizes in Need.Units. The first one that fits the whole
@@ -449,10 +454,11 @@
 func (c *Cell) Needs() map[string]Need {
 	needs := make(map[string]Need, len(c.used))
 	for account, used := range c.used {
-		needs[account] = Need{Used: used}
+		needs[account] = Need{Used: used, Started: c.placed[account]}
 	}
 	for account, wanted := range c.wanted {
 		need := needs[account]
+		need.Started = c.placed[account]
 		need.Wanted, need.Units = wanted, slices.Clone(c.units[account])
 		needs[account] = need
 	}
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -470,6 +470,7 @@
 		e.heldFor = nil
 	}
 	p.cell.starts = append(p.cell.starts, r)
+	p.cell.placed[t.step.occurrence.job.Account]++
 	p.cell.records = append(p.cell.records, Record{Placement: &Placement{
 		Task: t.name, Run: number, Endpoint: e.ID, Born: e.born, Suspicion: t.suspicion(),
 	}})
