Ask the ledger for the task that a cell may start next, and for what can be reached

Cause: the cell keeps its limit free for a task that has waited, and claimed the size of another one, the first in scheduling order. What it got it could not use, gave back after two passes, and claimed again. Played together, real cells and the real ledger show five more ways to the same: a limit that is kept free for 10 s with nothing at work; claims for what does not fit beside long runs or cells without an owner; claims that wait behind one for another resource; the part of a claim that was passed over; no claim while the cell's own runs and the task do not fit together.

Change: the size that the limit is kept free for is the first one that a cell claims; keeping it free ends when less than half of what the cell may use has been at work for 1.5 s. The document tells what stays in use; what does not fit beside that is not claimed or wanted. A claim is met if it leaves what the claims before it lack, resource by resource. A claim that was passed over keeps nothing.

--- a/internal/cell/ledger/claim.go
+++ b/internal/cell/ledger/claim.go
@@ -25,6 +25,10 @@
 // allocation is what a cell may use of a limit.
 type allocation struct {
 	jobs.Size
+	// LongRunning is what the cell's long-running tasks use of it, Staying what its runs use that will not end soon, those among
+	// them. No other cell can get that.
+	LongRunning jobs.Size `json:"lasting,omitzero"`
+	Staying     jobs.Size `json:"staying,omitzero"`
 	// Claim is nil unless the cell waits for more.
 	Claim *claim `json:"claim,omitempty"`
 }
@@ -38,6 +42,16 @@
 	Size jobs.Size `json:"size"`
 	// Since is the revision of the document before the one with the claim.
 	Since int64 `json:"since"`
+	// Used is what the cell used of the limit when Size was set.
+	Used jobs.Size `json:"used,omitzero"`
+}
+
+// used returns what a cell uses of its allocation, as far as the document tells.
+func (a allocation) used() jobs.Size {
+	if a.Claim == nil {
+		return a.Size
+	}
+	return minSize(a.Size, a.Claim.Used)
 }
 
 // isOlder reports whether a claim of a cell is met before the claim of another one.
@@ -78,11 +92,49 @@
 	})
 }
 
+// updateUnowned finds out which cells have no owner. The caller holds l.mu.
+func (l *Ledger) updateUnowned() {
+	clear(l.unowned)
+	if l.IsOwned == nil {
+		return
+	}
+	isChecked := make(map[string]bool)
+	for _, row := range l.stored {
+		for cell := range row {
+			if isChecked[cell] {
+				continue
+			}
+			isChecked[cell] = true
+			if !l.IsOwned(cell) {
+				l.unowned[cell] = true
+			}
+		}
+	}
+}
+
+// reachOf returns the largest size that a cell can start next under a limit once runs have ended: all that end by themselves, or those
+// that will end soon while less than half of the limit is in use, as tasks must not wait for others for long then. Cells
+// without an owner give nothing back.
+func (l *Ledger) reachOf(row map[string]allocation, ceiling jobs.Size) jobs.Size {
+	isBusy, reach := isHalfUsed(row, ceiling), ceiling
+	for cell, a := range row {
+		switch {
+		case l.unowned[cell]:
+			reach = reach.Minus(limited(a.Size, ceiling))
+		case isBusy:
+			reach = reach.Minus(limited(a.LongRunning, ceiling))
+		default:
+			reach = reach.Minus(limited(a.Staying, ceiling))
+		}
+	}
+	return maxSize(reach, jobs.Size{})
+}
+
 // nextUnit returns the size that a cell has to be able to add to its use to start something;
-// isWaiting is false if it waits for nothing that fits the limit.
-func nextUnit(need jobs.Need, ceiling jobs.Size) (unit jobs.Size, isWaiting bool) {
+// isWaiting is false if it waits for nothing within reach.
+func nextUnit(need jobs.Need, reach jobs.Size) (unit jobs.Size, isWaiting bool) {
 	for _, unit := range need.Units {
-		if unit.Fits(ceiling) {
+		if unit.Fits(reach) {
 			return unit, true
 		}
 	}
@@ -119,6 +171,9 @@
 	var oldest *claim
 	oldestCell := ""
 	own := row[cell].Claim
+	if own != nil && isDeferred(cell, own) {
+		own = nil // It comes after all others.
+	}
 	c.free = ceiling
 	for name, a := range row {
 		held := limited(a.Size, ceiling)
@@ -159,7 +214,9 @@
 
 // position is a cell's part of a limit while it is being adjusted.
 type position struct {
-	ceiling  jobs.Size
+	ceiling jobs.Size
+	// reach is the largest size that the cell can start next (see reachOf).
+	reach    jobs.Size
 	current  allocation
 	revision int64
 	need     jobs.Need
@@ -173,18 +230,21 @@
 // returns the allocation with the claim of the cell, and the size up to which the cell may use it
 // from now on, unbounded if it does not have to give way.
 func (c contention) resolve(p position, proposed jobs.Size) (next allocation, bound jobs.Size) {
-	unit, isWaiting := nextUnit(p.need, p.ceiling)
+	unit, isWaiting := nextUnit(p.need, p.reach)
 	own := wholeUnits(unit, c.share)
 	target := p.need.Used.Plus(unit)
 	if !own.IsZero() {
 		// Within its share a cell gets all that it can use at once.
 		target = maxSize(target, minSize(own, p.need.Used.Plus(p.need.Wanted)))
 	}
-	isFirst := isWaiting && c.owedBefore.IsZero()
+	// Runs of the cell itself may have to end before the unit fits. Others give way meanwhile.
+	target = minSize(target, p.ceiling)
 	current, free := p.current.Size, maxSize(c.free, jobs.Size{})
-	// What the oldest claim may take beside the others.
+	isFirst := isWaiting && c.owedBefore.IsZero()
+	isNext := isWaiting && c.leavesOwed(unit, target, current.Plus(free))
+	// What the claim may take beside the others.
 	taken := jobs.Size{}
-	if isFirst {
+	if isFirst || isNext {
 		taken = minSize(target, current.Plus(free))
 	}
 	bound = ceilingOf(jobs.Size{})
@@ -194,7 +254,7 @@
 		// What the claims lack is there, and taken by none but their cells.
 		proposed = minSize(proposed, maxSize(current.Plus(free.Minus(c.owed)), taken))
 	default:
-		bound = c.keep(p, target, own, isWaiting, isFirst)
+		bound = c.keep(p, target, own, isWaiting, isFirst || isNext)
 		proposed = minSize(proposed, maxSize(maxSize(bound, p.floor), taken))
 		proposed = maxSize(minSize(proposed, current), taken)
 		proposed = maxSize(proposed, minSize(p.floor, current))
@@ -202,8 +262,8 @@
 	next.Size = withoutLimit(proposed, p.ceiling)
 	bound = withoutLimit(bound, p.ceiling)
 	isEntitled := own.IsZero() || p.need.Used.Plus(unit).Fits(own)
-	if isWaiting && isEntitled && target.Fits(p.ceiling) && !target.Fits(next.Size) {
-		next.Claim = &claim{Size: target, Since: p.revision}
+	if isWaiting && isEntitled && !target.Fits(next.Size) {
+		next.Claim = &claim{Size: target, Since: p.revision, Used: p.need.Used}
 		if p.current.Claim != nil {
 			next.Claim.Since = p.current.Claim.Since
 		}
@@ -211,11 +271,21 @@
 	return next, bound
 }
 
+// leavesOwed reports whether a cell that has or can get an available size can use target for a unit and leave what the claims
+// before its own lack, in each resource that the unit takes.
+func (c contention) leavesOwed(unit, target, available jobs.Size) bool {
+	fits := func(unit, target, owed, available int64) bool { return unit == 0 || target+owed <= available }
+	return fits(unit.CPU, target.CPU, c.owedBefore.CPU, available.CPU) &&
+		fits(unit.Memory, target.Memory, c.owedBefore.Memory, available.Memory) &&
+		fits(unit.GPUs, target.GPUs, c.owedBefore.GPUs, available.GPUs)
+}
+
 // keep returns what a cell keeps while the claims of others lack more than what is free. own is
-// what it may have of its share, target what it needs for its own claim.
-func (c contention) keep(p position, target, own jobs.Size, isWaiting, isFirst bool) jobs.Size {
+// what it may have of its share, target what it needs for its own claim, which isMet reports to
+// be there.
+func (c contention) keep(p position, target, own jobs.Size, isWaiting, isMet bool) jobs.Size {
 	switch {
-	case isFirst:
+	case isMet:
 		return target
 	case p.isGranted:
 		return p.current.Size
@@ -250,7 +320,7 @@
 type patience struct {
 	since int64
 	// passes counts the passes in which the claim was the oldest one, idlePasses the last of
-	// them in which less than half of the limit was allocated.
+	// them in which less than half of the limit was in use.
 	passes, idlePasses int
 	// deferredUntil is the pass until which the claim does not count, deferrals how often
 	// that was so.
@@ -263,7 +333,7 @@
 }
 
 // update counts a pass in which a claim is the oldest one that is not met. isBusy reports that
-// half of the limit is allocated, at least.
+// half of the limit is in use, at least.
 func (p patience) update(c *claim, pass int, isBusy bool) patience {
 	if p.since != c.Since {
 		p = patience{since: c.Since}
@@ -312,12 +382,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pass++
+	l.updateUnowned()
 	watched := make(map[accountCell]patience, len(l.patience))
 	for name, account := range l.accounts {
 		row, ceiling := l.stored[name], ceilingOf(account.Limit)
 		var oldest accountCell
 		for cell, a := range row {
-			if a.Claim == nil || a.Claim.Size.Fits(a.Size) {
+			if a.Claim == nil || a.Claim.Size.Fits(a.Size) || l.unowned[cell] {
 				continue
 			}
 			key := accountCell{name, cell}
@@ -330,14 +401,22 @@
 			}
 		}
 		if first := row[oldest.cell].Claim; first != nil {
-			allocated := limited(sumOf(row), ceiling)
-			watched[oldest] = watched[oldest].update(first, l.pass, !allocated.Fits(divided(ceiling, 2)))
+			watched[oldest] = watched[oldest].update(first, l.pass, isHalfUsed(row, ceiling))
 			if watched[oldest].isDeferred(first, l.pass) {
 				event.LimitClaimPassedOver.Log(l.log, logrus.Fields{
-					"account": name, "cell": oldest.cell, "claimed": first.Size, "since": first.Since, "allocated": allocated,
+					"account": name, "cell": oldest.cell, "claimed": first.Size, "since": first.Since, "allocated": limited(sumOf(row), ceiling),
 				})
 			}
 		}
 	}
 	l.patience = watched
 }
+
+// isHalfUsed reports whether the cells use half of a limit, as far as the document tells.
+func isHalfUsed(row map[string]allocation, ceiling jobs.Size) bool {
+	used := jobs.Size{}
+	for _, a := range row {
+		used = used.Plus(limited(a.used(), ceiling))
+	}
+	return !used.Fits(divided(ceiling, 2))
+}
--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -65,6 +65,10 @@
 // Ledger keeps the allocations of the cells that this entry owns. It is safe for
 // concurrent use.
 type Ledger struct {
+	// IsOwned reports whether a cell has an owner, as far as this entry knows. A nil function knows of one for each cell. It is
+	// set before the first call of another method.
+	IsOwned func(cell string) bool
+
 	client *store.Client
 	log    *logrus.Entry
 	// effective is what the cells of this entry may use now.
@@ -104,6 +108,8 @@
 	pass     int
 	patience map[accountCell]patience
 	granted  map[accountCell]grant
+	// unowned holds the cells that have no owner, as of the last pass.
+	unowned map[string]bool
 	// bounds holds what cells of this entry may use while they give way to claims.
 	bounds map[accountCell]jobs.Size
 }
@@ -117,7 +123,7 @@
 	l := &Ledger{
 		client: client, log: log, stored: make(allocations), loadedEpochs: make(map[string]int64),
 		accounts: make(map[string]setup.Account), outdated: make(map[string]bool),
-		patience: make(map[accountCell]patience), granted: make(map[accountCell]grant), bounds: make(map[accountCell]jobs.Size),
+		patience: make(map[accountCell]patience), granted: make(map[accountCell]grant), unowned: make(map[string]bool), bounds: make(map[accountCell]jobs.Size),
 	}
 	l.effective.Store(&map[string]map[string]jobs.Size{})
 	return l
@@ -150,6 +156,13 @@
 	return allocation, ok || account != ""
 }
 
+// Reach returns the largest size that a client account can start next in some cell, when runs have ended that will.
+func (l *Ledger) Reach(account string) jobs.Size {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reachOf(l.stored[account], ceilingOf(l.accounts[account].Limit))
+}
+
 // Cells returns the cells that have allocations or claims, in the order of their names. Those of
 // a cell without an owner cannot be used by others.
 func (l *Ledger) Cells() []string {
@@ -471,29 +484,37 @@
 	current, isKnown := row[cell.Name]
 	next := allocation{Size: suggest(row, account.Limit, cell.Name, need, pending)}
 	delete(l.bounds, key)
+	ceiling := ceilingOf(account.Limit)
 	if len(need.Units) > 0 || hasClaims(row) {
-		ceiling := ceilingOf(account.Limit)
 		granted, isGranted := l.granted[key]
 		c := contend(row, ceiling, cell.Name, func(other string, claim *claim) bool {
-			return l.patience[accountCell{account.Name, other}].isDeferred(claim, l.pass)
+			return l.unowned[other] || l.patience[accountCell{account.Name, other}].isDeferred(claim, l.pass)
 		})
 		var bound jobs.Size
 		next, bound = c.resolve(position{
-			ceiling: ceiling, current: current, revision: l.revision, need: need, floor: maxSize(need.Used, pending),
+			ceiling: ceiling, reach: l.reachOf(row, ceiling), current: current, revision: l.revision, need: need, floor: maxSize(need.Used, pending),
 			isGranted: isGranted && l.pass-granted.pass < grantPasses,
 		}, next.Size)
 		if bound != ceilingOf(jobs.Size{}) {
 			l.bounds[key] = bound
 		}
 	}
-	if isKnown && next.Size == current.Size && isSameClaim(next.Claim, current.Claim) {
+	next.LongRunning, next.Staying = current.LongRunning, current.Staying
+	if len(need.Units) > 0 || hasClaims(row) {
+		next.LongRunning, next.Staying = limited(need.LongRunning, ceiling), limited(need.Staying, ceiling)
+	}
+	isSameUse := next.LongRunning == current.LongRunning && next.Staying == current.Staying
+	if isKnown && next.Size == current.Size && isSameUse && isSameClaim(next.Claim, current.Claim) {
 		return false
 	}
 	row[cell.Name] = next
 	return true
 }
 
-func isSameClaim(a, b *claim) bool { return a == b || a != nil && b != nil && *a == *b }
+// isSameClaim reports whether two claims are for the same. What was used meanwhile does not matter.
+func isSameClaim(a, b *claim) bool {
+	return a == b || a != nil && b != nil && a.Size == b.Size && a.Since == b.Since
+}
 
 // suggest returns the allocation of a cell without regard to claims. A new cell, or one that
 // needs more, gets what the limit leaves, up to its need and the reserve; excess is returned,
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -79,6 +79,8 @@
 	// AccountLimit returns the resources that a client account may use in this cell.
 	// isBounded is false if there is no limit.
 	AccountLimit func(account string) (limit jobs.Size, isBounded bool)
+	// AccountReach returns the largest size that a client account can start next, as jobs.Config does.
+	AccountReach func(account string) jobs.Size
 	// AccountTotal returns the limit of a client account in all cells together, as jobs.Config does.
 	AccountTotal func(account string) jobs.Size
 	// Evacuated returns the evacuated data centres, and AreEvacuationsKnown reports whether
@@ -186,7 +188,7 @@
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.cell = jobs.New(jobs.Config{
-		Bounds: config.Bounds, Inherited: config.OwnedSince, AccountLimit: config.AccountLimit, AccountTotal: config.AccountTotal, AccountWeight: config.AccountWeight,
+		Bounds: config.Bounds, Inherited: config.OwnedSince, AccountLimit: config.AccountLimit, AccountReach: config.AccountReach, AccountTotal: config.AccountTotal, AccountWeight: config.AccountWeight,
 		QueueAt: config.QueueAt, AdviceTerms: config.AdviceTerms, IsForecasting: config.IsForecasting,
 	})
 	return o
--- a/internal/daemon/fleet/daemon.go
+++ b/internal/daemon/fleet/daemon.go
@@ -174,6 +174,10 @@
 	})
 	d.roster = roster.New(roster.Config{Client: d.store, Self: d.self, OnChange: d.wakeManager})
 	d.ledger, d.homes = ledger.New(d.store, d.log), homes.New(d.store, d.log)
+	d.ledger.IsOwned = func(cell string) bool {
+		_, isOwned := d.roster.Owner(cell)
+		return isOwned
+	}
 	d.session = store.NewSession(store.SessionConfig{
 		Client: d.store, TTL: sessionTTL,
 		OnGrant: d.onLeaseGranted, OnExpiry: d.onLeaseLost, OnFailure: d.storeHealth.recordFailure, OnSuccess: d.storeHealth.recordSuccess,
@@ -429,7 +433,7 @@
 	o := owner.New(owner.Config{
 		Cell: cell, Store: d.store, Endpoints: d.platform.Endpoints, Condition: condition,
 		IsValid: d.session.IsValid, IsStoreUp: d.isStoreUp, Bounds: d.bounds(), OwnedSince: boot.Now(),
-		Guard: d.guard(cell), AccountLimit: d.accountLimit(cell), AccountTotal: d.accountTotal, AccountWeight: d.accountWeight,
+		Guard: d.guard(cell), AccountLimit: d.accountLimit(cell), AccountReach: d.ledger.Reach, AccountTotal: d.accountTotal, AccountWeight: d.accountWeight,
 		Advise: d.platform.Advise, AwaitAdviceTurn: d.adviceTurns.await, QueueAt: d.queueAt, AdviceTerms: d.adviceTerms,
 		Evacuated: d.evacuations.centres, AreEvacuationsKnown: d.evacuations.areKnown,
 		IsForecasting: d.config.Settings.Forecast,
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -18,6 +18,9 @@
 	// AccountLimit returns the limit on the total size of the runs that a client
 	// account may have in this cell. A nil function bounds no account.
 	AccountLimit func(account string) (limit Size, isBounded bool)
+	// AccountReach returns the largest size that a client account can start next under its limit, here or in another cell, when
+	// runs have ended that will. A nil function stands for AccountLimit without the long-running tasks of the cell.
+	AccountReach func(account string) Size
 	// AccountTotal returns the limit of a client account in all cells together; a field that is zero
 	// sets none. A nil function bounds no account.
 	AccountTotal func(account string) Size
@@ -87,6 +90,8 @@
 	// isLongRunningBlocked reports whether a long-running task found no place in the last
 	// planning pass.
 	isLongRunningBlocked bool
+	// plannedAt is when Plan was called last.
+	plannedAt time.Time
 	// runsCheckedAt is when Plan last checked all runs.
 	runsCheckedAt time.Time
 	// blockedCheckedAt is when BlockedTasks last checked for blocked jobs.
@@ -437,8 +442,10 @@
 
 // Need is a client account's resource usage and unmet demand in this cell.
 type Need struct {
-	// Used is the size of its runs, Wanted that of the tasks held back by its limit.
+	// Used is the size of its runs, Wanted that of the tasks held back by its limit which it can reach (Config.AccountReach).
 	Used, Wanted Size
+	// LongRunning is the part of Used that does not end by itself, Staying the one that will not end soon, with LongRunning.
+	LongRunning, Staying Size
 	// Units are the sizes of tasks, and of whole gangs, that its limit alone keeps from
 	// starting: each once, in scheduling order, maxNeedUnits at most.
 	Units []Size
@@ -453,13 +460,18 @@
 // Needs returns the needs of all client accounts with runs or unmet demand.
 func (c *Cell) Needs() map[string]Need {
 	needs := make(map[string]Need, len(c.used))
+	staying, longRunning := c.stayingUsage()
 	for account, used := range c.used {
-		needs[account] = Need{Used: used, Started: c.placed[account]}
+		needs[account] = Need{Used: used, LongRunning: longRunning[account], Staying: staying[account], Started: c.placed[account]}
 	}
 	for account, wanted := range c.wanted {
 		need := needs[account]
 		need.Started = c.placed[account]
 		need.Wanted, need.Units = wanted, slices.Clone(c.units[account])
+		if h := c.limitHolds[account]; h != nil {
+			// Nothing else can be started that does not leave the limit its size.
+			need.Units = append([]Size{h.size}, slices.DeleteFunc(need.Units, func(s Size) bool { return s == h.size })...)
+		}
 		needs[account] = need
 	}
 	delete(needs, "")
--- a/jobs/emulator/emulator.go
+++ b/jobs/emulator/emulator.go
@@ -93,6 +93,10 @@
 	// check them: it sums up all runs of an account at each start, which takes minutes in
 	// surges.
 	UncheckedLimits map[string]jobs.Size
+	// AccountLimit, AccountReach and AccountTotal are those of the cell, instead of Limits and UncheckedLimits if AccountLimit is set. The oracle
+	// does not check them.
+	AccountLimit               func(account string) (limit jobs.Size, isBounded bool)
+	AccountReach, AccountTotal func(account string) jobs.Size
 	// Weight returns the weight of a client account's share. It may be nil.
 	Weight func(account string) float64
 	// IsForecasting is that of the cell.
--- a/jobs/emulator/owner.go
+++ b/jobs/emulator/owner.go
@@ -48,7 +48,10 @@
 	}
 	w.epoch++
 	o := &owner{world: w, epoch: w.epoch, connections: make(map[*Endpoint]*connection)}
-	o.cell = jobs.New(jobs.Config{Bounds: jobs.DefaultBounds(), Inherited: w.now, AccountWeight: w.config.Weight, AccountLimit: func(account string) (jobs.Size, bool) {
+	o.cell = jobs.New(jobs.Config{Bounds: jobs.DefaultBounds(), Inherited: w.now, AccountWeight: w.config.Weight, AccountTotal: w.config.AccountTotal, AccountReach: w.config.AccountReach, AccountLimit: func(account string) (jobs.Size, bool) {
+		if w.config.AccountLimit != nil {
+			return w.config.AccountLimit(account)
+		}
 		limit, ok := w.config.Limits[account]
 		if !ok {
 			limit, ok = w.config.UncheckedLimits[account]
--- a/jobs/limithold.go
+++ b/jobs/limithold.go
@@ -9,6 +9,10 @@
 	// maxLimitHold is how long that lasts at most, and how long after it there is none. Short-lived tasks that
 	// run for longer leave the limit to others meanwhile.
 	maxLimitHold = 10 * time.Second
+	// maxIdleLimitHold is how long that lasts at most while the account has less than half of what it may use at work,
+	// idleLimitHoldDelay how long after it there is none.
+	maxIdleLimitHold   = 1500 * time.Millisecond
+	idleLimitHoldDelay = 3 * time.Second
 )
 
 // limitHold keeps the limit of a client account free for a step that has room in the cell: what else the
@@ -19,6 +23,8 @@
 	size Size
 	// since is when the hold began, renewedAt the last planning pass in which the step needed it.
 	since, renewedAt time.Time
+	// busyAt is when the account last had half of what it may use in the cell at work, or the hold began.
+	busyAt time.Time
 }
 
 // mayUseLimit reports whether the client account of a step may use another size for it: one within its
@@ -49,8 +55,8 @@
 		h.size, h.renewedAt = size, p.now
 		return
 	}
-	if limit, _ := c.config.AccountLimit(account); size.Plus(c.longRunningUsage(account)).Fits(limit) {
-		c.limitHolds[account] = &limitHold{step: s, size: size, since: p.now, renewedAt: p.now}
+	if c.isHoldOfUse(account, size) {
+		c.limitHolds[account] = &limitHold{step: s, size: size, since: p.now, renewedAt: p.now, busyAt: p.now}
 	}
 }
 
@@ -67,14 +73,54 @@
 // long.
 func (p *placer) releaseLimitHolds() {
 	for account, h := range p.cell.limitHolds {
-		isTooLong := p.now.Sub(h.since) > maxLimitHold
-		if isTooLong {
+		if p.cell.isHalfUsed(account) {
+			h.busyAt = p.now
+		}
+		switch {
+		case p.now.Sub(h.since) > maxLimitHold:
 			h.step.noLimitHoldBefore = p.now.Add(maxLimitHold)
+		case p.now.Sub(h.busyAt) > maxIdleLimitHold:
+			h.step.noLimitHoldBefore = p.now.Add(idleLimitHoldDelay)
+		case h.renewedAt.Equal(p.now):
+			continue
 		}
-		if isTooLong || !h.renewedAt.Equal(p.now) {
-			delete(p.cell.limitHolds, account)
+		delete(p.cell.limitHolds, account)
+	}
+}
+
+// isReachable reports whether a client account can ever start a size under its limit while the runs go on that will not end soon. It is
+// true if what other cells use is not known.
+func (p *placer) isReachable(account string, size Size) bool {
+	if p.cell.config.AccountReach == nil {
+		return true
+	}
+	reach, isKnown := p.reaches[account]
+	if !isKnown {
+		reach = p.cell.config.AccountReach(account)
+		if p.reaches == nil {
+			p.reaches = make(map[string]Size)
 		}
+		p.reaches[account] = reach
 	}
+	return size.Fits(reach)
+}
+
+// isHoldOfUse reports whether the end of short-lived tasks can make room for a size under the limit of a client account. What
+// isReachable knows is more than that.
+func (c *Cell) isHoldOfUse(account string, size Size) bool {
+	if c.config.AccountReach != nil {
+		return true
+	}
+	limit, _ := c.config.AccountLimit(account)
+	return size.Plus(c.longRunningUsage(account)).Fits(limit)
+}
+
+// isHalfUsed reports whether a client account uses half of what it may in the cell, of some resource.
+func (c *Cell) isHalfUsed(account string) bool {
+	limit, _ := c.config.AccountLimit(account)
+	used := c.used[account].Times(2)
+	isHalf := func(used, limit int64) bool { return used > 0 && used >= limit }
+	return isHalf(used.CPU, limit.CPU) || isHalf(used.Memory, limit.Memory) || isHalf(used.GPUs, limit.GPUs)
 }
 
 // longRunningUsage returns the size of the runs of long-running tasks of a client account.
@@ -88,3 +134,25 @@
 	}
 	return usage
 }
+
+// minStay is for how long a run has been at work when it is not expected to end soon.
+const minStay = 3 * time.Second
+
+// stayingUsage returns the sizes of the runs that will not end soon, and of those among them that are of long-running tasks, by client
+// account.
+func (c *Cell) stayingUsage() (staying, longRunning map[string]Size) {
+	staying, longRunning = make(map[string]Size), make(map[string]Size)
+	for _, e := range c.endpoints {
+		for _, r := range e.runs {
+			s := r.task.step
+			account := s.occurrence.job.Account
+			if s.LongRunning {
+				longRunning[account] = longRunning[account].Plus(s.Each)
+			}
+			if s.LongRunning || !r.confirmedAt.IsZero() && c.plannedAt.Sub(r.confirmedAt) >= minStay {
+				staying[account] = staying[account].Plus(s.Each)
+			}
+		}
+	}
+	return staying, longRunning
+}
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -26,6 +26,8 @@
 	// Only passes that place runs count them (countStarts).
 	startsLeft  int
 	hasNoStarts bool
+	// reaches holds the results of Config.AccountReach.
+	reaches map[string]Size
 	// hasWarm reports whether a candidate is not cold.
 	hasWarm bool
 	// assumesTickets makes steps of queues with advice suit all endpoints that the policy has not
@@ -162,13 +164,16 @@
 }
 
 // checkAccountLimit reports whether the client account of a step may use another
-// size. If not, the size is added to the account's unmet demand, and to its units if its limit
+// size. If not, and if it is reachable, the size is added to the account's unmet demand, and to its units if its limit
 // alone keeps it from being used and hasRoom reports that there is room for it in the cell.
 func (p *placer) checkAccountLimit(s *step, size Size, hasRoom func() bool) bool {
 	c, j := p.cell, s.occurrence.job
 	if c.mayUseLimit(s, size) {
 		return true
 	}
+	if !p.isReachable(j.Account, size) {
+		return false
+	}
 	c.wanted[j.Account] = c.wanted[j.Account].Plus(size)
 	if c.isWithinLimit(j, size) {
 		return false
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -28,6 +28,7 @@
 // runs and places waiting tasks. The results are returned by TakeBatch and Stops. The
 // wall clock only determines which occurrences of timed jobs are due.
 func (c *Cell) Plan(now, wall time.Time) {
+	c.plannedAt = now
 	c.expireRuns(now)
 	c.beginDueOccurrences(wall)
 	if now.Sub(c.runsCheckedAt) >= runCheckInterval {
