--- a/internal/cell/ledger/claim.go
+++ b/internal/cell/ledger/claim.go
@@ -46,14 +46,6 @@
 	Used jobs.Size `json:"used,omitzero"`
 }
 
-// used returns what a cell uses of its allocation, as far as the document tells.
-func (a allocation) used() jobs.Size {
-	if a.Claim == nil {
-		return a.Size
-	}
-	return minSize(a.Size, a.Claim.Used)
-}
-
 // isOlder reports whether a claim of a cell is met before the claim of another one.
 func (c *claim) isOlder(cell string, other *claim, otherCell string) bool {
 	if other == nil {
@@ -92,44 +84,6 @@
 	})
 }
 
-// updateUnowned finds out which cells have no owner. The caller holds l.mu.
-func (l *Ledger) updateUnowned() {
-	clear(l.unowned)
-	if l.IsOwned == nil {
-		return
-	}
-	isChecked := make(map[string]bool)
-	for _, row := range l.stored {
-		for cell := range row {
-			if isChecked[cell] {
-				continue
-			}
-			isChecked[cell] = true
-			if !l.IsOwned(cell) {
-				l.unowned[cell] = true
-			}
-		}
-	}
-}
-
-// reachOf returns the largest size that a cell can start next under a limit once runs have ended: all that end by themselves, or those
-// that will end soon while less than half of the limit is in use, as tasks must not wait for others for long then. Cells
-// without an owner give nothing back.
-func (l *Ledger) reachOf(row map[string]allocation, ceiling jobs.Size) jobs.Size {
-	isBusy, reach := isHalfUsed(row, ceiling), ceiling
-	for cell, a := range row {
-		switch {
-		case l.unowned[cell]:
-			reach = reach.Minus(limited(a.Size, ceiling))
-		case isBusy:
-			reach = reach.Minus(limited(a.LongRunning, ceiling))
-		default:
-			reach = reach.Minus(limited(a.Staying, ceiling))
-		}
-	}
-	return maxSize(reach, jobs.Size{})
-}
-
 // nextUnit returns the size that a cell has to be able to add to its use to start something;
 // isWaiting is false if it waits for nothing within reach.
 func nextUnit(need jobs.Need, reach jobs.Size) (unit jobs.Size, isWaiting bool) {
@@ -241,6 +195,7 @@
 	target = minSize(target, p.ceiling)
 	current, free := p.current.Size, maxSize(c.free, jobs.Size{})
 	isFirst := isWaiting && c.owedBefore.IsZero()
+	// A claim need not wait for older ones that lack something else.
 	isNext := isWaiting && c.leavesOwed(unit, target, current.Plus(free))
 	// What the claim may take beside the others.
 	taken := jobs.Size{}
@@ -350,32 +305,6 @@
 	return p
 }
 
-// grant records that a cell has got more of a limit.
-type grant struct {
-	// pass is that of the write, started Need.Started before it.
-	pass    int
-	started int64
-	// isClaimed reports that a claim was met.
-	isClaimed bool
-}
-
-// reportUnused logs the claims that were met and with which cells have started nothing while they might keep them.
-func (l *Ledger) reportUnused(cells []Cell) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for name := range l.accounts {
-		for _, cell := range cells {
-			g, isGranted := l.granted[accountCell{name, cell.Name}]
-			need := cell.needs[name]
-			if isGranted && g.isClaimed && l.pass-g.pass == grantPasses && need.Started == g.started {
-				event.LimitClaimUnused.Log(l.log, logrus.Fields{
-					"account": name, "cell": cell.Name, "allocation": l.stored[name][cell.Name].Size, "used": need.Used, "units": need.Units,
-				})
-			}
-		}
-	}
-}
-
 // watchClaims begins a pass: it counts for how long the oldest claims in the document have not
 // been met.
 func (l *Ledger) watchClaims() {
@@ -411,12 +340,3 @@
 	}
 	l.patience = watched
 }
-
-// isHalfUsed reports whether the cells use half of a limit, as far as the document tells.
-func isHalfUsed(row map[string]allocation, ceiling jobs.Size) bool {
-	used := jobs.Size{}
-	for _, a := range row {
-		used = used.Plus(limited(a.used(), ceiling))
-	}
-	return !used.Fits(divided(ceiling, 2))
-}
--- a/internal/cell/ledger/ledger.go
+++ b/internal/cell/ledger/ledger.go
@@ -156,13 +156,6 @@
 	return allocation, ok || account != ""
 }
 
-// Reach returns the largest size that a client account can start next in some cell, when runs have ended that will.
-func (l *Ledger) Reach(account string) jobs.Size {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.reachOf(l.stored[account], ceilingOf(l.accounts[account].Limit))
-}
-
 // Cells returns the cells that have allocations or claims, in the order of their names. Those of
 // a cell without an owner cannot be used by others.
 func (l *Ledger) Cells() []string {
--- a/jobs/cell.go
+++ b/jobs/cell.go
@@ -19,7 +19,7 @@
 	// account may have in this cell. A nil function bounds no account.
 	AccountLimit func(account string) (limit Size, isBounded bool)
 	// AccountReach returns the largest size that a client account can start next under its limit, here or in another cell, when
-	// runs have ended that will. A nil function stands for AccountLimit without the long-running tasks of the cell.
+	// runs have ended that will. A nil function knows nothing of other cells.
 	AccountReach func(account string) Size
 	// AccountTotal returns the limit of a client account in all cells together; a field that is zero
 	// sets none. A nil function bounds no account.
--- a/jobs/endpoint.go
+++ b/jobs/endpoint.go
@@ -245,16 +245,6 @@
 	e.mayHaveRestarted, e.registeredRestartAt, e.inheritedEnd = true, now, time.Time{}
 }
 
-// hasEndpoints reports whether an endpoint is known that is listed or has runs.
-func (c *Cell) hasEndpoints() bool {
-	for _, e := range c.endpoints {
-		if !e.isRemembered() {
-			return true
-		}
-	}
-	return false
-}
-
 // isReplacedBy reports whether another endpoint was up on this one's machine after this one
 // was last heard of. It is false for endpoints that discovery still lists.
 func (e *Endpoint) isReplacedBy(other *Endpoint) bool {
