Call no endpoints whose machines or addresses have others now

Change: owners are told the endpoints of all machines. Where a machine has another one, or another one answers at the address, no start for the former ID can be carried out there. Restarts are awaited with 67 polls a second at most.

--- a/internal/cell/owner/latestart_test.go
+++ b/internal/cell/owner/latestart_test.go
@@ -161,28 +161,30 @@
 		next.SetEndpoints(nil)
 		So(await.Until(waitTimeout, func() bool { return e.count(&e.answered) > 0 }), ShouldBeTrue)
 	})
-	Convey("An owner goes on when such an endpoint has seen a later one", t, func() {
-		e := newDoubtfulEndpoint()
-		o, _ := newOwnerWith(t, func(config *Config) {
-			client := e.client()
-			poll := client.Poll
-			client.Poll = func(ctx context.Context, target endpoint.Target, p endpoint.Poll) (jobs.Listing, endpoint.Receipt) {
-				listing, receipt := poll(ctx, target, p)
-				if listing.Born > 1 {
-					receipt.Answer = jobs.Fenced
+	for name, answer := range map[string]jobs.Answer{"has seen a later owner": jobs.Fenced, "has another ID": jobs.OtherIncarnation} {
+		Convey("An owner goes on, and calls no more, when the endpoint at the address "+name, t, func() {
+			e := newDoubtfulEndpoint()
+			o, _ := newOwnerWith(t, func(config *Config) {
+				client := e.client()
+				poll := client.Poll
+				client.Poll = func(ctx context.Context, target endpoint.Target, p endpoint.Poll) (jobs.Listing, endpoint.Receipt) {
+					listing, receipt := poll(ctx, target, p)
+					if listing.Born > 1 {
+						receipt.Answer = answer
+					}
+					return listing, receipt
 				}
-				return listing, receipt
-			}
-			config.Endpoints = client
+				config.Endpoints = client
+			})
+			e.loseStart(o)
+			e.crash()
+			o.SetEndpoints(nil)
+			time.Sleep(waited)
+			e.restart()
+			So(await.Until(waitTimeout, func() bool { return e.count(&e.answered) > 0 }), ShouldBeTrue)
+			time.Sleep(waited)
+			So(o.IsServing(), ShouldBeTrue)
+			So(e.count(&e.answered), ShouldEqual, 1)
 		})
-		e.loseStart(o)
-		e.crash()
-		o.SetEndpoints(nil)
-		time.Sleep(waited)
-		e.restart()
-		So(await.Until(waitTimeout, func() bool { return e.count(&e.answered) > 0 }), ShouldBeTrue)
-		time.Sleep(waited)
-		So(o.IsServing(), ShouldBeTrue)
-		So(e.count(&e.answered), ShouldEqual, 1)
-	})
+	}
 }
--- a/internal/cell/owner/poll.go
+++ b/internal/cell/owner/poll.go
@@ -23,10 +23,10 @@
 	// that end close together are reported in one listing.
 	minPollGap = 60 * time.Millisecond
 	// minRestartGap is the minimum pause between two polls of an endpoint that refuses connections and whose restart has to
-	// be noticed soon. restartGapEach is added up for all of them instead if that is more, so that an owner makes 125 such
+	// be noticed soon. restartGapEach is added up for all of them instead if that is more, so that an owner makes 67 such
 	// polls a second at most.
 	minRestartGap  = 10 * time.Millisecond
-	restartGapEach = 8 * time.Millisecond
+	restartGapEach = 15 * time.Millisecond
 	// pollMargin is added to the requested wait to get the timeout of a poll.
 	pollMargin = 600 * time.Millisecond
 	// idleCheckInterval is how often the loop of an endpoint that needs no poll
@@ -104,6 +104,11 @@
 	})
 }
 
+// SetMachines tells the owner which endpoints are listed in all cells, by machine.
+func (o *Owner) SetMachines(machines map[string]string) {
+	o.post(func() { o.cell.CloseMovedStarts(machines) })
+}
+
 // startPoller starts polling an endpoint. It runs in the owner's loop.
 func (o *Owner) startPoller(target endpoint.Target) {
 	ctx, cancel := context.WithCancel(o.ctx)
@@ -213,8 +218,13 @@
 		if p.failures == lostAfterFailures {
 			event.EndpointUnresponsive.Log(o.config.Log, fields)
 		}
-		if receipt.Answer == jobs.Fenced && !o.cell.CloseOpenStarts(p.target.ID) {
-			o.abort(errFenced)
+		switch receipt.Answer {
+		case jobs.OtherIncarnation:
+			o.cell.CloseOpenStarts(p.target.ID)
+		case jobs.Fenced:
+			if !o.cell.CloseOpenStarts(p.target.ID) {
+				o.abort(errFenced)
+			}
 		}
 		return
 	}
--- a/internal/daemon/fleet/watch.go
+++ b/internal/daemon/fleet/watch.go
@@ -177,7 +177,14 @@
 		}
 		return false
 	})
+	machines := make(map[string]string, len(registrations))
+	for id, r := range registrations {
+		if !r.Profile.IsDraining {
+			machines[r.Profile.Machine] = id
+		}
+	}
 	for cell, o := range d.currentOwners() {
+		o.SetMachines(machines)
 		var own []endpoint.Registration
 		for _, r := range registrations {
 			if r.Pool == cell {
--- a/jobs/forget_test.go
+++ b/jobs/forget_test.go
@@ -106,7 +106,7 @@
 			d.cell.FinishRestore()
 			d.cell.SetEndpoints(d.now, nil)
 			open := d.cell.UnlistedOpenStarts()
-			So(open, ShouldResemble, []OpenStart{{Endpoint: d.start.Endpoint, Address: address, Born: 1}})
+			So(open, ShouldResemble, []OpenStart{{Endpoint: d.start.Endpoint, Address: address, Machine: "m" + d.start.Endpoint, Born: 1}})
 			So(d.cell.Snapshot().Open, ShouldResemble, open)
 			poll, isKnown := d.cell.NextPoll(d.now, d.start.Endpoint)
 			So(isKnown && poll.IsNeeded && poll.IsUrgent, ShouldBeTrue)
@@ -134,3 +134,26 @@
 		So(d.cell.endpoints[e.ID], ShouldNotBeNil)
 	})
 }
+
+// The addresses of endpoints whose machines had moved to other cells were polled for half a minute.
+func TestMovedEndpointIsCalled(t *testing.T) {
+	for name, c := range map[string]struct {
+		machines map[string]string
+		isOpen   bool
+	}{
+		"the machine is not listed":          {map[string]string{"other": "next"}, true},
+		"the machine has the same endpoint":  {map[string]string{"me0": "e0"}, true},
+		"the machine has another endpoint":   {map[string]string{"me0": "next"}, false},
+		"an endpoint without a machine only": {map[string]string{"": "next"}, true},
+	} {
+		Convey("An endpoint that has left is called unless its machine has another one: "+name, t, func() {
+			b := newTestbed(1)
+			b.cell.endpoints["e0"].openUntil = b.now.Add(maxStartDelay)
+			b.cell.CloseMovedStarts(c.machines)
+			So(b.cell.endpoints["e0"].isOpen(b.now), ShouldBeTrue)
+			b.setEndpoints(0, false)
+			b.cell.CloseMovedStarts(c.machines)
+			So(b.cell.endpoints["e0"].isOpen(b.now), ShouldEqual, c.isOpen)
+		})
+	}
+}
--- a/jobs/latestart.go
+++ b/jobs/latestart.go
@@ -25,8 +25,9 @@
 // earlier owners.
 type OpenStart struct {
 	Endpoint string `json:"e"`
-	// Address is where the endpoint was listed last.
+	// Address is where the endpoint was listed last, Machine the hardware that it ran on.
 	Address netip.AddrPort `json:"a"`
+	Machine string         `json:"m,omitempty"`
 	// Born is the incarnation that was known.
 	Born int64 `json:"b,omitempty"`
 }
@@ -60,7 +61,7 @@
 }
 
 func (e *Endpoint) openStart() *OpenStart {
-	return &OpenStart{Endpoint: e.ID, Address: e.address, Born: e.born}
+	return &OpenStart{Endpoint: e.ID, Address: e.address, Machine: e.Machine, Born: e.born}
 }
 
 // inheritOpenStart applies what an earlier owner has stored. When it did so is not known.
@@ -69,7 +70,7 @@
 	if e == nil {
 		e = c.newEndpoint(s.Endpoint, s.Born)
 	}
-	e.address, e.openUntil = s.Address, c.config.Inherited.Add(maxStartDelay)
+	e.address, e.Machine, e.openUntil = s.Address, s.Machine, c.config.Inherited.Add(maxStartDelay)
 }
 
 // openStarts returns what a snapshot says of endpoints that may carry out starts.
@@ -96,9 +97,19 @@
 	c.lateStarts = slices.DeleteFunc(c.lateStarts, func(s lateStart) bool { return s.endpoint == e.ID })
 }
 
-// CloseOpenStarts is called when an endpoint has refused a call as it has seen a later owner, of this cell or of the one that it is
-// listed in now. It refuses the starts of this owner and of earlier ones, too. It reports whether the endpoint was kept for these
-// only, so that the refusal tells nothing about this cell.
+// CloseMovedStarts closes the starts of the endpoints that are kept for them only and whose machines have another endpoint now, in
+// whatever cell. machines holds the IDs of all listed endpoints by machine.
+func (c *Cell) CloseMovedStarts(machines map[string]string) {
+	for _, e := range c.endpoints {
+		if id := machines[e.Machine]; !e.openUntil.IsZero() && e.isRemembered() && id != "" && id != e.ID {
+			c.closeStarts(e)
+		}
+	}
+}
+
+// CloseOpenStarts is called when a call shows that starts for an endpoint are refused where it was: by another endpoint at its
+// address, or as it has seen a later owner, of this cell or of the one that it is listed in now. It reports whether the endpoint was kept
+// for these starts only, so that a later owner tells nothing about this cell.
 func (c *Cell) CloseOpenStarts(endpoint string) (isKeptForThem bool) {
 	e := c.endpoints[endpoint]
 	if e == nil || !e.isRemembered() {
