--- a/jobs/loss.go
+++ b/jobs/loss.go
@@ -80,16 +80,13 @@
 		}
 		return now.Sub(at)
 	}
-	openFor := time.Duration(0)
-	if until := c.openStart(r); !until.IsZero() {
-		openFor = max(until.Sub(now), 0)
-	}
 	return Loss{
-		OpenFor: openFor, Task: r.task.name, Run: r.number, Endpoint: e.ID, Rule: rule, State: r.describe(),
+		Task: r.task.name, Run: r.number, Endpoint: e.ID, Rule: rule, State: r.describe(),
 		Born: r.orderedBorn, PresentBorn: e.born, RegisteredBorn: e.registeredBorn,
 		ListedClock: e.listedClock,
 		OrderedFor:  since(r.orderedAt), AcceptedFor: since(r.acceptedAt), StoppedFor: since(r.stoppedAt),
 		ConnectedFor: since(r.connectedAt), ListedFor: since(e.listedSince), SilentFor: since(e.lastContact),
+		OpenFor: max(c.openStart(r).Sub(now), 0),
 	}
 }
 
--- a/jobs/reach.go
+++ b/jobs/reach.go
@@ -24,18 +24,6 @@
 	return staying, longRunning
 }
 
-// longRunningUsage returns the size of the runs of long-running tasks of a client account.
-func (c *Cell) longRunningUsage(account string) (usage Size) {
-	for _, e := range c.endpoints {
-		for _, r := range e.runs {
-			if s := r.task.step; s.LongRunning && s.occurrence.job.Account == account {
-				usage = usage.Plus(s.Each)
-			}
-		}
-	}
-	return usage
-}
-
 // isReachable reports whether a client account can ever start a size under its limit while the runs go on that will not end soon. It is
 // true if what other cells use is not known.
 func (p *placer) isReachable(account string, size Size) bool {
@@ -60,5 +48,6 @@
 		return true
 	}
 	limit, _ := c.config.AccountLimit(account)
-	return size.Plus(c.longRunningUsage(account)).Fits(limit)
+	_, longRunning := c.stayingUsage()
+	return size.Plus(longRunning[account]).Fits(limit)
 }
